Move the backend interfaces out of the platform package

Cause: the package name platform is needed for the adapter to the users' platform; the interfaces and the product's own HTTP adapters are not part of it. Change: the package is now pistachiolift.backends; imports follow.

--- a/pistachiolift/bench/relay.py
+++ b/pistachiolift/bench/relay.py
@@ -24,9 +24,9 @@
 from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.server import Site
 
+from ..backends import AttemptOrder, HttpUpstreamClient
 from ..common import AttemptId, Epoch, Metrics, RequestId
 from ..entry.http import CallerAnswer, StreamingSite, parse_head
-from ..platform import AttemptOrder, HttpUpstreamClient
 
 __all__ = ["RelayCost", "RelayVariant", "bare_relay", "measure_relay"]
 
--- a/pistachiolift/cli/standin.py
+++ b/pistachiolift/cli/standin.py
@@ -4,7 +4,7 @@
 from twisted.internet import reactor
 from twisted.web.server import Site
 
-from ..platform import Capacity
+from ..backends import Capacity
 from ..standins import (
     DirectoryStandin,
     StoreStandin,
--- a/pistachiolift/demo/cell.py
+++ b/pistachiolift/demo/cell.py
@@ -8,9 +8,9 @@
 from twisted.internet.task import deferLater
 from twisted.web.server import Site
 
+from ..backends import Capacity, DirectoryEntry, InstanceRole
 from ..common import DataCentreId, InstanceId, RackId
 from ..entry import Instance, InstanceConfig
-from ..platform import Capacity, DirectoryEntry, InstanceRole
 from ..settings import ChangeRequest, Edit, EditAction
 from ..standins import (
     DirectoryChange,
--- a/pistachiolift/entry/attempts.py
+++ b/pistachiolift/entry/attempts.py
@@ -6,6 +6,7 @@
 
 from twisted.internet.defer import ensureDeferred
 
+from ..backends import AttemptOrder, AttemptState
 from ..common import (
     AttemptId,
     Clock,
@@ -22,7 +23,6 @@
     HeldAttempt,
     StopAttempt,
 )
-from ..platform import AttemptOrder, AttemptState
 from .dispatcher import AttemptOutcome, Dispatcher
 from .reports import ReportOutbox
 from .session import Caller, RequestSession, SessionTable
--- a/pistachiolift/entry/directory_poller.py
+++ b/pistachiolift/entry/directory_poller.py
@@ -7,8 +7,8 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall
 
+from ..backends import DirectoryEntry, InstanceDirectory
 from ..common import Clock, InstanceId, Metrics, PistachioliftError, log_event
-from ..platform import DirectoryEntry, InstanceDirectory
 
 __all__ = ["DirectoryListener", "DirectoryPoller"]
 
--- a/pistachiolift/entry/dispatcher.py
+++ b/pistachiolift/entry/dispatcher.py
@@ -3,6 +3,7 @@
 import logging
 from dataclasses import dataclass
 
+from ..backends import AnswerSink, AttemptOrder, AttemptState, UpstreamClient
 from ..common import (
     Clock,
     DeadlineExpiredError,
@@ -13,7 +14,6 @@
     log_event,
 )
 from ..peers import AttemptEnd, StoredAnswer
-from ..platform import AnswerSink, AttemptOrder, AttemptState, UpstreamClient
 from .session import Caller
 
 __all__ = ["STORED_ANSWER_LIMIT_BYTES", "AttemptOutcome", "Dispatcher"]
--- a/pistachiolift/entry/http/answer.py
+++ b/pistachiolift/entry/http/answer.py
@@ -6,13 +6,13 @@
 from twisted.internet.interfaces import IPushProducer
 from zope.interface import implementer
 
+from ...backends import AnswerSink
 from ...common import (
     Outcome,
     OutcomeUnknownError,
     PistachioliftError,
     UpstreamFailedError,
 )
-from ...platform import AnswerSink
 from .request import StreamingRequest
 
 __all__ = ["PASSED_HEADERS", "CallerAnswer"]
--- a/pistachiolift/entry/instance.py
+++ b/pistachiolift/entry/instance.py
@@ -8,6 +8,15 @@
 from twisted.internet.interfaces import IReactorCore
 from twisted.internet.task import LoopingCall, deferLater
 
+from ..backends import (
+    DirectoryEntry,
+    EtcdStore,
+    HttpInstanceDirectory,
+    HttpUpstreamClient,
+    HttpWorkerClient,
+    InstanceRole,
+    InstanceState,
+)
 from ..common import (
     Clock,
     Epoch,
@@ -48,15 +57,6 @@
     PeerNetwork,
     SettingsOffer,
 )
-from ..platform import (
-    DirectoryEntry,
-    EtcdStore,
-    HttpInstanceDirectory,
-    HttpUpstreamClient,
-    HttpWorkerClient,
-    InstanceRole,
-    InstanceState,
-)
 from ..settings import SettingsOperations, SettingsRepository, SettingsView
 from .caller_api import CallerApi
 from .config import InstanceConfig
--- a/pistachiolift/entry/settings_sync.py
+++ b/pistachiolift/entry/settings_sync.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
+from ..backends import KeyValueStore, Watch, WatchEvent
 from ..common import (
     InstanceId,
     MalformedMessageError,
@@ -15,7 +16,6 @@
     log_event,
 )
 from ..peers import PeerMessage, SettingsOffer
-from ..platform import KeyValueStore, Watch, WatchEvent
 from ..settings import TREE_KEY, SettingsView
 
 __all__ = ["SettingsSync"]
--- a/pistachiolift/home/home_jobs.py
+++ b/pistachiolift/home/home_jobs.py
@@ -10,6 +10,17 @@
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 from twisted.internet.task import deferLater
 
+from ..backends import (
+    Capacity,
+    CommandAction,
+    CommandBatch,
+    DirectoryEntry,
+    InstanceState,
+    KeyValueStore,
+    TaskCommand,
+    WorkerAnswer,
+    WorkerClient,
+)
 from ..common import (
     Clock,
     CustomerId,
@@ -46,17 +57,6 @@
     TaskReport,
     WorkerSpec,
 )
-from ..platform import (
-    Capacity,
-    CommandAction,
-    CommandBatch,
-    DirectoryEntry,
-    InstanceState,
-    KeyValueStore,
-    TaskCommand,
-    WorkerAnswer,
-    WorkerClient,
-)
 from .paged_log import PagedLog, delete_pages_before, read_page
 from .quota_keeper import JobQuotas, QuotaKeeper, QuotaUser
 from .trace import open_trace
--- a/pistachiolift/home/home_partition.py
+++ b/pistachiolift/home/home_partition.py
@@ -9,6 +9,13 @@
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 from twisted.internet.task import deferLater
 
+from ..backends import (
+    AttemptState,
+    KeyValueStore,
+    RunningAttempt,
+    UpstreamClient,
+    WorkerClient,
+)
 from ..common import (
     Clock,
     Epoch,
@@ -30,13 +37,6 @@
     RequestAccepted,
     SubmitRequest,
 )
-from ..platform import (
-    AttemptState,
-    KeyValueStore,
-    RunningAttempt,
-    UpstreamClient,
-    WorkerClient,
-)
 from ..requests import (
     Answer,
     AttemptReport,
--- a/pistachiolift/home/intents.py
+++ b/pistachiolift/home/intents.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.interfaces import IReactorTime
 
+from ..backends import KeyValueStore
 from ..common import (
     Clock,
     Epoch,
@@ -15,7 +16,6 @@
     PartitionId,
     RequestId,
 )
-from ..platform import KeyValueStore
 from ..requests import EndedRequest, IntentRecord, OutcomeRecord, RequestResult
 from .paged_log import PagedLog, delete_pages_before, read_pages
 
--- a/pistachiolift/home/lending.py
+++ b/pistachiolift/home/lending.py
@@ -14,6 +14,7 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.interfaces import IReactorTime
 
+from ..backends import UpstreamClient
 from ..common import (
     AttemptId,
     Clock,
@@ -24,7 +25,6 @@
     UpstreamId,
 )
 from ..peers import BorrowSlots, LentSlot, PartitionLoad, ReturnSlots, SlotsLent
-from ..platform import UpstreamClient
 from ..requests import RequestScheduler
 
 __all__ = ["LoadTable", "SlotLending"]
--- a/pistachiolift/home/ownership_driver.py
+++ b/pistachiolift/home/ownership_driver.py
@@ -8,6 +8,7 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall
 
+from ..backends import KeyValueStore
 from ..common import (
     Clock,
     Epoch,
@@ -48,7 +49,6 @@
     WriteFailure,
     WriteRecord,
 )
-from ..platform import KeyValueStore
 from .store_session import INSTANCE_PREFIX, record_key
 
 __all__ = ["AuthorityListener", "OwnershipDriver"]
--- a/pistachiolift/home/paged_log.py
+++ b/pistachiolift/home/paged_log.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
+from ..backends import KeyValueStore
 from ..common import (
     MalformedMessageError,
     Metrics,
@@ -16,7 +17,6 @@
     VersionConflictError,
     log_event,
 )
-from ..platform import KeyValueStore
 
 __all__ = ["PagedLog", "delete_pages_before", "read_pages"]
 
--- a/pistachiolift/home/quota_keeper.py
+++ b/pistachiolift/home/quota_keeper.py
@@ -9,6 +9,7 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall
 
+from ..backends import KeyValueStore
 from ..common import (
     Clock,
     CustomerId,
@@ -20,7 +21,6 @@
     log_event,
 )
 from ..jobs import QuotaUse, Resources
-from ..platform import KeyValueStore
 from .quota_shares import NOTHING, UNLIMITED, CustomerShare, QuotaRecord
 
 __all__ = ["JobQuotas", "QuotaKeeper", "QuotaUser"]
--- a/pistachiolift/home/service.py
+++ b/pistachiolift/home/service.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Callable, Iterable
 
+from ..backends import DirectoryEntry
 from ..common import (
     Epoch,
     InstanceId,
@@ -25,7 +26,6 @@
     SlotsLent,
     SubmitRequest,
 )
-from ..platform import DirectoryEntry
 from .home_calls import HomeCalls
 from .home_partition import HomeContext, HomePartition
 from .partition_map import PartitionMap
--- a/pistachiolift/home/store_session.py
+++ b/pistachiolift/home/store_session.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
+from ..backends import KeyValueStore, LeaseId, Watch, WatchEvent
 from ..common import (
     Clock,
     DataCentreId,
@@ -31,7 +32,6 @@
     RecordSeen,
     StoreContact,
 )
-from ..platform import KeyValueStore, LeaseId, Watch, WatchEvent
 
 __all__ = ["CONTROL_PREFIX", "StoreListener", "StoreSession", "record_key"]
 
--- a/pistachiolift/home/tests/test_home_jobs.py
+++ b/pistachiolift/home/tests/test_home_jobs.py
@@ -6,6 +6,12 @@
 import pytest
 from twisted.internet.task import Clock as TwistedClock
 
+from pistachiolift.backends import (
+    Capacity,
+    DirectoryEntry,
+    InstanceRole,
+    InstanceState,
+)
 from pistachiolift.common import (
     ErrorCode,
     ManualClock,
@@ -15,12 +21,6 @@
 from pistachiolift.home.home_jobs import COPIED_KEY, HomeJobs
 from pistachiolift.home.quota_keeper import JobQuotas
 from pistachiolift.jobs import JobSpec, LedgerEntry, PolicyName, Resources
-from pistachiolift.platform import (
-    Capacity,
-    DirectoryEntry,
-    InstanceRole,
-    InstanceState,
-)
 
 SPEC = JobSpec(
     job_id="j1",
--- a/pistachiolift/home/upstream_roster.py
+++ b/pistachiolift/home/upstream_roster.py
@@ -6,8 +6,8 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import deferLater
 
+from ..backends import DirectoryEntry, InstanceState, RunningAttempt, UpstreamClient
 from ..common import Clock, Metrics, PistachioliftError, UpstreamId
-from ..platform import DirectoryEntry, InstanceState, RunningAttempt, UpstreamClient
 from ..requests import UpstreamPool
 
 __all__ = ["UpstreamRoster"]
--- a/pistachiolift/settings/repository.py
+++ b/pistachiolift/settings/repository.py
@@ -40,7 +40,7 @@
 # The package of the store's interface imports Twisted, which this module does not
 # need at run time.
 if TYPE_CHECKING:
-    from ..platform import KeyValueStore
+    from ..backends import KeyValueStore
 
 __all__ = [
     "HISTORY_LIMIT",
--- a/pistachiolift/settings/tests/fake_store.py
+++ b/pistachiolift/settings/tests/fake_store.py
@@ -2,13 +2,13 @@
 
 import random
 
+from pistachiolift.backends import Entry, KeyValueStore, Listing
 from pistachiolift.common import (
     ManualClock,
     StoreUnavailableError,
     ValueTooLargeError,
     VersionConflictError,
 )
-from pistachiolift.platform import Entry, KeyValueStore, Listing
 from pistachiolift.settings import Change, Edit, SettingsRepository
 
 
--- a/pistachiolift/standins/directory.py
+++ b/pistachiolift/standins/directory.py
@@ -6,8 +6,8 @@
 from klein import Klein
 from twisted.web.http import Request
 
+from ..backends import DirectoryEntry, DirectoryListing
 from ..common import Clock, InstanceId, SystemClock, decode_json, encode_json
-from ..platform import DirectoryEntry, DirectoryListing
 
 __all__ = ["DirectoryChange", "DirectoryStandin"]
 
--- a/pistachiolift/standins/store.py
+++ b/pistachiolift/standins/store.py
@@ -1,6 +1,6 @@
 """Stand-in of the key-value service: the JSON form of the etcd v3 API in memory.
 
-Implements the calls that :class:`pistachiolift.platform.EtcdStore` uses. It counts
+Implements the calls that :class:`pistachiolift.backends.EtcdStore` uses. It counts
 each call and can be told to fail: ``POST /faults`` with a :class:`StoreFaults`.
 """
 
--- a/pistachiolift/standins/upstream.py
+++ b/pistachiolift/standins/upstream.py
@@ -14,8 +14,8 @@
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 from twisted.web.http import Request
 
+from ..backends import AttemptState, AttemptStatus, RunningAttempt, RunningAttempts
 from ..common import AttemptId, Clock, SystemClock, decode_json, encode_json
-from ..platform import AttemptState, AttemptStatus, RunningAttempt, RunningAttempts
 
 __all__ = ["Behaviour", "SeenAttempt", "UpstreamFaults", "UpstreamStandin", "Work"]
 
--- a/pistachiolift/standins/worker.py
+++ b/pistachiolift/standins/worker.py
@@ -5,17 +5,7 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.web.http import Request
 
-from ..common import (
-    Clock,
-    Epoch,
-    JobId,
-    PartitionId,
-    SystemClock,
-    TaskId,
-    decode_json,
-    encode_json,
-)
-from ..platform import (
+from ..backends import (
     Capacity,
     CommandAction,
     CommandBatch,
@@ -26,6 +16,16 @@
     TaskState,
     WorkerAnswer,
 )
+from ..common import (
+    Clock,
+    Epoch,
+    JobId,
+    PartitionId,
+    SystemClock,
+    TaskId,
+    decode_json,
+    encode_json,
+)
 
 __all__ = ["SeenTask", "TaskPayload", "WorkerFaults", "WorkerStandin"]
 
