--- a/pistachiolift/cli/main.py
+++ b/pistachiolift/cli/main.py
@@ -11,6 +11,7 @@
 from .drain import drain
 from .exit_codes import ExitCode
 from .explain import explain
+from .node import node
 from .options import example, option
 from .replay import replay
 from .serve import serve
@@ -57,6 +58,7 @@
     bench,
     demo,
     replay,
+    node,
     serve,
     standin,
     submit,
--- /dev/null
+++ b/pistachiolift/cli/node.py
@@ -0,0 +1,72 @@
+"""The command that runs an instance on the users' platform."""
+
+import signal
+from pathlib import Path
+
+import click
+from twisted.internet import reactor
+from twisted.internet.defer import ensureDeferred
+
+from ..common import Metrics, SystemClock
+from ..node.instance import NodeInstance
+from ..node.log_output import configure_node_logging
+from ..node.settings import read_settings
+from ..platform.adviser import PlatformAdviser
+from ..platform.caller_api import make_caller_api
+from ..platform.store import PlatformStore
+from ..platform.translation import PlatformTranslation
+from .options import example, option
+
+__all__ = ["node"]
+
+
+@click.command(
+    epilog=example("pistachiolift node --settings-file /etc/pistachiolift/node.yaml")
+)
+@option(
+    "--settings-file",
+    type=click.Path(path_type=Path, exists=True, dir_okay=False),
+    envvar="PISTACHIOLIFT_BOOT",
+    required=True,
+    help="Settings that the platform renders from deploy/node.json.tmpl.",
+)
+@option("--log-level", default="INFO", help="Least severe log lines to write.")
+def node(settings_file: Path, log_level: str) -> None:
+    """Run one instance that accepts jobs and can own the scheduler.
+
+    SIGTERM drains it, within the grace time of its settings.
+    """
+    settings = read_settings(settings_file)
+    metrics = Metrics()
+    handler = configure_node_logging(reactor, log_level.upper(), metrics)
+    instance = NodeInstance(
+        reactor,
+        settings,
+        clock=SystemClock(),
+        metrics=metrics,
+        store=PlatformStore(reactor, settings.store_address),
+        translation=PlatformTranslation(reactor=reactor),
+        adviser=PlatformAdviser(reactor, settings.adviser_address or "127.0.0.1:1"),
+        make_caller_api=make_caller_api,
+    )
+    reactor.callWhenRunning(lambda: _start(instance))
+    reactor.run()
+    handler.flush()
+
+
+def _start(instance: NodeInstance) -> None:
+    instance.start()
+
+    def drain(_signal: int, _frame: object) -> None:
+        reactor.callFromThread(instance.start_drain)
+
+    signal.signal(signal.SIGTERM, drain)
+    signal.signal(signal.SIGINT, drain)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    running = ensureDeferred(_wait(instance))
+    running.addErrback(lambda failure: reactor.stop())
+
+
+async def _wait(instance: NodeInstance) -> None:
+    await instance.drained
+    reactor.stop()
--- a/pistachiolift/common/metrics.py
+++ b/pistachiolift/common/metrics.py
@@ -1,11 +1,35 @@
 """Counters, gauges and timers, sent to statsd once a second."""
 
 import socket
+from bisect import bisect_left
 from collections import Counter
+from itertools import accumulate
 
 import statsd
 
-__all__ = ["Metrics"]
+__all__ = ["Histogram", "Metrics"]
+
+
+# Upper bounds of the latency histograms' buckets, in milliseconds.
+BUCKETS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000, 10_000)
+
+
+class Histogram:
+    """Counts of durations by bucket."""
+
+    def __init__(self):
+        self._counts = [0] * (len(BUCKETS_MS) + 1)
+        self.total = 0.0
+
+    def add(self, value_ms: float) -> None:
+        """Count one duration, in milliseconds."""
+        self._counts[bisect_left(BUCKETS_MS, value_ms)] += 1
+        self.total += value_ms
+
+    def buckets(self) -> list[tuple[str, int]]:
+        """Return the cumulative count for each upper bound."""
+        bounds = [str(bound) for bound in BUCKETS_MS] + ["+Inf"]
+        return list(zip(bounds, accumulate(self._counts), strict=True))
 
 
 class Metrics:
@@ -23,6 +47,7 @@
     ):
         self.totals_by_name: Counter[str] = Counter()
         self.gauges_by_name: dict[str, float] = {}
+        self.histograms_by_name: dict[str, Histogram] = {}
         self._unsent_by_name: Counter[str] = Counter()
         self._unsent_timings: list[tuple[str, float]] = []
         self._client: statsd.StatsClient | None = None
@@ -53,6 +78,10 @@
         :param name: dotted name.
         :param value_ms: the duration in milliseconds.
         """
+        histogram = self.histograms_by_name.get(name)
+        if histogram is None:
+            histogram = self.histograms_by_name[name] = Histogram()
+        histogram.add(value_ms)
         # Bounds memory between two flushes when statsd is configured.
         if self._client is not None and len(self._unsent_timings) < 1000:
             self._unsent_timings.append((name, value_ms))
--- a/pistachiolift/jobs/health.py
+++ b/pistachiolift/jobs/health.py
@@ -27,9 +27,12 @@
     A job that has failed on several workers and succeeded on none is to blame
     itself: it no longer counts against workers, and a quarantine that rested on it
     is lifted.
+
+    :param quarantine_base_s: length of a worker's first quarantine, in seconds.
     """
 
-    def __init__(self):
+    def __init__(self, *, quarantine_base_s: float = QUARANTINE_BASE_S):
+        self._quarantine_base_s = quarantine_base_s
         self._workers_by_id: dict[WorkerId, _WorkerRecord] = {}
         self._failed_on_by_job: dict[JobId, set[WorkerId]] = {}
         self._succeeded_jobs: set[JobId] = set()
@@ -101,7 +104,7 @@
         return []
 
     def _quarantine(self, record: _WorkerRecord, now_s: float) -> None:
-        delay_s = min(QUARANTINE_CAP_S, QUARANTINE_BASE_S * 2**record.quarantines)
+        delay_s = min(QUARANTINE_CAP_S, self._quarantine_base_s * 2**record.quarantines)
         record.quarantined_until_s = now_s + delay_s
         record.quarantines = min(record.quarantines + 1, 20)
         record.probing = False
--- /dev/null
+++ b/pistachiolift/node/ledger.py
@@ -0,0 +1,253 @@
+"""The owner's durable log in the platform's store."""
+
+import logging
+from collections.abc import Callable
+
+import msgspec
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.task import deferLater
+
+from ..common import Clock, Metrics, StoreUnavailableError, log_event
+from ..workflows import LedgerRecord, decode_batch, encode_batch
+from .interfaces import CoordinationStore, Put, TransactionConflictError
+
+__all__ = ["CLAIM_KEY", "LOG_PREFIX", "Ledger", "read_ledger"]
+
+logger = logging.getLogger(__name__)
+
+CLAIM_KEY = "pistachiolift/claim"
+LOG_PREFIX = "pistachiolift/log/"
+
+# Shortest time between the beginnings of two writes: at most 40 a second, a tenth of
+# the smallest rate that the platform grants to all instances together.
+COMMIT_INTERVAL_S = 0.025
+RETRY_INTERVAL_S = 0.1
+
+# A batch is split so that its value, as base64 text, stays below the store's limit.
+BATCH_LIMIT_BYTES = 500_000
+BATCH_LIMIT_RECORDS = 2_000
+
+# The log is compacted above so many values: a new owner reads them page by page.
+COMPACT_ABOVE_VALUES = 1_200
+# Values that are merged into one; a transaction takes 32 entries.
+COMPACT_VALUES = 24
+
+
+class Ledger:
+    """Appends records in batches, one write at a time.
+
+    :param fence: version of the claim under which this owner writes.
+    :param on_durable: called with the number of records that have become durable.
+    :param on_superseded: called once when another owner has claimed the log.
+    """
+
+    def __init__(
+        self,
+        reactor: IReactorTime,
+        store: CoordinationStore,
+        *,
+        clock: Clock,
+        metrics: Metrics,
+        fence: int,
+        on_durable: Callable[[int], None],
+        on_superseded: Callable[[], None],
+    ):
+        self._reactor = reactor
+        self._store = store
+        self._clock = clock
+        self._metrics = metrics
+        self.fence = fence
+        self._on_durable = on_durable
+        self._on_superseded = on_superseded
+        self._queue: list[LedgerRecord] = []
+        self._sequence = 0
+        self._writing = False
+        self._closed = False
+        self._failing_since_s: float | None = None
+        self._started_s: float | None = None
+        self._waiters: list[tuple[int, Deferred]] = []
+        self._done = 0
+        self._compact: Callable[[list[LedgerRecord]], list[LedgerRecord]] | None = None
+        self._keys: list[str] = []
+        self._records_by_key: dict[str, list[LedgerRecord]] = {}
+        self.last_contact_s = clock.monotonic_s()
+
+    def adopt(
+        self,
+        records_by_key: dict[str, list[LedgerRecord]],
+        compact: Callable[[list[LedgerRecord]], list[LedgerRecord]],
+    ) -> None:
+        """Take over an existing log.
+
+        :param records_by_key: its values, in order.
+        :param compact: returns what has to be kept of the oldest records.
+        """
+        self._records_by_key = records_by_key
+        self._keys = sorted(records_by_key)
+        self._compact = compact
+
+    @property
+    def stalled_s(self) -> float:
+        """Seconds for which the write in flight has had no answer."""
+        if self._started_s is None:
+            return 0.0
+        return self._clock.monotonic_s() - self._started_s
+
+    def append(self, records: list[LedgerRecord]) -> None:
+        """Queue records and see that they are written."""
+        self._queue += records
+        if not self._writing and not self._closed and self._queue:
+            self._writing = True
+            loop = ensureDeferred(self._write_all())
+            loop.addErrback(self._failed)
+
+    def when_durable(self, number: int) -> Deferred:
+        """Return a Deferred that fires when so many records are durable.
+
+        It fires with ``False`` if the ledger is closed before.
+        """
+        result: Deferred = Deferred()
+        if number <= self._done:
+            result.callback(True)
+        elif self._closed:
+            result.callback(False)
+        else:
+            self._waiters.append((number, result))
+        return result
+
+    async def _write_all(self) -> None:
+        try:
+            while self._queue and not self._closed:
+                begun_s = self._clock.monotonic_s()
+                await self._write_batch()
+                pause_s = COMMIT_INTERVAL_S - (self._clock.monotonic_s() - begun_s)
+                if pause_s > 0:
+                    await deferLater(self._reactor, pause_s)
+        finally:
+            self._writing = False
+
+    async def _write_batch(self) -> None:
+        batch = self._queue[:BATCH_LIMIT_RECORDS]
+        value = encode_batch(batch)
+        while len(value) > BATCH_LIMIT_BYTES and len(batch) > 1:
+            batch = batch[: len(batch) // 2]
+            value = encode_batch(batch)
+        removes, kept = self._plan_compaction()
+        if kept:
+            value = encode_batch(kept + batch)
+        self._sequence += 1
+        key = f"{LOG_PREFIX}{self.fence:015d}-{self._sequence:09d}"
+        self._started_s = self._clock.monotonic_s()
+        durable = await self._write(key, value, removes)
+        self._started_s = None
+        if not durable:
+            return
+        del self._queue[: len(batch)]
+        for old in removes:
+            self._records_by_key.pop(old, None)
+        del self._keys[: len(removes)]
+        self._keys.append(key)
+        self._records_by_key[key] = kept + batch
+        self._metrics.count("ledger.commits")
+        self._metrics.count("ledger.bytes", len(value))
+        self._done += len(batch)
+        self._on_durable(len(batch))
+        self._fire()
+
+    def _plan_compaction(self) -> tuple[tuple[str, ...], list[LedgerRecord]]:
+        """Return the oldest keys to remove and what must be kept of them."""
+        if self._compact is None or len(self._keys) <= COMPACT_ABOVE_VALUES:
+            return (), []
+        keys = tuple(self._keys[:COMPACT_VALUES])
+        old = [record for key in keys for record in self._records_by_key[key]]
+        kept = self._compact(old)
+        if len(encode_batch(kept)) > BATCH_LIMIT_BYTES:
+            return (), []
+        return keys, kept
+
+    async def _write(self, key: str, value: bytes, removes: tuple[str, ...]) -> bool:
+        """Write one value, and repeat it until its fate is known."""
+        while not self._closed:
+            sent_s = self._clock.monotonic_s()
+            try:
+                await self._store.transact(
+                    expected={CLAIM_KEY: self.fence, key: 0},
+                    puts={key: Put(value)},
+                    removes=removes,
+                )
+            except TransactionConflictError as error:
+                if error.versions_by_key.get(CLAIM_KEY) != self.fence:
+                    self._supersede()
+                    return False
+                # Only this owner writes the key: an earlier try has arrived.
+                return self._heard(sent_s)
+            except StoreUnavailableError as error:
+                self._lost(error)
+                await deferLater(self._reactor, RETRY_INTERVAL_S)
+                continue
+            return self._heard(sent_s)
+        return False
+
+    def _heard(self, sent_s: float) -> bool:
+        self.last_contact_s = max(self.last_contact_s, sent_s)
+        if self._failing_since_s is not None:
+            outage_s = self._clock.monotonic_s() - self._failing_since_s
+            log_event(logger, "ledger_regained", outage_s=outage_s)
+            self._failing_since_s = None
+        return True
+
+    def _lost(self, error: StoreUnavailableError) -> None:
+        self._metrics.count("ledger.write_failed")
+        if self._failing_since_s is None:
+            self._failing_since_s = self._clock.monotonic_s()
+            log_event(logger, "ledger_lost", reason=error.message)
+
+    def _supersede(self) -> None:
+        log_event(logger, "ledger_superseded", fence=self.fence)
+        self.close()
+        self._on_superseded()
+
+    def _fire(self) -> None:
+        ready = [waiter for waiter in self._waiters if waiter[0] <= self._done]
+        self._waiters = [waiter for waiter in self._waiters if waiter[0] > self._done]
+        for _, result in ready:
+            result.callback(True)
+
+    def close(self) -> None:
+        """Write nothing more and release those who wait."""
+        self._closed = True
+        waiters, self._waiters = self._waiters, []
+        for _, result in waiters:
+            result.callback(False)
+
+    def _failed(self, failure) -> None:
+        log_event(
+            logger,
+            "ledger_failed",
+            level=logging.ERROR,
+            error=f"{failure.type.__name__}: {failure.value}",
+            traceback=failure.getTraceback(elideFrameworkCode=True),
+        )
+        self._supersede()
+
+
+async def read_ledger(store: CoordinationStore) -> dict[str, list[LedgerRecord]]:
+    """Return the records of the log by key, in order.
+
+    A value that does not decode is passed over and logged.
+    """
+    listing = await store.list_prefix(LOG_PREFIX)
+    records: dict[str, list[LedgerRecord]] = {}
+    for key in sorted(listing.entries_by_key):
+        try:
+            records[key] = decode_batch(listing.entries_by_key[key].value)
+        except msgspec.MsgspecError as error:
+            log_event(
+                logger,
+                "ledger_value_skipped",
+                level=logging.ERROR,
+                key=key,
+                reason=str(error)[:200],
+            )
+    return records
--- /dev/null
+++ b/pistachiolift/node/owner.py
@@ -0,0 +1,516 @@
+"""The owner's side: the scheduler, its ledger and the drivers of its workers."""
+
+import logging
+from collections.abc import Callable
+
+from twisted.internet.defer import Deferred, ensureDeferred, succeed
+from twisted.internet.interfaces import IDelayedCall, IReactorTime
+from twisted.internet.task import LoopingCall
+
+from ..common import Clock, JobId, Metrics, WorkerId, log_event
+from ..workflows import (
+    AskAdvice,
+    Decision,
+    GraphScheduler,
+    JobChanged,
+    JobGraph,
+    PaceRun,
+    PoolId,
+    Queue,
+    QueueId,
+    Size,
+    StartAnswer,
+    StartRun,
+    StopRun,
+    TaskKey,
+    Worker,
+    WorkerState,
+)
+from .advice_desk import AdviceDesk
+from .interfaces import CoordinationStore, QueueTable, RunListing, Translation
+from .ledger import Ledger, read_ledger
+from .peer_messages import JobAnswer, JobOutcome
+from .worker_driver import LeaseTerms, WorkerDriver, WorkerEvents
+
+__all__ = ["Owner"]
+
+logger = logging.getLogger(__name__)
+
+# Events that arrive within this time are decided on together.
+DECISION_INTERVAL_S = 0.004
+TICK_INTERVAL_S = 0.1
+
+# Orders go on for this long without the store, so that an outage does not end what
+# runs; an owner that is cut off alone is fenced at the workers by its successor.
+AUTHORITY_S = 8.0
+
+# A write in flight for longer than this means that nothing can be accepted now.
+STALLED_LIMIT_S = 0.6
+RETRY_AFTER_S = 1.0
+
+# Age of the last contact with the store up to which a job that is not known here is
+# known nowhere: below the lease of the ownership.
+FRESH_S = 1.2
+
+
+class Owner(WorkerEvents):
+    """Schedules while this instance owns.
+
+    :param fence: version of the claim.
+    :param contact_s: tells when the store was last heard.
+    :param on_superseded: called with a reason when a later owner has been seen.
+    """
+
+    def __init__(
+        self,
+        reactor: IReactorTime,
+        store: CoordinationStore,
+        translation: Translation,
+        *,
+        clock: Clock,
+        metrics: Metrics,
+        fence: int,
+        terms: LeaseTerms,
+        keep_final_s: float,
+        desk: AdviceDesk,
+        contact_s: Callable[[], float],
+        heard: Callable[[float], None],
+        on_superseded: Callable[[str], None],
+    ):
+        self._reactor = reactor
+        self._store = store
+        self._translation = translation
+        self._clock = clock
+        self._metrics = metrics
+        self._terms = terms
+        self._desk = desk
+        self._contact_s = contact_s
+        self._heard = heard
+        self._on_superseded = on_superseded
+        self.scheduler = GraphScheduler(fence=fence, keep_final_s=keep_final_s)
+        self.ledger = Ledger(
+            reactor,
+            store,
+            clock=clock,
+            metrics=metrics,
+            fence=fence,
+            on_durable=self._durable,
+            on_superseded=lambda: self.superseded("ledger"),
+        )
+        self._drivers_by_id: dict[WorkerId, WorkerDriver] = {}
+        self._table = QueueTable()
+        self._pending: IDelayedCall | None = None
+        self._ticking = LoopingCall(self._tick)
+        self._ticking.clock = reactor
+        self.ready = False
+        self._closed = False
+
+    # Beginning and end.
+
+    async def recover(self, table: QueueTable, workers: dict[WorkerId, Worker]) -> None:
+        """Read the ledger and begin to list what runs."""
+        begun_s = self._clock.monotonic_s()
+        log = await read_ledger(self._store)
+        if self._closed:
+            return
+        now_s, wall_ms = self._now()
+        self.set_table(table)
+        records = [record for batch in log.values() for record in batch]
+        in_use = self.scheduler.replay(records, now_s=now_s, wall_ms=wall_ms)
+        self.ledger.adopt(log, self.scheduler.compact)
+        for worker in workers.values():
+            self.scheduler.worker_seen(worker, now_s=now_s, wall_ms=wall_ms)
+        lease_end_s = self._terms.end_s(now_s + AUTHORITY_S)
+        for worker_id, use in in_use.items():
+            worker = workers.get(worker_id)
+            if worker is None or worker.incarnation != use.incarnation:
+                worker = Worker(
+                    worker_id=worker_id,
+                    address=use.address,
+                    pool_id=PoolId(""),
+                    zone="",
+                    incarnation=use.incarnation,
+                    state=WorkerState.DRAINING,
+                    capacity=Size(),
+                )
+                if worker_id in workers:
+                    # The directory names a later process: the one in use has ended.
+                    continue
+            self.scheduler.worker_inherited(worker, lease_end_s=lease_end_s)
+        for entry in list(self.scheduler.book.workers_by_id.values()):
+            self._drive(entry.worker)
+        self.ready = True
+        self._ticking.start(TICK_INTERVAL_S, now=False)
+        log_event(
+            logger,
+            "owner_ready",
+            fence=self.scheduler.book.fence,
+            jobs=len(self.scheduler.book.jobs_by_id),
+            records=len(records),
+            workers=len(self._drivers_by_id),
+            inherited_workers=len(in_use),
+            took_s=self._clock.monotonic_s() - begun_s,
+        )
+        self._changed()
+
+    def claimed_again(self, fence: int) -> None:
+        """Go on under a new fence; no other owner was in between."""
+        self.scheduler.book.fence = fence
+        self.ledger.fence = fence
+
+    def close(self) -> None:
+        """Stop giving orders and answering."""
+        if self._closed:
+            return
+        self._closed = True
+        self.ready = False
+        if self._ticking.running:
+            self._ticking.stop()
+        if self._pending is not None:
+            self._pending.cancel()
+            self._pending = None
+        self.ledger.close()
+        for driver in self._drivers_by_id.values():
+            driver.close()
+
+    def _now(self) -> tuple[float, int]:
+        return self._clock.monotonic_s(), int(self._clock.wall_s() * 1000)
+
+    # Decisions.
+
+    def _changed(self) -> None:
+        """Decide soon, together with what else arrives until then."""
+        if self._pending is None and not self._closed:
+            self._pending = self._reactor.callLater(DECISION_INTERVAL_S, self._decide)
+
+    def _decide(self) -> None:
+        self._pending = None
+        if self._closed or not self.ready:
+            return
+        if self.may_order():
+            now_s, wall_ms = self._now()
+            self._desk.note_instances(self.scheduler)
+            self.scheduler.dispatch(now_s=now_s, wall_ms=wall_ms)
+        self._carry_out()
+
+    def _carry_out(self) -> None:
+        records = self.scheduler.take_records()
+        if records:
+            self.ledger.append(records)
+        for decision in self.scheduler.take_decisions():
+            self._carry_out_one(decision)
+
+    def _carry_out_one(self, decision: Decision) -> None:
+        match decision:
+            case StartRun():
+                self._log_start(decision)
+                self._drivers_by_id[decision.worker_id].start(decision)
+            case StopRun():
+                self._log_stop(decision)
+                driver = self._drivers_by_id.get(decision.worker_id)
+                if driver is not None:
+                    driver.stop(decision)
+            case PaceRun():
+                driver = self._drivers_by_id.get(decision.worker_id)
+                if driver is not None:
+                    driver.pace(decision.task, decision.number, decision.percent)
+            case AskAdvice():
+                self._metrics.count("advice.asked")
+                asked = ensureDeferred(self._ask(decision))
+                asked.addErrback(self._failed)
+            case JobChanged():
+                self._metrics.count(f"jobs.{decision.status.value}")
+                log_event(
+                    logger,
+                    "job_changed",
+                    job=decision.job_id,
+                    status=decision.status.value,
+                    reason=decision.reason,
+                )
+
+    def _log_start(self, order: StartRun) -> None:
+        entry = self.scheduler.book.workers_by_id[order.worker_id]
+        log_event(
+            logger,
+            "run_placed",
+            job=order.task.job_id,
+            task=f"{order.task.occurrence}.{order.task.step}.{order.task.index}",
+            run=order.number,
+            worker=order.worker_id,
+            free_cpu_milli=entry.free_cpu_milli,
+            resumed=bool(order.checkpoint),
+            config=self._table.version,
+        )
+
+    def _log_stop(self, order: StopRun) -> None:
+        log_event(
+            logger,
+            "run_stopped",
+            job=order.task.job_id,
+            task=f"{order.task.occurrence}.{order.task.step}.{order.task.index}",
+            run=order.number,
+            worker=order.worker_id,
+            reason=order.reason,
+        )
+
+    async def _ask(self, decision: AskAdvice) -> None:
+        answer = await self._desk.ask(decision)
+        if self._closed:
+            return
+        self.scheduler.advice_answered(
+            decision.step,
+            decision.worker_ids,
+            None if answer is None else answer.tickets_by_worker,
+            valid_s=0.0 if answer is None else answer.valid_s,
+            now_s=self._clock.monotonic_s(),
+        )
+        self._changed()
+
+    def _failed(self, failure) -> None:
+        log_event(
+            logger,
+            "owner_failed",
+            level=logging.ERROR,
+            error=f"{failure.type.__name__}: {failure.value}",
+            traceback=failure.getTraceback(elideFrameworkCode=True),
+        )
+        self.superseded("internal_error")
+
+    def _tick(self) -> None:
+        now_s, wall_ms = self._now()
+        self.scheduler.tick(now_s=now_s, wall_ms=wall_ms)
+        self._drop_drivers()
+        self._decide()
+        book = self.scheduler.book
+        self._metrics.gauge("jobs.known", len(book.jobs_by_id))
+        self._metrics.gauge("steps.open", len(book.open_steps))
+        self._metrics.gauge("workers.known", len(book.workers_by_id))
+
+    def _durable(self, count: int) -> None:
+        self._heard(self.ledger.last_contact_s)
+        self.scheduler.committed(count)
+        self._changed()
+
+    # Configuration and directory.
+
+    def set_table(self, table: QueueTable) -> None:
+        """Put a version of the configuration in force."""
+        if table.version < self._table.version:
+            return
+        self._table = table
+        self.scheduler.set_queues(table.queues)
+        self._changed()
+
+    def worker_seen(self, worker: Worker) -> None:
+        """Take a directory entry."""
+        now_s, wall_ms = self._now()
+        self.scheduler.worker_seen(worker, now_s=now_s, wall_ms=wall_ms)
+        self._drive(worker)
+        self._changed()
+
+    def worker_unregistered(self, worker_id: WorkerId) -> None:
+        """Note that the directory no longer names a worker."""
+        self.scheduler.worker_unregistered(worker_id)
+
+    def _drive(self, worker: Worker) -> None:
+        known = self._drivers_by_id.get(worker.worker_id)
+        if known is not None:
+            if (
+                known.worker.incarnation == worker.incarnation
+                and known.worker.address == worker.address
+            ):
+                known.worker = worker
+                return
+            known.close()
+        driver = WorkerDriver(
+            self._reactor,
+            worker,
+            self._translation.connect(worker),
+            clock=self._clock,
+            metrics=self._metrics,
+            terms=self._terms,
+            events=self,
+            fence=lambda: self.scheduler.book.fence,
+        )
+        self._drivers_by_id[worker.worker_id] = driver
+        driver.run()
+
+    def _drop_drivers(self) -> None:
+        """Close the drivers of workers that the scheduler no longer knows."""
+        known = self.scheduler.book.workers_by_id
+        for worker_id in [w for w in self._drivers_by_id if w not in known]:
+            self._drivers_by_id.pop(worker_id).close()
+
+    # Events of drivers.
+
+    def may_order(self) -> bool:
+        """Whether the last contact with the store is recent enough."""
+        return (
+            not self._closed
+            and self._clock.monotonic_s() - self._contact_s() < AUTHORITY_S
+        )
+
+    def listed(self, worker: Worker, listing: RunListing, sent_s: float) -> Deferred:
+        """Take a listing; fires when its ends are durable."""
+        now_s, wall_ms = self._now()
+        self.scheduler.worker_listed(
+            worker.worker_id,
+            listing.running,
+            listing.ended,
+            complete=listing.complete,
+            sent_s=sent_s,
+            now_s=now_s,
+            wall_ms=wall_ms,
+        )
+        number = self.scheduler.book.recorded
+        self._carry_out()
+        self._changed()
+        if not listing.ended:
+            return succeed(True)
+        return self.ledger.when_durable(number)
+
+    def start_answered(self, order: StartRun, answer: StartAnswer) -> None:
+        """Take the answer to a start."""
+        if not answer.started:
+            self._metrics.count(f"workers.start_refused.{answer.reason}")
+            log_event(
+                logger,
+                "start_refused",
+                job=order.task.job_id,
+                task=f"{order.task.occurrence}.{order.task.step}.{order.task.index}",
+                run=order.number,
+                worker=order.worker_id,
+                reason=answer.reason,
+            )
+        self.scheduler.start_answered(
+            order.worker_id,
+            order.task,
+            order.number,
+            answer,
+            now_s=self._clock.monotonic_s(),
+        )
+        if not answer.started:
+            self._changed()
+
+    def start_unanswered(self, order: StartRun) -> None:
+        """Block a start that may have been carried out."""
+        log_event(
+            logger,
+            "start_unanswered",
+            job=order.task.job_id,
+            run=order.number,
+            worker=order.worker_id,
+        )
+        self.scheduler.start_unanswered(order.worker_id, order.task, order.number)
+        self._changed()
+
+    def stop_answered(self, order: StopRun) -> None:
+        """Note that a stop is in force."""
+        self.scheduler.stop_answered(
+            order.worker_id, order.task, order.number, now_s=self._clock.monotonic_s()
+        )
+
+    def unreachable(self, worker: Worker) -> None:
+        """Note that a worker does not answer."""
+        self.scheduler.worker_unreachable(worker.worker_id)
+
+    def ended(self, worker: Worker, reason: str) -> None:
+        """Note that a worker's process has ended."""
+        now_s, wall_ms = self._now()
+        entry = self.scheduler.book.workers_by_id.get(worker.worker_id)
+        if entry is not None and entry.worker.incarnation == worker.incarnation:
+            self.scheduler.worker_dead(worker.worker_id, now_s=now_s, wall_ms=wall_ms)
+        self._changed()
+
+    def lease_granted(self, worker: Worker, lease_end_s: float) -> None:
+        """Note how long a worker's runs may go on."""
+        self.scheduler.lease_granted(worker.worker_id, lease_end_s)
+
+    def has_run(self, worker: Worker, task: TaskKey, number: int) -> bool:
+        """Whether a run is still on record."""
+        return self.scheduler.book.run(worker.worker_id, (task, number)) is not None
+
+    def superseded(self, reason: str) -> None:
+        """Stop, because a later owner has been seen."""
+        if not self._closed:
+            self.close()
+            self._on_superseded(reason)
+
+    # Calls about jobs.
+
+    async def submit(
+        self, job_id: JobId, queue: Queue, graph: JobGraph, age_s: float
+    ) -> JobAnswer:
+        """Accept a job, durably, or refuse it."""
+        if not self.ready:
+            return JobAnswer(JobOutcome.NOT_OWNER)
+        known = job_id in self.scheduler.book.jobs_by_id
+        if not known and self.ledger.stalled_s > STALLED_LIMIT_S:
+            self._metrics.count("refusal.ledger_stalled")
+            log_event(
+                logger,
+                "job_refused",
+                job=job_id,
+                reason="ledger_stalled",
+                stalled_s=self.ledger.stalled_s,
+            )
+            return JobAnswer(JobOutcome.REFUSED, retry_after_s=RETRY_AFTER_S)
+        now_s, wall_ms = self._now()
+        number = self.scheduler.submit(
+            job_id,
+            queue,
+            graph,
+            received_s=now_s - age_s,
+            received_ms=wall_ms - int(age_s * 1000),
+        )
+        self._carry_out()
+        self._changed()
+        durable = await self.ledger.when_durable(number)
+        log_event(
+            logger,
+            "job_submitted",
+            job=job_id,
+            queue=queue.queue_id,
+            known=known,
+            durable=durable,
+            age_ms=age_s * 1000,
+            took_ms=(self._clock.monotonic_s() - now_s) * 1000,
+            steps=len(graph.steps),
+            tasks=sum(step.count for step in graph.steps),
+        )
+        return JobAnswer(JobOutcome.OK if durable else JobOutcome.UNDECIDED)
+
+    async def cancel(self, job_id: JobId) -> JobAnswer:
+        """Cancel a job, durably."""
+        if not self.ready:
+            return JobAnswer(JobOutcome.NOT_OWNER)
+        now_s, wall_ms = self._now()
+        number = self.scheduler.cancel(job_id, now_s=now_s, wall_ms=wall_ms)
+        if number is None:
+            return self._unknown()
+        self._carry_out()
+        self._changed()
+        durable = await self.ledger.when_durable(number)
+        log_event(logger, "job_cancel", job=job_id, durable=durable)
+        return JobAnswer(JobOutcome.OK if durable else JobOutcome.UNDECIDED)
+
+    def status(self, job_id: JobId) -> JobAnswer:
+        """Tell a job's state."""
+        if not self.ready:
+            return JobAnswer(JobOutcome.NOT_OWNER)
+        status = self.scheduler.status(job_id)
+        if status is None:
+            return self._unknown()
+        return JobAnswer(JobOutcome.OK, status=status)
+
+    def _unknown(self) -> JobAnswer:
+        if self._clock.monotonic_s() - self._contact_s() > FRESH_S:
+            # Another instance may have become the owner and accepted it.
+            return JobAnswer(JobOutcome.UNDECIDED)
+        return JobAnswer(JobOutcome.UNKNOWN_JOB)
+
+    def waiting(self, queue_id: QueueId) -> JobAnswer:
+        """Tell how many jobs of a queue have not begun."""
+        if not self.ready:
+            return JobAnswer(JobOutcome.NOT_OWNER)
+        return JobAnswer(JobOutcome.OK, count=self.scheduler.waiting(queue_id))
--- /dev/null
+++ b/pistachiolift/node/ownership.py
@@ -0,0 +1,306 @@
+"""Which instance owns the scheduler: a leased key in the platform's store."""
+
+import logging
+import random
+from collections.abc import Callable
+
+import msgspec
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.task import LoopingCall, deferLater
+
+from ..backends import LeaseId
+from ..common import (
+    Clock,
+    MalformedMessageError,
+    Metrics,
+    StoreUnavailableError,
+    decode_json,
+    encode_json,
+    log_event,
+)
+from .interfaces import (
+    CoordinationStore,
+    HistoryLostError,
+    LeaseEndedError,
+    Put,
+    TransactionConflictError,
+)
+from .ledger import CLAIM_KEY
+
+__all__ = ["OWNER_KEY", "OwnerRecord", "Ownership"]
+
+logger = logging.getLogger(__name__)
+
+OWNER_KEY = "pistachiolift/owner"
+
+# A lost owner is noticed after this time; the store's shortest lease is 1 s.
+LEASE_TTL_S = 1.5
+RENEW_INTERVAL_S = 0.35
+WATCH_WAIT_S = 2.0
+RETRY_INTERVAL_S = 0.15
+# Claims of several instances are spread over this time.
+CLAIM_JITTER_S = 0.06
+RECORD_LIMIT_BYTES = 4_096
+
+
+class OwnerRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """The owner, as the store names it.
+
+    :param address: IP address and port for other instances.
+    :param incarnation: identifies the owner's process.
+    """
+
+    instance_id: str
+    incarnation: str
+    address: str
+
+
+class Ownership:
+    """Watches the owner's key, claims it when it is free, and keeps it.
+
+    :param me: this instance's record.
+    :param may_claim: whether this instance is able to own.
+    :param on_owner: called with the owner that the store names, or ``None``.
+    :param on_claimed: called with the fence when this instance has become the owner,
+        or has claimed again without another owner in between.
+    :param on_lost: called when another instance has become the owner.
+    """
+
+    def __init__(
+        self,
+        reactor: IReactorTime,
+        store: CoordinationStore,
+        *,
+        me: OwnerRecord,
+        clock: Clock,
+        metrics: Metrics,
+        may_claim: Callable[[], bool],
+        on_owner: Callable[[OwnerRecord | None], None],
+        on_claimed: Callable[[int], None],
+        on_lost: Callable[[str], None],
+    ):
+        self._reactor = reactor
+        self.store = store
+        self._me = me
+        self._clock = clock
+        self._metrics = metrics
+        self._may_claim = may_claim
+        self._on_owner = on_owner
+        self._on_claimed = on_claimed
+        self._on_lost = on_lost
+        self._lease_id: LeaseId | None = None
+        self._stopped = False
+        self._claiming = False
+        self.fence: int | None = None
+        self.contact_s = float("-inf")
+        self.owner: OwnerRecord | None = None
+        self._renewing = LoopingCall(self._renew)
+        self._renewing.clock = reactor
+
+    @property
+    def store_age_s(self) -> float:
+        """Seconds since a call to the store that was answered was sent."""
+        return min(999.0, self._clock.monotonic_s() - self.contact_s)
+
+    def start(self) -> None:
+        """Begin to watch."""
+        self._spawn(self._watch_forever())
+
+    def _spawn(self, coroutine) -> Deferred:
+        task = ensureDeferred(coroutine)
+        task.addErrback(self._failed)
+        return task
+
+    def _failed(self, failure) -> None:
+        log_event(
+            logger,
+            "ownership_failed",
+            level=logging.ERROR,
+            error=f"{failure.type.__name__}: {failure.value}",
+            traceback=failure.getTraceback(elideFrameworkCode=True),
+        )
+
+    def heard(self, sent_s: float) -> None:
+        """Note that a call to the store sent at a time was answered."""
+        self.contact_s = max(self.contact_s, sent_s)
+
+    async def _watch_forever(self) -> None:
+        revision = None
+        while not self._stopped:
+            sent_s = self._clock.monotonic_s()
+            try:
+                if revision is None:
+                    listing = await self.store.list_prefix(OWNER_KEY)
+                    revision = listing.revision
+                    self._take(listing.entries_by_key.get(OWNER_KEY))
+                else:
+                    changes = await self.store.changes(
+                        OWNER_KEY, after_revision=revision, wait_s=WATCH_WAIT_S
+                    )
+                    revision = max(revision, changes.revision)
+                    for event in changes.events:
+                        if event.key == OWNER_KEY:
+                            self._take(event.entry)
+                self.heard(sent_s)
+            except (StoreUnavailableError, HistoryLostError):
+                self._metrics.count("ownership.watch_failed")
+                revision = None
+                await deferLater(self._reactor, RETRY_INTERVAL_S)
+                continue
+            if self.owner is None and self.fence is None:
+                await self._claim()
+                revision = None
+
+    def _take(self, entry) -> None:
+        record = None
+        if entry is not None:
+            try:
+                record = decode_json(
+                    entry.value, OwnerRecord, limit_bytes=RECORD_LIMIT_BYTES
+                )
+            except MalformedMessageError as error:
+                log_event(logger, "owner_record_malformed", reason=error.message)
+        if record == self.owner:
+            return
+        self.owner = record
+        log_event(
+            logger,
+            "owner_changed",
+            owner=record.instance_id if record else "",
+            incarnation=record.incarnation if record else "",
+            version=entry.version if entry else 0,
+        )
+        if self.fence is not None and record is not None and record != self._me:
+            self._lose("another_owner")
+        self._on_owner(record)
+
+    # Claims.
+
+    async def _claim(self) -> None:
+        if not self._may_claim() or self._stopped or self._claiming:
+            await deferLater(self._reactor, RETRY_INTERVAL_S)
+            return
+        await deferLater(self._reactor, random.uniform(0, CLAIM_JITTER_S))
+        self._claiming = True
+        try:
+            entry = await self.store.get(CLAIM_KEY)
+            await self._claim_over(entry.version if entry else 0)
+        except StoreUnavailableError:
+            self._metrics.count("ownership.claim_failed")
+            await deferLater(self._reactor, RETRY_INTERVAL_S)
+        finally:
+            self._claiming = False
+
+    async def _claim_over(self, claim_version: int) -> bool:
+        """Claim the ownership after the claim that has a version.
+
+        :returns: whether this instance is the owner.
+        """
+        sent_s = self._clock.monotonic_s()
+        lease_id = await self.store.grant_lease(LEASE_TTL_S)
+        value = encode_json(self._me)
+        try:
+            fence = await self.store.transact(
+                expected={OWNER_KEY: 0, CLAIM_KEY: claim_version},
+                puts={OWNER_KEY: Put(value, lease_id), CLAIM_KEY: Put(value)},
+            )
+        except TransactionConflictError:
+            self._metrics.count("ownership.claim_conflict")
+            return False
+        except LeaseEndedError:
+            return False
+        except StoreUnavailableError:
+            # The claim may have been made although its answer was lost.
+            fence = await self._find_claim(claim_version)
+            if fence is None:
+                return False
+        self._lease_id = lease_id
+        self.fence = fence
+        self.heard(sent_s)
+        self._take_own()
+        log_event(logger, "ownership_claimed", fence=fence, over=claim_version)
+        self._on_claimed(fence)
+        if not self._renewing.running:
+            self._renewing.start(RENEW_INTERVAL_S, now=False)
+        return True
+
+    def _take_own(self) -> None:
+        if self.owner != self._me:
+            self.owner = self._me
+            self._on_owner(self._me)
+
+    async def _find_claim(self, claim_version: int) -> int | None:
+        entry = await self.store.get(CLAIM_KEY)
+        if entry is None or entry.version == claim_version:
+            return None
+        record = decode_json(entry.value, OwnerRecord, limit_bytes=RECORD_LIMIT_BYTES)
+        return entry.version if record == self._me else None
+
+    # Renewal.
+
+    def _renew(self) -> None:
+        if self._lease_id is not None and not self._stopped:
+            self._spawn(self._renew_once(self._lease_id))
+
+    async def _renew_once(self, lease_id: LeaseId) -> None:
+        sent_s = self._clock.monotonic_s()
+        try:
+            await self.store.keep_alive(lease_id)
+            self.heard(sent_s)
+        except StoreUnavailableError:
+            self._metrics.count("ownership.renewal_failed")
+        except LeaseEndedError:
+            if self._lease_id == lease_id and not self._claiming:
+                await self._claim_again()
+
+    async def _claim_again(self) -> None:
+        """Claim after the lease has lapsed, if no other instance has."""
+        fence, self._lease_id = self.fence, None
+        log_event(logger, "ownership_lease_lapsed", fence=fence)
+        self._claiming = True
+        try:
+            while self.fence == fence and not self._stopped:
+                try:
+                    if await self._claim_over(fence):
+                        return
+                    entry = await self.store.get(CLAIM_KEY)
+                    if entry is None or entry.version != fence:
+                        self._lose("claimed_by_another")
+                        return
+                except StoreUnavailableError:
+                    self._metrics.count("ownership.claim_failed")
+                await deferLater(self._reactor, RETRY_INTERVAL_S)
+        finally:
+            self._claiming = False
+
+    def superseded(self, reason: str) -> None:
+        """Give up the ownership because a later owner has been seen."""
+        if self.fence is not None:
+            self._lose(reason)
+
+    def _lose(self, reason: str) -> None:
+        log_event(logger, "ownership_lost", fence=self.fence, reason=reason)
+        self.fence = None
+        self._lease_id = None
+        if self._renewing.running:
+            self._renewing.stop()
+        self._on_lost(reason)
+
+    async def release(self) -> None:
+        """Let another instance take over at once."""
+        self._stopped = True
+        lease_id = self._lease_id
+        if self.fence is not None:
+            self._lose("released")
+        if lease_id is not None:
+            try:
+                await self.store.revoke_lease(lease_id)
+            except StoreUnavailableError as error:
+                log_event(logger, "ownership_release_failed", reason=error.message)
+
+    def watch_again(self) -> None:
+        """Keep on naming the owner after a release."""
+        self._stopped = False
+        self._may_claim = lambda: False
+        self._spawn(self._watch_forever())
--- /dev/null
+++ b/pistachiolift/node/peer_link.py
@@ -0,0 +1,229 @@
+"""Connections between instances, over which both sides make calls.
+
+TCP connections of our own are used here instead of pynng: a connection that has
+gone silent must be found and replaced within a second, which pynng does not offer.
+"""
+
+import logging
+from collections.abc import Awaitable, Callable
+
+import msgspec
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+from twisted.internet.interfaces import IDelayedCall, IReactorTCP
+from twisted.internet.protocol import Factory
+from twisted.protocols.basic import Int32StringReceiver
+from twisted.python.failure import Failure
+
+from ..common import Metrics, NoOwnerError, log_event
+from .peer_messages import (
+    FRAME_LIMIT_BYTES,
+    Frame,
+    Hello,
+    Message,
+    Ping,
+    Pong,
+    decode_frame,
+    encode_frame,
+)
+
+__all__ = ["PeerConnection", "PeerServer", "connect_peer"]
+
+logger = logging.getLogger(__name__)
+
+PING_INTERVAL_S = 0.4
+# Three pings without a sign of life; a connection without one is replaced.
+SILENCE_LIMIT_S = 1.3
+CONNECT_TIMEOUT_S = 0.6
+
+Handler = Callable[["PeerConnection", Message], Awaitable[Message | None]]
+
+
+class PeerConnection(Int32StringReceiver):
+    """One connection; either side may call the other.
+
+    :param hello: sent first.
+    :param handler: answers the other side's calls.
+    :param on_open: called when the other side has said who it is.
+    :param on_close: called once when the connection is lost.
+    :param store_age_s: tells how long ago this instance heard from the store.
+    """
+
+    MAX_LENGTH = FRAME_LIMIT_BYTES
+
+    def __init__(
+        self,
+        reactor: IReactorTCP,
+        *,
+        hello: Hello,
+        handler: Handler,
+        metrics: Metrics,
+        store_age_s: Callable[[], float],
+        on_open: Callable[["PeerConnection"], None] = lambda connection: None,
+        on_close: Callable[["PeerConnection"], None] = lambda connection: None,
+    ):
+        self._reactor = reactor
+        self._hello = hello
+        self._handler = handler
+        self._metrics = metrics
+        self._store_age_s = store_age_s
+        self._on_open = on_open
+        self._on_close = on_close
+        self._calls: dict[int, Deferred] = {}
+        self._next_call = 1
+        self._heard_s = reactor.seconds()
+        self._timer: IDelayedCall | None = None
+        self.peer: Hello | None = None
+        self.peer_store_age_s: float | None = None
+        self.open = False
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Say who this is, and start to watch for silence."""
+        self.open = True
+        self.transport.setTcpNoDelay(True)
+        self._heard_s = self._reactor.seconds()
+        self._send(Frame(0, False, self._hello))
+        self._timer = self._reactor.callLater(PING_INTERVAL_S, self._ping)
+
+    def _ping(self) -> None:
+        self._timer = None
+        silence_s = self._reactor.seconds() - self._heard_s
+        if silence_s > SILENCE_LIMIT_S:
+            log_event(
+                logger,
+                "peer_silent",
+                peer=self.peer.instance_id if self.peer else "",
+                silence_s=silence_s,
+            )
+            self.transport.abortConnection()
+            return
+        self._send(Frame(0, False, Ping(round(self._store_age_s(), 3))))
+        self._timer = self._reactor.callLater(PING_INTERVAL_S, self._ping)
+
+    def _send(self, frame: Frame) -> None:
+        data = encode_frame(frame)
+        self._metrics.count("peers.sent_bytes", len(data) + 4)
+        self.sendString(data)
+
+    def call(self, message: Message, *, timeout_s: float) -> Deferred:
+        """Call the other side.
+
+        :returns: fires with the answer, or fails with :class:`NoOwnerError` if the
+            connection is lost or the time is over; the call may have taken effect.
+        """
+        result: Deferred = Deferred()
+        if not self.open:
+            result.errback(NoOwnerError("peer connection is closed"))
+            return result
+        number, self._next_call = self._next_call, self._next_call + 1
+        self._calls[number] = result
+        timer = self._reactor.callLater(timeout_s, self._expire, number)
+
+        def stop_timer(value: object) -> object:
+            if timer.active():
+                timer.cancel()
+            return value
+
+        result.addBoth(stop_timer)
+        self._send(Frame(number, False, message))
+        return result
+
+    def _expire(self, number: int) -> None:
+        waiter = self._calls.pop(number, None)
+        if waiter is not None:
+            self._metrics.count("peers.call_timeout")
+            waiter.errback(NoOwnerError("peer did not answer in time"))
+
+    def stringReceived(self, string: bytes) -> None:  # noqa: N802
+        """Take one frame; one that cannot be read closes the connection."""
+        self._heard_s = self._reactor.seconds()
+        try:
+            frame = decode_frame(string)
+        except (msgspec.MsgspecError, ValueError) as error:
+            self._metrics.count("refusal.malformed_message")
+            log_event(logger, "peer_message_refused", reason=str(error)[:200])
+            self.transport.abortConnection()
+            return
+        message = frame.message
+        if frame.answer:
+            waiter = self._calls.pop(frame.call, None)
+            if waiter is not None:
+                waiter.callback(message)
+        elif isinstance(message, Hello):
+            self.peer = message
+            self._on_open(self)
+        elif isinstance(message, Ping):
+            self.peer_store_age_s = message.store_age_s
+            self._send(Frame(0, False, Pong(round(self._store_age_s(), 3))))
+        elif isinstance(message, Pong):
+            self.peer_store_age_s = message.store_age_s
+        else:
+            answer = ensureDeferred(self._answer(frame.call, message))
+            answer.addErrback(self._failed, message)
+
+    async def _answer(self, call: int, message: Message) -> None:
+        answer = await self._handler(self, message)
+        if answer is not None and self.open:
+            self._send(Frame(call, True, answer))
+
+    def _failed(self, failure: Failure, message: Message) -> None:
+        log_event(
+            logger,
+            "peer_call_failed",
+            level=logging.ERROR,
+            call=type(message).__name__,
+            error=f"{failure.type.__name__}: {failure.value}",
+            traceback=failure.getTraceback(elideFrameworkCode=True),
+        )
+
+    def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802
+        """Close a connection whose frame is too long."""
+        self._metrics.count("refusal.malformed_message")
+        self.transport.abortConnection()
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
+        """Fail the calls in flight."""
+        self.open = False
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        calls, self._calls = self._calls, {}
+        for waiter in calls.values():
+            waiter.errback(NoOwnerError("peer connection was lost"))
+        self._on_close(self)
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self.open:
+            self.transport.abortConnection()
+
+
+class PeerServer(Factory):
+    """Accepts connections of other instances.
+
+    :param make: returns a new connection.
+    """
+
+    noisy = False
+
+    def __init__(self, make: Callable[[], PeerConnection]):
+        self._make = make
+        self.connections: set[PeerConnection] = set()
+
+    def buildProtocol(self, addr) -> PeerConnection:  # noqa: N802
+        """Return the protocol of a new connection."""
+        connection = self._make()
+        connection.factory = self
+        return connection
+
+
+def connect_peer(
+    reactor: IReactorTCP, address: str, connection: PeerConnection
+) -> Deferred:
+    """Connect to an instance.
+
+    :param address: IP address and port.
+    """
+    host, _, port = address.rpartition(":")
+    endpoint = TCP4ClientEndpoint(reactor, host, int(port), timeout=CONNECT_TIMEOUT_S)
+    return connectProtocol(endpoint, connection)
--- /dev/null
+++ b/pistachiolift/node/peer_messages.py
@@ -0,0 +1,164 @@
+"""Messages between instances: calls of entry instances to the owner, and back."""
+
+from enum import Enum
+
+import msgspec
+
+from ..common import JobId, WorkerId
+from ..workflows import JobGraph, JobStatus, Queue, QueueId, StepKey
+
+__all__ = [
+    "Advise",
+    "Advised",
+    "CancelJob",
+    "CountWaiting",
+    "FRAME_LIMIT_BYTES",
+    "Frame",
+    "GetStatus",
+    "Hello",
+    "JobAnswer",
+    "JobOutcome",
+    "Ping",
+    "Pong",
+    "SubmitJob",
+    "decode_frame",
+    "encode_frame",
+]
+
+FRAME_LIMIT_BYTES = 1024 * 1024
+
+
+class JobOutcome(Enum):
+    """The owner's answer to a call about jobs."""
+
+    OK = "ok"
+    UNKNOWN_JOB = "unknown_job"
+    NOT_OWNER = "not_owner"
+    # The job was not accepted and never runs.
+    REFUSED = "refused"
+    # The job may have been accepted.
+    UNDECIDED = "undecided"
+
+
+class Hello(msgspec.Struct, frozen=True, tag="hello", array_like=True):
+    """First message of a connection.
+
+    :param incarnation: identifies the sender's process.
+    """
+
+    instance_id: str
+    incarnation: str
+
+
+class Ping(msgspec.Struct, frozen=True, tag="ping", array_like=True):
+    """Asks for a sign of life.
+
+    :param store_age_s: seconds since the sender last heard from the store.
+    """
+
+    store_age_s: float
+
+
+class Pong(msgspec.Struct, frozen=True, tag="pong", array_like=True):
+    """A sign of life."""
+
+    store_age_s: float
+
+
+class SubmitJob(msgspec.Struct, frozen=True, tag="submit", array_like=True):
+    """Submits a job.
+
+    :param age_s: seconds since the caller's request arrived.
+    """
+
+    job_id: JobId
+    queue: Queue
+    graph: JobGraph
+    age_s: float
+
+
+class CancelJob(msgspec.Struct, frozen=True, tag="cancel", array_like=True):
+    """Cancels a job."""
+
+    job_id: JobId
+
+
+class GetStatus(msgspec.Struct, frozen=True, tag="status", array_like=True):
+    """Asks for a job's state."""
+
+    job_id: JobId
+
+
+class CountWaiting(msgspec.Struct, frozen=True, tag="waiting", array_like=True):
+    """Asks for the number of a queue's jobs that have not begun."""
+
+    queue_id: QueueId
+
+
+class JobAnswer(msgspec.Struct, frozen=True, tag="job", array_like=True):
+    """Answers a call about jobs.
+
+    :param retry_after_s: when a refused job may be sent again.
+    """
+
+    outcome: JobOutcome
+    status: JobStatus | None = None
+    count: int = 0
+    retry_after_s: float = 0.0
+
+
+class Advise(msgspec.Struct, frozen=True, tag="advise", array_like=True):
+    """Has an instance ask the placement adviser."""
+
+    step: StepKey
+    worker_ids: tuple[WorkerId, ...]
+    timeout_s: float
+
+
+class Advised(msgspec.Struct, frozen=True, tag="advised", array_like=True):
+    """The adviser's answer; ``tickets`` is ``None`` if the call failed."""
+
+    tickets: dict[WorkerId, str] | None
+    valid_s: float = 0.0
+
+
+Message = (
+    Hello
+    | Ping
+    | Pong
+    | SubmitJob
+    | CancelJob
+    | GetStatus
+    | CountWaiting
+    | JobAnswer
+    | Advise
+    | Advised
+)
+
+
+class Frame(msgspec.Struct, frozen=True, array_like=True):
+    """A message with the number of the call that it makes or answers.
+
+    :param call: 0 for messages that are not answered.
+    """
+
+    call: int
+    answer: bool
+    message: Message
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Frame)
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Encode a frame."""
+    return _encoder.encode(frame)
+
+
+def decode_frame(data: bytes) -> Frame:
+    """Decode a frame.
+
+    :raises msgspec.MsgspecError: if it is malformed.
+    """
+    return _decoder.decode(data)
--- /dev/null
+++ b/pistachiolift/node/settings.py
@@ -0,0 +1,68 @@
+"""Settings of an instance, read from the file that the platform renders."""
+
+from pathlib import Path
+
+import msgspec
+
+from ..common import InvalidInputError, MalformedMessageError, decode_json
+
+__all__ = ["NodeSettings", "read_settings"]
+
+SETTINGS_LIMIT_BYTES = 65_536
+
+
+class NodeSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Addresses of an instance and the bounds it must keep.
+
+    :param instance_id: name of the machine.
+    :param caller_address: IP address and port for callers.
+    :param ready_address: IP address and port of the readiness check.
+    :param peer_ports: first and last port free for traffic between instances.
+    :param adviser_address: empty where no queue needs advice.
+    :param grace_s: time between SIGTERM and SIGKILL, in seconds.
+    :param lease_limit_ms: longest lease of the runs of a worker, in milliseconds.
+    :param keep_final_s: time for which the state of a finished job is told.
+    :param early_ms: time by which a scheduled task may start early.
+    """
+
+    instance_id: str
+    ip: str
+    zone: str
+    caller_address: str
+    ready_address: str
+    peer_ports: tuple[int, int]
+    store_address: str
+    adviser_address: str | None = ""
+    machines_address: str | None = ""
+    grace_s: float = 6.0
+    lease_limit_ms: float = 6_000.0
+    keep_final_s: float = 120.0
+    early_ms: float = 250.0
+
+    def __post_init__(self) -> None:
+        if not 0 < self.peer_ports[0] <= self.peer_ports[1] < 65_536:
+            raise ValueError(f"peer_ports is {self.peer_ports}; 1 to 65535, ascending")
+        for name in ("caller_address", "ready_address", "store_address"):
+            _, separator, port = getattr(self, name).rpartition(":")
+            if not separator or not port.isdecimal():
+                raise ValueError(f"{name} is not of the form HOST:PORT")
+        for name in ("grace_s", "lease_limit_ms", "keep_final_s"):
+            if not 0 < getattr(self, name) <= 86_400:
+                raise ValueError(f"{name} is {getattr(self, name)}; above 0 to 86400")
+
+    @property
+    def peer_address(self) -> str:
+        """IP address and port for other instances."""
+        return f"{self.ip}:{self.peer_ports[0]}"
+
+
+def read_settings(path: Path) -> NodeSettings:
+    """Read and check the settings.
+
+    :raises InvalidInputError: if the file cannot be read or a value is out of range.
+    """
+    try:
+        data = path.read_bytes()
+        return decode_json(data, NodeSettings, limit_bytes=SETTINGS_LIMIT_BYTES)
+    except (OSError, MalformedMessageError) as error:
+        raise InvalidInputError(f"settings file {path.name}: {error}") from error
--- /dev/null
+++ b/pistachiolift/platform/wire.py
@@ -0,0 +1,66 @@
+"""Decoding of the platform's messages, and the names that several of them share."""
+
+from typing import TypeVar
+
+import msgspec
+
+from ..common import JobId, MalformedMessageError, decode_json
+from ..workflows import Size, StepKey, TaskKey
+
+__all__ = [
+    "MESSAGE_LIMIT_BYTES",
+    "WireSize",
+    "decode_wire",
+    "format_step",
+    "format_task",
+    "parse_task",
+]
+
+T = TypeVar("T")
+
+# Pages of the store have at most about 1 MB, as base64 text.
+MESSAGE_LIMIT_BYTES = 4 * 1024 * 1024
+
+
+class WireSize(msgspec.Struct, rename="pascal"):
+    """A worker's capacity or a task's demand."""
+
+    # Thousandths of a core.
+    cpu: int = 0
+    mem_mb: int = 0
+    # Whole devices.
+    gpu: int = 0
+
+    def size(self) -> Size:
+        """Return the product's form."""
+        return Size(cpu_milli=self.cpu, memory_mb=self.mem_mb, accelerators=self.gpu)
+
+
+def decode_wire(data: bytes, wire_type: type[T]) -> T:
+    """Decode a message of the platform.
+
+    :raises MalformedMessageError: if it is too long or does not match.
+    """
+    return decode_json(data, wire_type, limit_bytes=MESSAGE_LIMIT_BYTES)
+
+
+def format_step(step: StepKey) -> str:
+    """Return a step's name on the wire: job, occurrence and step."""
+    return f"{step.job_id}.{step.occurrence}.{step.step}"
+
+
+def format_task(task: TaskKey) -> str:
+    """Return a task's name on the wire: job, occurrence, step and index."""
+    return f"{task.job_id}.{task.occurrence}.{task.step}.{task.index}"
+
+
+def parse_task(name: str) -> TaskKey:
+    """Parse a task's name.
+
+    :raises MalformedMessageError: if it does not have four parts.
+    """
+    try:
+        job_id, occurrence, step, index = name.split(".")
+        return TaskKey(JobId(job_id), int(occurrence), int(step), int(index))
+    except ValueError as error:
+        raise MalformedMessageError(f"task name {name[:80]!r} is malformed") from error
--- /dev/null
+++ b/pistachiolift/workflows/__init__.py
@@ -0,0 +1,67 @@
+"""Decisions about jobs that are graphs of steps; no input or output happens here."""
+
+from .decisions import AskAdvice, Decision, JobChanged, PaceRun, StartRun, StopRun
+from .listing import ListedEnd, ListedRun
+from .model import (
+    AdvicePolicy,
+    EndKind,
+    JobGraph,
+    JobStatus,
+    PoolId,
+    Queue,
+    QueueId,
+    Size,
+    Step,
+    StepKey,
+    TaskKey,
+    Worker,
+    WorkerState,
+)
+from .records import (
+    JobAccepted,
+    JobCancelled,
+    JobForgotten,
+    LedgerRecord,
+    TaskFinished,
+    WorkerInUse,
+    WorkerReleased,
+    decode_batch,
+    encode_batch,
+)
+from .scheduler import GraphScheduler, StartAnswer, validate_graph
+
+__all__ = [
+    "AdvicePolicy",
+    "AskAdvice",
+    "Decision",
+    "EndKind",
+    "GraphScheduler",
+    "JobAccepted",
+    "JobCancelled",
+    "JobChanged",
+    "JobForgotten",
+    "JobGraph",
+    "JobStatus",
+    "LedgerRecord",
+    "ListedEnd",
+    "ListedRun",
+    "PaceRun",
+    "PoolId",
+    "Queue",
+    "QueueId",
+    "Size",
+    "StartAnswer",
+    "StartRun",
+    "Step",
+    "StepKey",
+    "StopRun",
+    "TaskFinished",
+    "TaskKey",
+    "Worker",
+    "WorkerInUse",
+    "WorkerReleased",
+    "WorkerState",
+    "decode_batch",
+    "encode_batch",
+    "validate_graph",
+]
--- /dev/null
+++ b/pistachiolift/workflows/book.py
@@ -0,0 +1,87 @@
+"""The owner's tables of jobs and workers, and its outboxes."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from ..common import JobId, WorkerId
+from ..jobs.health import WorkerHealth
+from .decisions import Decision, JobChanged
+from .model import JobStatus, PoolId, Queue, QueueId, StepKey
+from .records import LedgerRecord
+from .state import JobEntry, StepEntry, TaskRun, WorkerEntry
+
+__all__ = ["Book"]
+
+# Quarantine of a worker that fails tasks of several jobs, in seconds: about the
+# time in which a fault of a worker passes or its operator replaces it.
+QUARANTINE_BASE_S = 5.0
+
+
+@dataclass(slots=True)
+class Book:
+    """State that the parts of the scheduler share.
+
+    :param fence: this owner's fence; run numbers are derived from it.
+    :param records: records to be committed, in order.
+    :param decisions: decisions to be carried out, in order.
+    :param recorded: number of records ever emitted.
+    :param committed: number of records known to be durable.
+    """
+
+    fence: int = 0
+    queues_by_id: dict[QueueId, Queue] = field(default_factory=dict)
+    jobs_by_id: dict[JobId, JobEntry] = field(default_factory=dict)
+    workers_by_id: dict[WorkerId, WorkerEntry] = field(default_factory=dict)
+    open_steps: dict[StepKey, StepEntry] = field(default_factory=dict)
+    timed_steps: dict[StepKey, StepEntry] = field(default_factory=dict)
+    records: list[LedgerRecord] = field(default_factory=list)
+    decisions: list[Decision] = field(default_factory=list)
+    recorded: int = 0
+    committed: int = 0
+    health: WorkerHealth = field(
+        default_factory=lambda: WorkerHealth(quarantine_base_s=QUARANTINE_BASE_S)
+    )
+
+    def record(self, record: LedgerRecord) -> int:
+        """Queue a record for the ledger.
+
+        :returns: its number, to compare with :attr:`committed`.
+        """
+        self.records.append(record)
+        self.recorded += 1
+        return self.recorded
+
+    def emit(self, decision: Decision) -> None:
+        """Queue a decision."""
+        self.decisions.append(decision)
+
+    def set_status(self, job: JobEntry, status: JobStatus, reason: str) -> None:
+        """Change a job's state and report it."""
+        if job.status is status:
+            return
+        job.status = status
+        self.emit(JobChanged(job_id=job.job_id, status=status, reason=reason))
+
+    def step(self, key: StepKey) -> StepEntry | None:
+        """Return a step, or ``None`` if its job is not known."""
+        job = self.jobs_by_id.get(key.job_id)
+        if job is None or not 0 <= key.occurrence < len(job.occurrences):
+            return None
+        steps = job.occurrences[key.occurrence].steps
+        return steps[key.step] if 0 <= key.step < len(steps) else None
+
+    def usable_workers(self, pool_id: PoolId, now_s: float) -> Iterator[WorkerEntry]:
+        """Return the workers of a pool that take new runs."""
+        for entry in self.workers_by_id.values():
+            if (
+                entry.worker.pool_id == pool_id
+                and entry.usable(now_s)
+                and entry.use_record <= self.committed
+                and self.health.accepts(entry.worker_id, now_s)
+            ):
+                yield entry
+
+    def run(self, worker_id: WorkerId, key: tuple) -> TaskRun | None:
+        """Return a run on record at a worker."""
+        entry = self.workers_by_id.get(worker_id)
+        return None if entry is None else entry.runs.get(key)
--- /dev/null
+++ b/pistachiolift/workflows/dispatch.py
@@ -0,0 +1,141 @@
+"""Places the tasks of steps that wait, in order of urgency."""
+
+from ..common import WorkerId
+from .advice import AdvicePlanner
+from .book import Book
+from .decisions import StartRun
+from .lifecycle import Lifecycle
+from .model import PoolId, TaskRunStatus
+from .placement import choose_worker, eligible_workers, plan_gang, room_for_step
+from .state import StepEntry, TaskRun, WorkerEntry
+from .urgency import rank
+
+__all__ = ["Dispatcher"]
+
+# Run numbers of one owner begin at its fence times this factor, so that they exceed
+# those of all earlier owners as long as a task is run less often under one owner.
+RUNS_PER_FENCE = 1000
+
+
+class Dispatcher:
+    """One pass over the open steps.
+
+    :param book: the owner's tables.
+    :param lifecycle: enters the runs.
+    :param advice: decides which steps need advice.
+    """
+
+    def __init__(self, book: Book, lifecycle: Lifecycle, advice: AdvicePlanner):
+        self._book = book
+        self._lifecycle = lifecycle
+        self._advice = advice
+
+    def run(self, now_s: float, wall_ms: float, *, recovering: bool) -> None:
+        """Start what fits.
+
+        :param recovering: whether runs of inherited jobs may exist that have not
+            been listed yet.
+        """
+        self._open_due_steps(wall_ms)
+        if not self._book.open_steps:
+            return
+        steps = sorted(
+            self._book.open_steps.values(), key=lambda s: rank(s, now_s, wall_ms)
+        )
+        workers_by_pool: dict[PoolId, list[WorkerEntry]] = {}
+        blocked: frozenset[WorkerId] = frozenset()
+        waiting: list[StepEntry] = []
+        for step in steps:
+            if step.not_before_s > now_s or (recovering and step.job.inherited):
+                continue
+            pool_id = step.job.queue.pool_id
+            workers = workers_by_pool.get(pool_id)
+            if workers is None:
+                workers = list(self._book.usable_workers(pool_id, now_s))
+                workers_by_pool[pool_id] = workers
+            if step.job.accepted_record > self._book.committed:
+                pass
+            elif step.step.gang:
+                blocked |= self._place_gang(step, workers, blocked, now_s)
+            else:
+                self._place_tasks(step, workers, blocked, now_s)
+            if step.waiting and step.job.queue.advice is not None:
+                waiting.append(step)
+        self._advice.plan(waiting, workers_by_pool, now_s)
+
+    def _open_due_steps(self, wall_ms: float) -> None:
+        for key, step in list(self._book.timed_steps.items()):
+            occurrence = step.job.occurrences[key.occurrence]
+            if wall_ms >= occurrence.due_ms:
+                occurrence.due = True
+                del self._book.timed_steps[key]
+                self._book.open_steps[key] = step
+
+    def _place_gang(
+        self,
+        step: StepEntry,
+        workers: list[WorkerEntry],
+        blocked: frozenset[WorkerId],
+        now_s: float,
+    ) -> frozenset[WorkerId]:
+        """Start a gang, or return the workers to keep free for it."""
+        if len(step.waiting) != step.step.count:
+            return frozenset()
+        plan = plan_gang(step, eligible_workers(step, workers, now_s), blocked)
+        if not plan.worker_ids:
+            approved = self._advice.approved(step, workers)
+            return plan_gang(step, approved, blocked).wanted
+        indices = list(range(step.step.count))
+        number = step.next_number(indices, self._book.fence * RUNS_PER_FENCE)
+        for index, worker_id in zip(indices, plan.worker_ids, strict=True):
+            worker = self._book.workers_by_id[worker_id]
+            self._start(step, index, number, worker, now_s)
+        return frozenset()
+
+    def _place_tasks(
+        self,
+        step: StepEntry,
+        workers: list[WorkerEntry],
+        blocked: frozenset[WorkerId],
+        now_s: float,
+    ) -> None:
+        candidates = [
+            entry
+            for entry in eligible_workers(step, workers, now_s)
+            if entry.worker_id not in blocked and room_for_step(step, entry)
+        ]
+        for index in sorted(step.waiting):
+            worker = choose_worker(step, index, candidates)
+            if worker is None:
+                return
+            number = step.next_number([index], self._book.fence * RUNS_PER_FENCE)
+            self._start(step, index, number, worker, now_s)
+
+    def _start(
+        self,
+        step: StepEntry,
+        index: int,
+        number: int,
+        worker: WorkerEntry,
+        now_s: float,
+    ) -> None:
+        run = TaskRun(
+            task=step.key.task(index),
+            number=number,
+            worker_id=worker.worker_id,
+            size=step.step.size,
+            status=TaskRunStatus.STARTING,
+            placed_s=now_s,
+        )
+        self._lifecycle.begin_run(step, run, worker)
+        self._book.health.task_placed(worker.worker_id)
+        self._book.emit(
+            StartRun(
+                task=run.task,
+                number=number,
+                worker_id=worker.worker_id,
+                payload=step.job.graph.payload,
+                ticket=step.tickets_by_worker.get(worker.worker_id, ("", 0.0))[0],
+                checkpoint=step.checkpoint(index),
+            )
+        )
--- /dev/null
+++ b/pistachiolift/workflows/lifecycle.py
@@ -0,0 +1,284 @@
+"""How jobs and the runs of their tasks begin and end."""
+
+import logging
+
+from ..common import JobId, WorkerId, log_event
+from .book import Book
+from .decisions import StopRun
+from .model import EndKind, JobGraph, JobStatus, Queue, StepKey, TaskKey, TaskRunStatus
+from .records import TaskFinished
+from .state import JobEntry, OccurrenceEntry, StepEntry, TaskRun, WorkerEntry
+
+__all__ = ["Lifecycle"]
+
+logger = logging.getLogger(__name__)
+
+# A task that fails at once on a busy worker should not use up its tries there.
+RETRY_DELAY_S = 0.15
+
+# Weight of a new sample in a worker's average slowdown.
+SLOWDOWN_WEIGHT = 0.08
+
+
+class Lifecycle:
+    """Applies the events that change jobs and runs.
+
+    :param book: the owner's tables.
+    """
+
+    def __init__(self, book: Book):
+        self._book = book
+
+    def add_job(
+        self,
+        job_id: JobId,
+        graph: JobGraph,
+        queue: Queue,
+        *,
+        received_s: float,
+        received_ms: int,
+        inherited: bool,
+    ) -> JobEntry:
+        """Enter a job with all its occurrences."""
+        job = JobEntry(
+            job_id=job_id,
+            graph=graph,
+            queue=queue,
+            received_s=received_s,
+            received_ms=received_ms,
+            inherited=inherited,
+        )
+        for number in range(max(1, graph.occurrences)):
+            due_ms = graph.first_due_ms + number * graph.interval_ms
+            steps = [
+                StepEntry(
+                    key=StepKey(job_id, number, index),
+                    step=step,
+                    job=job,
+                    waiting=set(range(step.count)),
+                )
+                for index, step in enumerate(graph.steps)
+            ]
+            job.occurrences.append(OccurrenceEntry(number, due_ms, steps))
+        self._book.jobs_by_id[job_id] = job
+        for occurrence in job.occurrences:
+            self.open_ready_steps(job, occurrence)
+        return job
+
+    def open_ready_steps(self, job: JobEntry, occurrence: OccurrenceEntry) -> None:
+        """Let the steps whose predecessors are complete be placed."""
+        if job.status.final:
+            return
+        for entry in occurrence.steps:
+            if not entry.waiting or entry.key in self._book.open_steps:
+                continue
+            if all(occurrence.steps[i].complete for i in entry.step.after):
+                table = self._book.open_steps
+                if job.graph.occurrences and not occurrence.due:
+                    table = self._book.timed_steps
+                table[entry.key] = entry
+
+    def begin_run(self, step: StepEntry, run: TaskRun, worker: WorkerEntry) -> None:
+        """Enter a run that has been placed or found on a worker."""
+        index = run.task.index
+        worker.reserve(run)
+        step.runs_by_index[index] = run
+        step.waiting.discard(index)
+        last = step.last_run_by_index.get(index, 0)
+        step.last_run_by_index[index] = max(last, run.number)
+        if not step.waiting:
+            self._book.open_steps.pop(step.key, None)
+
+    def run_confirmed(self, run: TaskRun, now_s: float) -> None:
+        """Note that a worker has started a run."""
+        if run.confirmed_s is None:
+            run.confirmed_s = run.progressed_s = now_s
+        if run.status is TaskRunStatus.STARTING:
+            run.status = TaskRunStatus.RUNNING
+        job = self._book.jobs_by_id.get(run.task.job_id)
+        if job is not None:
+            job.begun = True
+            if job.status is JobStatus.PENDING:
+                self._book.set_status(job, JobStatus.RUNNING, "first_start")
+
+    def stop(self, run: TaskRun, reason: str) -> None:
+        """Have a run stopped; its resources stay reserved until its end is listed."""
+        if run.status is TaskRunStatus.STOPPING:
+            return
+        run.status = TaskRunStatus.STOPPING
+        self._book.emit(
+            StopRun(
+                task=run.task,
+                number=run.number,
+                worker_id=run.worker_id,
+                reason=reason,
+            )
+        )
+
+    def run_ended(
+        self,
+        worker: WorkerEntry,
+        task: TaskKey,
+        number: int,
+        kind: EndKind,
+        checkpoint: str,
+        *,
+        now_s: float,
+        wall_ms: int,
+    ) -> None:
+        """Apply the end of a run that a worker lists; results go to the ledger."""
+        run = worker.runs.get((task, number))
+        if run is not None:
+            worker.release(run)
+        step = self._book.step(task.step_key)
+        if step is None:
+            return
+        if run is not None:
+            self._learn(worker, step, run, kind, now_s)
+        known = kind is EndKind.DONE and task.index in step.finished
+        if kind in (EndKind.DONE, EndKind.FAILED) and not known:
+            record = TaskFinished(task, number, kind, checkpoint, wall_ms)
+            step.job.settled_record = self._book.record(record)
+        self.apply_end(step, task.index, number, kind, checkpoint, now_s)
+        if kind is EndKind.FAILED and not step.job.status.final:
+            step.failed_on_by_index.setdefault(task.index, set()).add(worker.worker_id)
+
+    def apply_end(
+        self,
+        step: StepEntry,
+        index: int,
+        number: int,
+        kind: EndKind,
+        checkpoint: str,
+        now_s: float,
+    ) -> None:
+        """Apply an end to its step; also used to replay the ledger."""
+        last = step.last_run_by_index.get(index, 0)
+        step.last_run_by_index[index] = max(last, number)
+        step.keep_checkpoint(index, checkpoint)
+        current = step.runs_by_index.get(index)
+        if current is not None and current.number == number:
+            del step.runs_by_index[index]
+        if kind is EndKind.DONE:
+            self._succeeded(step, index, number, now_s)
+            return
+        if kind is EndKind.FAILED:
+            self._count_failure(step, index, number, now_s)
+        if step.job.status.final or index in step.finished:
+            return
+        if step.step.gang and not step.complete:
+            self._stop_members(step, number, "gang_member_ended")
+        if index not in step.runs_by_index:
+            step.waiting.add(index)
+            occurrence = step.job.occurrences[step.key.occurrence]
+            self.open_ready_steps(step.job, occurrence)
+
+    def _succeeded(self, step: StepEntry, index: int, number: int, now_s: float):
+        if step.step.long_running:
+            # A service that exits is started again, whatever it reports.
+            step.waiting.add(index)
+            occurrence = step.job.occurrences[step.key.occurrence]
+            self.open_ready_steps(step.job, occurrence)
+            return
+        members = range(step.step.count) if step.step.gang else (index,)
+        step.finished.update(members)
+        step.waiting.difference_update(members)
+        for member in members:
+            other = step.runs_by_index.get(member)
+            if other is not None and (not step.step.gang or other.number != number):
+                self.stop(other, "already_done")
+        if not step.waiting:
+            self._book.open_steps.pop(step.key, None)
+        if not step.complete:
+            return
+        job = step.job
+        occurrence = job.occurrences[step.key.occurrence]
+        self.open_ready_steps(job, occurrence)
+        if not job.status.final and all(o.complete for o in job.occurrences):
+            job.final_s = now_s
+            self._book.set_status(job, JobStatus.COMPLETED, "all_tasks_done")
+
+    def _count_failure(
+        self, step: StepEntry, index: int, number: int, now_s: float
+    ) -> None:
+        step.not_before_s = now_s + RETRY_DELAY_S
+        slot = 0 if step.step.gang else index
+        failed_runs = step.failed_runs_by_index.setdefault(slot, set())
+        failed_runs.add(number)
+        failures = len(failed_runs)
+        if step.step.long_running or failures < step.job.queue.max_failures:
+            return
+        if step.complete or index in step.finished:
+            return
+        self.finish_job(step.job, JobStatus.FAILED, "too_many_failures", now_s)
+
+    def finish_job(
+        self, job: JobEntry, status: JobStatus, reason: str, now_s: float
+    ) -> None:
+        """End a job that has failed or was cancelled, and stop its runs."""
+        if job.status.final:
+            return
+        job.final_s = now_s
+        self._book.set_status(job, status, reason)
+        for step in job.steps():
+            self._book.open_steps.pop(step.key, None)
+            self._book.timed_steps.pop(step.key, None)
+            for run in list(step.runs_by_index.values()):
+                self.stop(run, reason)
+
+    def _stop_members(self, step: StepEntry, number: int, reason: str) -> None:
+        for run in list(step.runs_by_index.values()):
+            if run.number == number:
+                self.stop(run, reason)
+
+    def _learn(
+        self,
+        worker: WorkerEntry,
+        step: StepEntry,
+        run: TaskRun,
+        kind: EndKind,
+        now_s: float,
+    ) -> None:
+        """Update what is known of a worker's health and speed."""
+        health = self._book.health
+        if kind is EndKind.DONE:
+            health.task_succeeded(worker.worker_id, run.task.job_id)
+        elif kind is EndKind.FAILED:
+            changed = health.task_failed(worker.worker_id, run.task.job_id, now_s)
+            if worker.worker_id in changed:
+                log_event(
+                    logger,
+                    "worker_quarantine_changed",
+                    worker=worker.worker_id,
+                    quarantined=health.is_quarantined(worker.worker_id),
+                    job=run.task.job_id,
+                )
+        else:
+            health.task_inconclusive(worker.worker_id)
+        if kind is not EndKind.DONE or not step.step.estimate_s:
+            return
+        if step.step.gang or run.confirmed_s is None:
+            return
+        sample = (now_s - run.confirmed_s) / step.step.estimate_s
+        weight = max(SLOWDOWN_WEIGHT, 1 / (1 + worker.slowdown_samples))
+        worker.slowdown_samples += 1
+        worker.slowdown += weight * (min(sample, 8.0) - worker.slowdown)
+
+    def worker_lost(self, worker: WorkerEntry, *, now_s: float, wall_ms: int) -> None:
+        """End all runs of a worker on which nothing can be running any more."""
+        worker_id: WorkerId = worker.worker_id
+        if worker.runs:
+            log_event(
+                logger,
+                "worker_runs_lost",
+                worker=worker_id,
+                runs=len(worker.runs),
+                lease_end_s=worker.lease_end_s,
+            )
+        for (task, number), run in list(worker.runs.items()):
+            worker.release(run)
+            step = self._book.step(task.step_key)
+            if step is not None:
+                self.apply_end(
+                    step, task.index, number, EndKind.LEASE_EXPIRED, "", now_s
+                )
--- /dev/null
+++ b/pistachiolift/workflows/placement.py
@@ -0,0 +1,156 @@
+"""Selects workers for tasks and for gangs."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from ..common import RackId, WorkerId
+from .state import StepEntry, WorkerEntry
+
+__all__ = ["GangPlan", "choose_worker", "eligible_workers", "plan_gang"]
+
+# An adviser's ticket that is about to expire would reach the worker too late.
+TICKET_MARGIN_S = 0.06
+
+
+@dataclass(frozen=True, slots=True)
+class GangPlan:
+    """Workers for all tasks of a gang, in the order of the tasks.
+
+    :param worker_ids: empty if the gang does not fit now.
+    :param wanted: workers to keep free for it until it fits.
+    """
+
+    worker_ids: tuple[WorkerId, ...] = ()
+    wanted: frozenset[WorkerId] = frozenset()
+
+
+def eligible_workers(
+    step: StepEntry, workers: Iterable[WorkerEntry], now_s: float
+) -> list[WorkerEntry]:
+    """Return the workers on which the step's tasks may run at all.
+
+    :param workers: usable workers of the queue's pool.
+    """
+    label = step.step.required_label
+    found = [entry for entry in workers if not label or label in entry.worker.labels]
+    if step.job.queue.advice is None:
+        return found
+    tickets = step.tickets_by_worker
+    return [
+        entry
+        for entry in found
+        if (ticket := tickets.get(entry.worker_id)) is not None
+        and ticket[1] - TICKET_MARGIN_S > now_s
+    ]
+
+
+def _tasks_there(step: StepEntry, entry: WorkerEntry) -> int:
+    return sum(1 for task, _ in entry.runs if task.step_key == step.key)
+
+
+def room_for_step(step: StepEntry, entry: WorkerEntry) -> int:
+    """Return how many more tasks of the step the worker can take."""
+    room = entry.room_for(step.step.size, fills=step.step.fills)
+    if room and step.step.max_per_worker:
+        room = min(room, step.step.max_per_worker - _tasks_there(step, entry))
+    return max(0, room)
+
+
+def choose_worker(
+    step: StepEntry, index: int, workers: list[WorkerEntry]
+) -> WorkerEntry | None:
+    """Return the worker for one task, or ``None`` if it fits nowhere.
+
+    Prefers workers where the task has not failed, near its data, fast, and tightly
+    filled, so that whole workers stay free for gangs.
+    """
+    step_spec = step.step
+    failed_on = step.failed_on_by_index.get(index, ())
+    best = None
+    best_key = None
+    for entry in workers:
+        if room_for_step(step, entry) < 1:
+            continue
+        far = bool(step_spec.data_rack) and entry.worker.rack != step_spec.data_rack
+        key = (
+            entry.worker_id in failed_on,
+            far,
+            round(entry.slowdown * 2),
+            entry.free_cpu_milli,
+        )
+        if best_key is None or key < best_key:
+            best, best_key = entry, key
+    return best
+
+
+def plan_gang(
+    step: StepEntry, workers: list[WorkerEntry], blocked: frozenset[WorkerId]
+) -> GangPlan:
+    """Place all tasks of a gang that have no run, or say what to keep free for it.
+
+    :param workers: workers on which the gang may run.
+    :param blocked: workers kept free for gangs that go first.
+    """
+    groups = [workers]
+    if step.step.same_rack:
+        by_rack: dict[RackId, list[WorkerEntry]] = {}
+        for entry in workers:
+            by_rack.setdefault(entry.worker.rack, []).append(entry)
+        near = step.step.data_rack
+        groups = [
+            by_rack[rack] for rack in sorted(by_rack, key=lambda rack: rack != near)
+        ]
+    wanted: frozenset[WorkerId] = frozenset()
+    for group in groups:
+        open_workers = [entry for entry in group if entry.worker_id not in blocked]
+        chosen = _fill(step, open_workers)
+        if chosen:
+            return GangPlan(worker_ids=chosen)
+        wanted = wanted or _wanted(step, open_workers)
+    if step.step.same_rack and not wanted:
+        # No rack can ever hold it: a gang across racks is slow, but it runs.
+        open_workers = [entry for entry in workers if entry.worker_id not in blocked]
+        return GangPlan(
+            worker_ids=_fill(step, open_workers), wanted=_wanted(step, open_workers)
+        )
+    return GangPlan(wanted=wanted)
+
+
+def _fill(step: StepEntry, workers: list[WorkerEntry]) -> tuple[WorkerId, ...]:
+    """Return a worker for each task, or nothing if they do not all fit."""
+    near = step.step.data_rack
+    room = [(entry, room_for_step(step, entry)) for entry in workers]
+    room.sort(key=lambda item: (bool(near) and item[0].worker.rack != near, -item[1]))
+    chosen: list[WorkerId] = []
+    for entry, count in room:
+        missing = step.step.count - len(chosen)
+        chosen += [entry.worker_id] * min(count, missing)
+        if len(chosen) == step.step.count:
+            return tuple(chosen)
+    return ()
+
+
+def _wanted(step: StepEntry, workers: list[WorkerEntry]) -> frozenset[WorkerId]:
+    """Return the workers that would hold the gang soonest once they are empty."""
+    size = step.step.size
+    limit = step.step.max_per_worker
+    by_free = sorted(workers, key=lambda entry: -entry.free_cpu_milli)
+    wanted: list[WorkerId] = []
+    held = 0
+    for entry in by_free:
+        capacity = entry.worker.capacity
+        counts = [limit] if limit else []
+        if size.cpu_milli:
+            counts.append(capacity.cpu_milli // size.cpu_milli)
+        if size.memory_mb:
+            counts.append(capacity.memory_mb // size.memory_mb)
+        if size.accelerators:
+            counts.append(capacity.accelerators // size.accelerators)
+        count = min(counts, default=step.step.count)
+        if count < 1:
+            continue
+        wanted.append(entry.worker_id)
+        held += count
+        if held >= step.step.count:
+            return frozenset(wanted)
+    return frozenset()
--- /dev/null
+++ b/pistachiolift/workflows/records.py
@@ -0,0 +1,100 @@
+"""Records of the ledger, from which a new owner rebuilds the scheduler's state."""
+
+import msgspec
+
+from ..common import JobId, WorkerId
+from .model import EndKind, JobGraph, Queue, TaskKey
+
+__all__ = [
+    "JobAccepted",
+    "JobCancelled",
+    "JobForgotten",
+    "LedgerRecord",
+    "TaskFinished",
+    "WorkerInUse",
+    "WorkerReleased",
+    "decode_batch",
+    "encode_batch",
+]
+
+
+class JobAccepted(msgspec.Struct, frozen=True, tag="job", array_like=True):
+    """A job that the system has taken on.
+
+    :param queue: the policy at that time, used if the queue is gone later.
+    :param received_ms: Unix time of the first request, in milliseconds.
+    """
+
+    job_id: JobId
+    queue: Queue
+    received_ms: int
+    graph: JobGraph
+
+
+class JobCancelled(msgspec.Struct, frozen=True, tag="cancel", array_like=True):
+    """A job that its caller has withdrawn."""
+
+    job_id: JobId
+    at_ms: int
+
+
+class TaskFinished(msgspec.Struct, frozen=True, tag="end", array_like=True):
+    """The end of a run, written before the worker may forget it.
+
+    :param run: number of the run; all members of a gang share it.
+    :param checkpoint: saved position, empty for none.
+    :param at_ms: Unix time at which the end was read, in milliseconds.
+    """
+
+    task: TaskKey
+    run: int
+    kind: EndKind
+    checkpoint: str
+    at_ms: int
+
+
+class JobForgotten(msgspec.Struct, frozen=True, tag="forget", array_like=True):
+    """A finished job whose state is no longer kept."""
+
+    job_id: JobId
+
+
+class WorkerInUse(msgspec.Struct, frozen=True, tag="use", array_like=True):
+    """A worker that may run tasks, written before the first start there."""
+
+    worker_id: WorkerId
+    address: str
+    incarnation: int
+
+
+class WorkerReleased(msgspec.Struct, frozen=True, tag="release", array_like=True):
+    """A worker on which no task can be running any more."""
+
+    worker_id: WorkerId
+    incarnation: int
+
+
+LedgerRecord = (
+    JobAccepted
+    | JobCancelled
+    | TaskFinished
+    | JobForgotten
+    | WorkerInUse
+    | WorkerReleased
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(list[LedgerRecord])
+
+
+def encode_batch(records: list[LedgerRecord]) -> bytes:
+    """Encode the records of one commit."""
+    return _encoder.encode(records)
+
+
+def decode_batch(data: bytes) -> list[LedgerRecord]:
+    """Decode the records of one commit.
+
+    :raises msgspec.MsgspecError: if the data is not a batch.
+    """
+    return _decoder.decode(data)
--- /dev/null
+++ b/pistachiolift/workflows/state.py
@@ -0,0 +1,228 @@
+"""State of jobs, steps, runs and workers at the owner."""
+
+from dataclasses import dataclass, field
+
+from ..common import JobId, WorkerId
+from .model import (
+    JobGraph,
+    JobStatus,
+    Queue,
+    Size,
+    Step,
+    StepKey,
+    TaskKey,
+    TaskRunStatus,
+    Worker,
+    WorkerState,
+)
+
+__all__ = ["JobEntry", "OccurrenceEntry", "StepEntry", "TaskRun", "WorkerEntry"]
+
+
+@dataclass(slots=True, eq=False)
+class TaskRun:
+    """One run of a task on a worker.
+
+    :param placed_s: time of the decision.
+    :param confirmed_s: time at which the worker was known to have it, or ``None``.
+    :param answered_s: time at which the worker last answered an order about it; a
+        listing requested later must name the run if it still exists.
+    :param percent: progress that the worker reported last.
+    :param progressed_s: time at which ``percent`` last rose.
+    """
+
+    task: TaskKey
+    number: int
+    worker_id: WorkerId
+    size: Size
+    status: TaskRunStatus
+    placed_s: float
+    confirmed_s: float | None = None
+    answered_s: float | None = None
+    percent: int = 0
+    progressed_s: float = 0.0
+    usage: int = 0
+    pace_percent: int = 100
+
+
+@dataclass(slots=True, eq=False)
+class StepEntry:
+    """A step of one occurrence.
+
+    :param waiting: indices of tasks that are to be started.
+    :param finished: indices of tasks that succeeded.
+    :param failed_runs_by_index: numbers of the runs that failed; those of a gang,
+        which fails as a whole, stand under 0.
+    :param ticket_by_worker: ticket and the time at which it expires.
+    :param approved: workers that the adviser named; ``None`` before its answer.
+    :param asked_s: time of the advice call in flight, or ``None``.
+    """
+
+    key: StepKey
+    step: Step
+    job: "JobEntry"
+    waiting: set[int]
+    finished: set[int] = field(default_factory=set)
+    failed_runs_by_index: dict[int, set[int]] = field(default_factory=dict)
+    runs_by_index: dict[int, TaskRun] = field(default_factory=dict)
+    checkpoint_by_index: dict[int, str] = field(default_factory=dict)
+    failed_on_by_index: dict[int, set[WorkerId]] = field(default_factory=dict)
+    last_run_by_index: dict[int, int] = field(default_factory=dict)
+    tickets_by_worker: dict[WorkerId, tuple[str, float]] = field(default_factory=dict)
+    approved: frozenset[WorkerId] | None = None
+    asked_s: float | None = None
+    asked_workers: set[WorkerId] = field(default_factory=set)
+    tickets_end_s: float = 0.0
+    not_before_s: float = 0.0
+
+    @property
+    def complete(self) -> bool:
+        """Whether all tasks have succeeded."""
+        return len(self.finished) == self.step.count
+
+    def checkpoint(self, index: int) -> str:
+        """Return the position from which a task resumes; a gang shares one."""
+        if self.step.gang:
+            return next(iter(self.checkpoint_by_index.values()), "")
+        return self.checkpoint_by_index.get(index, "")
+
+    def keep_checkpoint(self, index: int, checkpoint: str) -> None:
+        """Take note of a saved position."""
+        if not checkpoint or not self.step.checkpoints:
+            return
+        if self.step.gang:
+            self.checkpoint_by_index.clear()
+        self.checkpoint_by_index[index] = checkpoint
+
+    def next_number(self, indices: list[int], floor: int) -> int:
+        """Return a run number above all earlier ones of the tasks."""
+        last = max((self.last_run_by_index.get(i, 0) for i in indices), default=0)
+        return max(floor, last + 1)
+
+
+@dataclass(slots=True, eq=False)
+class OccurrenceEntry:
+    """One execution of a job's steps."""
+
+    number: int
+    due_ms: int
+    steps: list[StepEntry]
+    due: bool = False
+
+    @property
+    def complete(self) -> bool:
+        """Whether all steps have succeeded."""
+        return all(step.complete for step in self.steps)
+
+
+@dataclass(slots=True, eq=False)
+class JobEntry:
+    """A job that the owner knows.
+
+    :param received_s: monotonic time of the first request.
+    :param inherited: accepted by an earlier owner, so that a run of one of its tasks
+        may exist on a worker that has not been listed yet.
+    :param final_s: monotonic time of its end, or ``None``.
+    :param accepted_record: number of the record that must be durable before a start.
+    :param settled_record: number of the newest record that tells of its state.
+    """
+
+    job_id: JobId
+    graph: JobGraph
+    queue: Queue
+    received_s: float
+    received_ms: int
+    inherited: bool
+    occurrences: list[OccurrenceEntry] = field(default_factory=list)
+    status: JobStatus = JobStatus.PENDING
+    final_s: float | None = None
+    begun: bool = False
+    accepted_record: int = 0
+    settled_record: int = 0
+
+    def steps(self) -> list[StepEntry]:
+        """Return the steps of all occurrences."""
+        return [step for entry in self.occurrences for step in entry.steps]
+
+
+@dataclass(slots=True, eq=False)
+class WorkerEntry:
+    """A worker and what the owner has placed there.
+
+    :param listed: whether its runs have been listed under this owner's fence.
+    :param reachable: whether its last listing was answered.
+    :param registered: whether the directory names it.
+    :param use_record: number of the record that must be durable before a start.
+    :param lease_end_s: time after which nothing that was ever granted can run there.
+    """
+
+    worker: Worker
+    listed: bool = False
+    reachable: bool = True
+    registered: bool = True
+    lease_end_s: float = 0.0
+    used_cpu_milli: int = 0
+    used_memory_mb: int = 0
+    used_accelerators: int = 0
+    runs: dict[tuple[TaskKey, int], TaskRun] = field(default_factory=dict)
+    recorded: bool = False
+    use_record: int = 0
+    refused_until_s: float = 0.0
+    unlisted_size: bool = False
+    slowdown: float = 1.0
+    slowdown_samples: int = 0
+
+    @property
+    def worker_id(self) -> WorkerId:
+        """The worker's identifier."""
+        return self.worker.worker_id
+
+    @property
+    def free_cpu_milli(self) -> int:
+        """Processors not reserved, in thousandths of a core."""
+        return self.worker.capacity.cpu_milli - self.used_cpu_milli
+
+    def usable(self, now_s: float) -> bool:
+        """Whether new runs may be placed there."""
+        return (
+            self.listed
+            and self.reachable
+            and self.registered
+            and not self.unlisted_size
+            and self.worker.state is WorkerState.READY
+            and now_s >= self.refused_until_s
+        )
+
+    def room_for(self, size: Size, *, fills: bool = False) -> int:
+        """Return how many tasks of a size fit into what is free."""
+        capacity = self.worker.capacity
+        counts = []
+        if size.cpu_milli and not fills:
+            counts.append((capacity.cpu_milli - self.used_cpu_milli) // size.cpu_milli)
+        if size.memory_mb:
+            counts.append((capacity.memory_mb - self.used_memory_mb) // size.memory_mb)
+        if size.accelerators:
+            counts.append(
+                (capacity.accelerators - self.used_accelerators) // size.accelerators
+            )
+        return max(0, min(counts, default=1_000_000))
+
+    def reserve(self, run: TaskRun) -> None:
+        """Occupy a run's resources."""
+        self.runs[run.task, run.number] = run
+        self._add(run.size, 1)
+
+    def release(self, run: TaskRun) -> bool:
+        """Free a run's resources.
+
+        :returns: whether the run was on record.
+        """
+        if self.runs.pop((run.task, run.number), None) is None:
+            return False
+        self._add(run.size, -1)
+        return True
+
+    def _add(self, size: Size, sign: int) -> None:
+        self.used_cpu_milli += sign * size.cpu_milli
+        self.used_memory_mb += sign * size.memory_mb
+        self.used_accelerators += sign * size.accelerators
--- /dev/null
+++ b/pistachiolift/workflows/urgency.py
@@ -0,0 +1,67 @@
+"""The order in which steps that wait are served."""
+
+from .state import JobEntry, StepEntry
+
+__all__ = ["chain_s", "objective_s", "rank"]
+
+# A result is worth a part of its value until this multiple of the objective.
+LATE_LIMIT = 3.0
+
+
+def chain_s(entry: JobEntry, *, from_step: int = 0) -> float:
+    """Return the estimated time of a job's longest chain of steps, in seconds.
+
+    :param from_step: only chains that start at this step count.
+    """
+    steps = entry.graph.steps
+    ends: list[float] = []
+    starts_here = [False] * len(steps)
+    longest = 0.0
+    for index, step in enumerate(steps):
+        start = max((ends[i] for i in step.after), default=0.0)
+        on_chain = index == from_step or any(starts_here[i] for i in step.after)
+        if from_step and not on_chain:
+            ends.append(0.0)
+            continue
+        starts_here[index] = on_chain
+        if from_step and index == from_step:
+            start = 0.0
+        ends.append(start + step.estimate_s)
+        longest = max(longest, ends[-1])
+    return longest
+
+
+def objective_s(entry: JobEntry) -> float:
+    """Return the time from a job's receipt in which its caller expects the result."""
+    advice = entry.queue.advice
+    asked_s = 0.0
+    if advice is not None:
+        asked_s = advice.decide_s + 30 * advice.each_s
+    return entry.queue.stretch * (chain_s(entry) + asked_s) + entry.queue.target_s
+
+
+def rank(step: StepEntry, now_s: float, wall_ms: float) -> tuple[int, int, float]:
+    """Return the sort key of a step; the smallest is served first.
+
+    Steps that can still meet their objective go first, then those whose result is
+    late but useful, then the rest; inside a band by priority, and then by the
+    latest start that meets the objective.
+
+    :param now_s: monotonic time.
+    :param wall_ms: Unix time, in milliseconds.
+    """
+    job = step.job
+    received_s = job.received_s
+    if job.graph.occurrences:
+        due_ms = job.occurrences[step.key.occurrence].due_ms
+        received_s = now_s - (wall_ms - due_ms) / 1000
+    objective = objective_s(job)
+    remaining = chain_s(job, from_step=step.key.step)
+    finish_s = now_s + remaining
+    if finish_s <= received_s + objective:
+        band = 0
+    elif finish_s <= received_s + LATE_LIMIT * objective:
+        band = 1
+    else:
+        band = 2
+    return band, job.queue.priority, received_s + objective - remaining
