Test the scheduler of step graphs in virtual time

Cause: the decision core had no tests. Change: a virtual cell whose workers follow the orders and check capacity, order and single runs at every start; tests of steps, gangs, advice, failures, takeover and compaction of the ledger.

--- /dev/null
+++ b/pistachiolift/workflows/tests/test_scheduler.py
@@ -0,0 +1,247 @@
+"""Jobs of steps from submission to their end."""
+
+import pytest
+
+from pistachiolift.common import InvalidInputError, JobId
+from pistachiolift.workflows import AdvicePolicy, JobStatus, validate_graph
+
+from .virtual_cell import VirtualCell, make_graph, make_queue, make_step
+
+
+class TestSteps:
+    def test_a_job_of_one_task_completes(self):
+        cell = VirtualCell()
+        job = cell.submit("a", make_queue(), make_graph())
+        cell.run(0.05)
+        assert cell.status(job) is JobStatus.RUNNING
+        cell.run(1.2)
+        assert cell.status(job) is JobStatus.COMPLETED
+
+    def test_a_step_waits_for_all_tasks_of_its_predecessors(self):
+        cell = VirtualCell()
+        graph = make_graph(make_step(3), make_step(2), make_step(1, after=(0, 1)))
+        job = cell.submit("a", make_queue(), graph)
+        cell.run(1.0)
+        assert not any(task.step == 2 for _, _, task in cell.runs_by_job[job])
+        cell.run(2.0)
+        assert cell.status(job) is JobStatus.COMPLETED
+
+    def test_the_same_job_again_remains_one_job(self):
+        cell = VirtualCell()
+        job = cell.submit("a", make_queue(), make_graph())
+        cell.run(0.5)
+        cell.submit("a", make_queue(), make_graph())
+        cell.run(2.0)
+        assert len(cell.runs_by_job[job]) == 1
+
+    def test_no_more_tasks_of_a_step_on_a_worker_than_allowed(self):
+        cell = VirtualCell(workers=3)
+        job = cell.submit("a", make_queue(), make_graph(make_step(6, max_per_worker=1)))
+        cell.run(0.5)
+        assert len(cell.runs_by_job[job]) == 3
+        cell.run(3.0)
+        assert cell.status(job) is JobStatus.COMPLETED
+
+    def test_a_required_label_is_honoured(self):
+        cell = VirtualCell(workers=12)
+        graph = make_graph(make_step(4, required_label="r1"))
+        job = cell.submit("a", make_queue(), graph)
+        cell.run(0.5)
+        workers = {worker for _, worker, _ in cell.runs_by_job[job]}
+        assert workers <= {f"w{i}" for i in range(6, 12)}
+
+    @pytest.mark.parametrize(
+        "graph",
+        [
+            make_graph(make_step(0)),
+            make_graph(make_step(1, after=(0,))),
+            make_graph(make_step(1, cpu=-1)),
+            make_graph(occurrences=-1),
+        ],
+    )
+    def test_a_malformed_job_is_refused(self, graph):
+        with pytest.raises(InvalidInputError):
+            validate_graph(graph)
+
+
+class TestGangs:
+    def test_all_members_start_with_one_run_number(self):
+        cell = VirtualCell()
+        job = cell.submit("a", make_queue(), make_graph(make_step(8, gang=True)))
+        cell.run(1.5)
+        assert len(cell.runs_by_job[job]) == 8
+        assert cell.status(job) is JobStatus.COMPLETED
+
+    def test_a_gang_that_does_not_fit_starts_no_member(self):
+        cell = VirtualCell(workers=1)
+        job = cell.submit("a", make_queue(), make_graph(make_step(9, gang=True)))
+        cell.run(1.0)
+        assert not cell.runs_by_job[job]
+
+    def test_a_gang_with_one_rack_stays_on_it(self):
+        cell = VirtualCell(workers=12)
+        step = make_step(10, cpu=4000, gang=True, same_rack=True)
+        job = cell.submit("a", make_queue(), make_graph(step))
+        cell.run(0.5)
+        racks = {int(worker[1:]) // 6 for _, worker, _ in cell.runs_by_job[job]}
+        assert len(cell.runs_by_job[job]) == 10
+        assert len(racks) == 1
+
+    def test_a_lost_member_restarts_the_whole_gang(self):
+        cell = VirtualCell()
+        step = make_step(8, cpu=4000, gang=True, estimate_s=2.0)
+        job = cell.submit("a", make_queue(), make_graph(step))
+        cell.run(0.5)
+        cell.crash(cell.runs_by_job[job][0][1])
+        cell.add_worker(9)
+        cell.run(4.0)
+        assert cell.status(job) is JobStatus.COMPLETED
+        assert len(cell.runs_by_job[job]) == 16
+
+
+class TestAdvice:
+    QUEUE = make_queue(
+        advice=AdvicePolicy(decide_s=0.4, each_s=0.005, valid_s=1.5),
+    )
+
+    def test_only_approved_workers_get_tasks(self):
+        cell = VirtualCell(workers=8)
+        cell.approve = lambda step, worker_id: worker_id in ("w2", "w5")
+        job = cell.submit("a", self.QUEUE, make_graph(make_step(20)))
+        cell.run(5.0)
+        assert {worker for _, worker, _ in cell.runs_by_job[job]} == {"w2", "w5"}
+        assert cell.status(job) is JobStatus.COMPLETED
+
+    def test_a_failed_call_is_made_again(self):
+        cell = VirtualCell()
+        answers = iter([None])
+        real = cell.scheduler.advice_answered
+
+        def lose_the_first(step, asked, tickets, **kwargs):
+            real(step, asked, next(answers, tickets), **kwargs)
+
+        cell.scheduler.advice_answered = lose_the_first
+        job = cell.submit("a", self.QUEUE, make_graph())
+        cell.run(3.0)
+        assert cell.status(job) is JobStatus.COMPLETED
+
+    def test_expired_tickets_are_renewed_before_a_start(self):
+        cell = VirtualCell(workers=1)
+        cell.submit("first", make_queue(), make_graph(make_step(8, estimate_s=4.0)))
+        cell.run(0.1)
+        job = cell.submit("a", self.QUEUE, make_graph())
+        cell.run(8.0)
+        assert cell.status(job) is JobStatus.COMPLETED
+
+
+class TestFailures:
+    def test_a_job_fails_after_as_many_failures_as_allowed(self):
+        cell = VirtualCell()
+        for fake in cell.workers_by_id.values():
+            fake.fails = True
+        job = cell.submit("a", make_queue(max_failures=2), make_graph())
+        cell.run(5.0)
+        assert cell.status(job) is JobStatus.FAILED
+        assert len(cell.runs_by_job[job]) == 2
+
+    def test_a_failed_task_is_tried_on_another_worker(self):
+        cell = VirtualCell()
+        cell.workers_by_id["w0"].fails = True
+        jobs = [cell.submit(f"j{i}", make_queue(), make_graph()) for i in range(6)]
+        cell.run(6.0)
+        assert all(cell.status(job) is JobStatus.COMPLETED for job in jobs)
+
+    def test_a_cancelled_job_is_stopped_and_never_started_again(self):
+        cell = VirtualCell()
+        job = cell.submit("a", make_queue(), make_graph(make_step(4, estimate_s=9.0)))
+        cell.run(0.5)
+        cell.cancel(job)
+        cell.run(0.5)
+        assert cell.status(job) is JobStatus.CANCELLED
+        assert not any(fake.running for fake in cell.workers_by_id.values())
+        cell.run(10.0)
+        assert len(cell.runs_by_job[job]) == 4
+
+    def test_a_crashed_worker_s_tasks_run_elsewhere_at_once(self):
+        cell = VirtualCell()
+        job = cell.submit("a", make_queue(), make_graph(make_step(4, estimate_s=2.0)))
+        cell.run(0.5)
+        cell.crash(cell.runs_by_job[job][0][1])
+        cell.run(3.0)
+        assert cell.status(job) is JobStatus.COMPLETED
+
+    def test_tasks_of_a_worker_that_is_cut_off_wait_for_the_end_of_its_lease(self):
+        cell = VirtualCell()
+        job = cell.submit("a", make_queue(), make_graph(make_step(1, estimate_s=30.0)))
+        cell.run(0.5)
+        worker_id = cell.runs_by_job[job][0][1]
+        fake = cell.workers_by_id[worker_id]
+        fake.cut = True
+        cell.run(4.0)
+        assert len(cell.runs_by_job[job]) == 1
+        fake.running.clear()
+        cell.run(1.5)
+        assert len(cell.runs_by_job[job]) == 2
+
+    def test_a_completed_job_is_told_only_once_its_ends_are_durable(self):
+        cell = VirtualCell()
+        job = cell.submit("a", make_queue(), make_graph())
+        cell.run(0.5)
+        cell.store_up = False
+        cell.run(2.0)
+        assert cell.status(job) is JobStatus.RUNNING
+        cell.store_up = True
+        cell.run(0.5)
+        assert cell.status(job) is JobStatus.COMPLETED
+
+    def test_an_unknown_job_has_no_state(self):
+        assert VirtualCell().status(JobId("nobody")) is None
+
+
+class TestTakeover:
+    def test_running_tasks_are_adopted(self):
+        cell = VirtualCell()
+        job = cell.submit("a", make_queue(), make_graph(make_step(4, estimate_s=3.0)))
+        cell.run(0.5)
+        cell.replace_owner()
+        cell.run(4.0)
+        assert cell.status(job) is JobStatus.COMPLETED
+        assert len(cell.runs_by_job[job]) == 4
+
+    def test_nothing_inherited_starts_before_all_workers_are_listed(self):
+        cell = VirtualCell(workers=2)
+        job = cell.submit("a", make_queue(), make_graph(make_step(20, estimate_s=3.0)))
+        cell.run(0.5)
+        cell.workers_by_id["w1"].cut = True
+        cell.replace_owner()
+        cell.run(2.0)
+        assert len(cell.runs_by_job[job]) == 16
+        fresh = cell.submit("new", make_queue(), make_graph())
+        cell.run(1.5)
+        assert cell.status(fresh) is not None
+        cell.workers_by_id["w1"].running.clear()
+        cell.workers_by_id["w1"].cut = False
+        cell.run(12.0)
+        assert cell.status(job) is JobStatus.COMPLETED
+
+    def test_failures_are_counted_across_owners(self):
+        cell = VirtualCell()
+        for fake in cell.workers_by_id.values():
+            fake.fails = True
+        job = cell.submit("a", make_queue(max_failures=3), make_graph())
+        cell.run(1.1)
+        cell.replace_owner()
+        cell.run(6.0)
+        assert cell.status(job) is JobStatus.FAILED
+        assert len(cell.runs_by_job[job]) == 3
+
+    def test_a_compacted_log_rebuilds_the_same_state(self):
+        cell = VirtualCell()
+        graph = make_graph(make_step(3), make_step(2, after=(0,), estimate_s=5.0))
+        job = cell.submit("a", make_queue(), graph)
+        cell.run(1.5)
+        cell.committed[:] = cell.scheduler.compact(cell.committed) + cell.committed[-1:]
+        cell.replace_owner()
+        cell.run(6.0)
+        assert cell.status(job) is JobStatus.COMPLETED
+        assert len(cell.runs_by_job[job]) == 5
--- /dev/null
+++ b/pistachiolift/workflows/tests/virtual_cell.py
@@ -0,0 +1,400 @@
+"""A cell in virtual time: the scheduler with workers that follow its orders.
+
+The cell checks at every start what must hold at all times: no worker above its
+capacity, no task twice at once, none after its success, steps in order.
+"""
+
+import heapq
+import itertools
+import random
+from collections import defaultdict
+
+from pistachiolift.common import JobId, RackId, WorkerId
+from pistachiolift.workflows import (
+    AskAdvice,
+    EndKind,
+    GraphScheduler,
+    JobGraph,
+    JobStatus,
+    ListedEnd,
+    ListedRun,
+    PoolId,
+    Queue,
+    QueueId,
+    Size,
+    StartAnswer,
+    StartRun,
+    Step,
+    StopRun,
+    Worker,
+    WorkerState,
+)
+
+WALL_OFFSET_S = 1.7e9
+MESSAGE_S = 0.004
+STOP_S = 0.1
+DECIDE_S = 0.01
+TICK_S = 0.1
+LEASE_S = 4.5
+
+
+def make_queue(name="urgent", **changes) -> Queue:
+    """Return a queue; ``changes`` override its fields."""
+    fields = dict(
+        queue_id=QueueId(name),
+        host="a.example",
+        prefix=f"/{name}/",
+        pool_id=PoolId("pool"),
+        priority=0,
+        max_failures=3,
+        stretch=2.0,
+        target_s=1.0,
+    )
+    fields.update(changes)
+    return Queue(**fields)
+
+
+def make_graph(*steps: Step, **changes) -> JobGraph:
+    """Return a job; without steps it has one task of a core and a second."""
+    return JobGraph(payload="p", steps=steps or (make_step(),), **changes)
+
+
+def make_step(count=1, *, cpu=1000, memory=100, estimate_s=1.0, **changes) -> Step:
+    """Return a step."""
+    size = Size(cpu_milli=cpu, memory_mb=memory)
+    return Step(count=count, size=size, estimate_s=estimate_s, **changes)
+
+
+class FakeWorker:
+    """A worker that runs what it is told."""
+
+    def __init__(self, worker: Worker):
+        self.worker = worker
+        self.running: dict = {}
+        self.unseen: list[ListedEnd] = []
+        self.blocked: dict = {}
+        self.alive = True
+        self.cut = False
+        self.hangs = False
+        self.fails = False
+        self.slowness = 1.0
+        self.progress: dict = {}
+
+
+class VirtualCell:
+    """One scheduler and its workers.
+
+    :param workers: number of workers, six to a rack.
+    :param durations: maps a step's declared time to the time that it takes.
+    """
+
+    def __init__(self, *, workers=4, cpu=8000, memory=16_000, seed=1, queues=()):
+        self.rng = random.Random(seed)
+        self.now_s = 100.0
+        self._events: list = []
+        self._order = itertools.count()
+        self.scheduler = GraphScheduler(fence=1, keep_final_s=60.0)
+        self.scheduler.set_queues(queues)
+        self.workers_by_id: dict[WorkerId, FakeWorker] = {}
+        self.done_tasks: set = set()
+        self.started: dict = {}
+        self.finished_s: dict[JobId, float] = {}
+        self.first_start_s: dict[JobId, float] = {}
+        self.submitted_s: dict[JobId, float] = {}
+        self.runs_by_job: dict[JobId, list] = defaultdict(list)
+        self.advice_s = 0.0
+        self.approve = lambda step, worker_id: True
+        self.duration_of = lambda key, step: step.estimate_s
+        self.store_up = True
+        self._fence = 1
+        self.committed: list = []
+        for index in range(workers):
+            self.add_worker(index, cpu=cpu, memory=memory)
+        self._after(TICK_S, self._tick)
+
+    # Set-up.
+
+    def add_worker(self, index, *, cpu=8000, memory=16_000, incarnation=1):
+        """Add a worker to the directory and list it."""
+        worker = Worker(
+            worker_id=WorkerId(f"w{index}"),
+            address=f"10.0.0.{index}:80",
+            pool_id=PoolId("pool"),
+            zone="z",
+            incarnation=incarnation,
+            state=WorkerState.READY,
+            capacity=Size(cpu_milli=cpu, memory_mb=memory),
+            labels=("a", f"r{index // 6}"),
+            rack=RackId(f"r{index // 6}"),
+        )
+        fake = FakeWorker(worker)
+        self.workers_by_id[worker.worker_id] = fake
+        self.scheduler.worker_seen(worker, now_s=self.now_s, wall_ms=self.wall_ms)
+        self._list(fake)
+        return fake
+
+    @property
+    def wall_ms(self) -> int:
+        """Unix time, in milliseconds."""
+        return int((self.now_s + WALL_OFFSET_S) * 1000)
+
+    def submit(self, job_id: str, queue: Queue, graph: JobGraph) -> JobId:
+        """Submit a job now."""
+        job_id = JobId(job_id)
+        self.submitted_s.setdefault(job_id, self.now_s)
+        self.scheduler.submit(
+            job_id, queue, graph, received_s=self.now_s, received_ms=self.wall_ms
+        )
+        self._decide()
+        return job_id
+
+    def cancel(self, job_id: JobId) -> None:
+        """Cancel a job now."""
+        self.scheduler.cancel(job_id, now_s=self.now_s, wall_ms=self.wall_ms)
+        self._decide()
+
+    # Time.
+
+    def _after(self, delay_s: float, action, *args) -> None:
+        heapq.heappush(
+            self._events, (self.now_s + delay_s, next(self._order), action, args)
+        )
+
+    def at(self, delay_s: float, action, *args) -> None:
+        """Do something later."""
+        self._after(delay_s, action, *args)
+
+    def run(self, duration_s: float) -> None:
+        """Advance the time."""
+        end_s = self.now_s + duration_s
+        while self._events and self._events[0][0] <= end_s:
+            self.now_s, _, action, args = heapq.heappop(self._events)
+            action(*args)
+        self.now_s = end_s
+
+    def _tick(self) -> None:
+        self.scheduler.tick(now_s=self.now_s, wall_ms=self.wall_ms)
+        for fake in list(self.workers_by_id.values()):
+            self._list(fake)
+        self._decide()
+        self._after(TICK_S, self._tick)
+
+    # Decisions.
+
+    def _decide(self) -> None:
+        self.scheduler.dispatch(now_s=self.now_s, wall_ms=self.wall_ms)
+        records = self.scheduler.take_records()
+        if records:
+            self._after(MESSAGE_S, self._commit, self.scheduler, records)
+        for decision in self.scheduler.take_decisions():
+            match decision:
+                case StartRun():
+                    self._after(MESSAGE_S, self._start, decision)
+                case StopRun():
+                    self._after(MESSAGE_S, self._stop, decision)
+                case AskAdvice():
+                    cost_s = decision.cost_s + self.advice_s
+                    self._after(cost_s, self._advise, decision)
+
+    def _commit(self, scheduler, records) -> None:
+        if not self.store_up:
+            self._after(0.1, self._commit, scheduler, records)
+            return
+        self.committed += records
+        if scheduler is self.scheduler:
+            scheduler.committed(len(records))
+            self._note_finished()
+            self._decide()
+
+    def _note_finished(self) -> None:
+        for job_id in self.submitted_s:
+            status = self.scheduler.status(job_id)
+            if status is not None and status.final:
+                self.finished_s.setdefault(job_id, self.now_s)
+
+    def _advise(self, decision: AskAdvice) -> None:
+        step = decision.step
+        tickets = {w: "t" for w in decision.worker_ids if self.approve(step, w)}
+        self.scheduler.advice_answered(
+            step, decision.worker_ids, tickets, valid_s=1.5, now_s=self.now_s
+        )
+        self._decide()
+
+    # Workers.
+
+    def _start(self, order: StartRun) -> None:
+        fake = self.workers_by_id.get(order.worker_id)
+        if fake is None or not fake.alive or fake.cut:
+            return
+        if order.number <= fake.blocked.get(order.task, 0):
+            answer = StartAnswer(started=False, reason="old")
+        else:
+            self._check_start(fake, order)
+            self._begin(fake, order)
+            answer = StartAnswer(started=True)
+        self.scheduler.start_answered(
+            order.worker_id, order.task, order.number, answer, now_s=self.now_s
+        )
+
+    def _check_start(self, fake: FakeWorker, order: StartRun) -> None:
+        job = self.scheduler.book.jobs_by_id[order.task.job_id]
+        step = job.graph.steps[order.task.step]
+        used = [self.size_of(task) for task, _ in fake.running] + [step.size]
+        capacity = fake.worker.capacity
+        assert sum(s.cpu_milli for s in used) <= capacity.cpu_milli
+        assert sum(s.memory_mb for s in used) <= capacity.memory_mb
+        assert order.task not in self.done_tasks, f"{order.task} has succeeded"
+        for other in self.workers_by_id.values():
+            same = [number for task, number in other.running if task == order.task]
+            assert not (same and other.alive), f"{order.task} runs twice"
+        for before in step.after:
+            count = job.graph.steps[before].count
+            key = order.task.step_key
+            for index in range(count):
+                earlier = type(order.task)(key.job_id, key.occurrence, before, index)
+                assert earlier in self.done_tasks, f"{order.task} is out of order"
+
+    def size_of(self, task) -> Size:
+        """Return a task's size."""
+        return self.scheduler.book.jobs_by_id[task.job_id].graph.steps[task.step].size
+
+    def _begin(self, fake: FakeWorker, order: StartRun) -> None:
+        job_id = order.task.job_id
+        self.first_start_s.setdefault(job_id, self.now_s)
+        self.runs_by_job[job_id].append((self.now_s, order.worker_id, order.task))
+        step = self.scheduler.book.jobs_by_id[job_id].graph.steps[order.task.step]
+        key = (order.task, order.number)
+        fake.running[key] = self.now_s
+        if fake.hangs or step.long_running:
+            return
+        duration_s = self.duration_of(order.task, step) * fake.slowness
+        if not step.gang:
+            self._after(duration_s, self._finish, fake, key)
+            return
+        members = [
+            (other, run)
+            for other in self.workers_by_id.values()
+            for run in other.running
+            if run[0].step_key == order.task.step_key and run[1] == order.number
+        ]
+        if len(members) == step.count:
+            for other, run in members:
+                self._after(duration_s, self._finish, other, run)
+
+    def _finish(self, fake: FakeWorker, key) -> None:
+        if not fake.alive or fake.running.pop(key, None) is None:
+            return
+        task, number = key
+        kind = EndKind.FAILED if fake.fails else EndKind.DONE
+        if kind is EndKind.DONE:
+            self.done_tasks.add(task)
+            self._done_gang(task)
+        self._end(fake, task, number, kind)
+
+    def _done_gang(self, task) -> None:
+        step = self.scheduler.book.jobs_by_id[task.job_id].graph.steps[task.step]
+        if step.gang:
+            self.done_tasks.update(
+                type(task)(task.job_id, task.occurrence, task.step, index)
+                for index in range(step.count)
+            )
+
+    def _end(self, fake: FakeWorker, task, number: int, kind: EndKind) -> None:
+        fake.blocked[task] = max(number, fake.blocked.get(task, 0))
+        fake.unseen.append(ListedEnd(task, number, kind))
+        self._list(fake)
+        self._decide()
+
+    def _stop(self, order: StopRun) -> None:
+        fake = self.workers_by_id.get(order.worker_id)
+        if fake is None or not fake.alive or fake.cut:
+            return
+        fake.blocked[order.task] = max(order.number, fake.blocked.get(order.task, 0))
+        key = (order.task, order.number)
+        if key in fake.running:
+            self._after(STOP_S, self._stopped, fake, key)
+        self.scheduler.stop_answered(
+            order.worker_id, order.task, order.number, now_s=self.now_s
+        )
+
+    def _stopped(self, fake: FakeWorker, key) -> None:
+        if fake.running.pop(key, None) is not None:
+            self._end(fake, key[0], key[1], EndKind.STOPPED)
+
+    def _list(self, fake: FakeWorker) -> None:
+        worker_id = fake.worker.worker_id
+        if not fake.alive or fake.cut:
+            self.scheduler.worker_unreachable(worker_id)
+            return
+        ended, fake.unseen = fake.unseen, []
+        running = [
+            ListedRun(task, number, percent=self._percent(fake, (task, number)))
+            for task, number in fake.running
+        ]
+        self.scheduler.lease_granted(worker_id, self.now_s + LEASE_S)
+        self.scheduler.worker_listed(
+            worker_id,
+            running,
+            ended,
+            complete=True,
+            sent_s=self.now_s - MESSAGE_S,
+            now_s=self.now_s,
+            wall_ms=self.wall_ms,
+        )
+
+    def _percent(self, fake: FakeWorker, key) -> int:
+        if fake.hangs:
+            return 0
+        task = key[0]
+        step = self.scheduler.book.jobs_by_id[task.job_id].graph.steps[task.step]
+        age_s = self.now_s - fake.running[key]
+        duration_s = max(0.01, self.duration_of(task, step) * fake.slowness)
+        return min(99, int(100 * age_s / duration_s))
+
+    # Faults.
+
+    def crash(self, worker_id: str) -> None:
+        """End a worker's process; the owner sees that its connections are refused."""
+        fake = self.workers_by_id.pop(WorkerId(worker_id))
+        fake.alive = False
+        self.scheduler.worker_dead(
+            WorkerId(worker_id), now_s=self.now_s, wall_ms=self.wall_ms
+        )
+        self._decide()
+
+    def replace_owner(self) -> None:
+        """Lose the owner; another one takes over from the durable records."""
+        self._fence += 1
+        queues = list(self.scheduler.book.queues_by_id.values())
+        self.scheduler = GraphScheduler(fence=self._fence, keep_final_s=60.0)
+        self.scheduler.set_queues(queues)
+        in_use = self.scheduler.replay(
+            self.committed, now_s=self.now_s, wall_ms=self.wall_ms
+        )
+        for fake in self.workers_by_id.values():
+            self.scheduler.worker_seen(
+                fake.worker, now_s=self.now_s, wall_ms=self.wall_ms
+            )
+        for worker_id in in_use:
+            fake = self.workers_by_id.get(worker_id)
+            if fake is not None:
+                self.scheduler.worker_inherited(
+                    fake.worker, lease_end_s=self.now_s + LEASE_S
+                )
+        for fake in self.workers_by_id.values():
+            self._list(fake)
+        self._decide()
+
+    # Figures.
+
+    def status(self, job_id: JobId) -> JobStatus | None:
+        """Return what callers are told."""
+        return self.scheduler.status(job_id)
+
+    def wait_s(self, job_id: JobId) -> float:
+        """Return the time from submission to the first start."""
+        return self.first_start_s[job_id] - self.submitted_s[job_id]
+
+    def took_s(self, job_id: JobId) -> float:
+        """Return the time from submission to the final state."""
+        return self.finished_s[job_id] - self.submitted_s[job_id]
