--- a/pistachiolift/backends/http.py
+++ b/pistachiolift/backends/http.py
@@ -20,6 +20,8 @@
     error.ConnectionLost,
     error.ConnectionDone,
     error.ConnectionAborted,
+    # Raised instead of a time-out when the connection is not open by then.
+    error.ConnectingCancelledError,
     defer.CancelledError,
     OSError,
 )
--- a/pistachiolift/cli/node.py
+++ b/pistachiolift/cli/node.py
@@ -1,5 +1,6 @@
 """The command that runs an instance on the users' platform."""
 
+import gc
 import signal
 from pathlib import Path
 
@@ -19,6 +20,9 @@
 
 __all__ = ["node"]
 
+# New objects between two collections of the youngest generation.
+GC_ALLOCATIONS = 20_000
+
 
 @click.command(
     epilog=example("pistachiolift node --settings-file /etc/pistachiolift/node.yaml")
@@ -49,6 +53,8 @@
         adviser=PlatformAdviser(reactor, settings.adviser_address or "127.0.0.1:1"),
         make_caller_api=make_caller_api,
     )
+    # Most objects live as long as their jobs; frequent collections only cost time.
+    gc.set_threshold(GC_ALLOCATIONS, 20, 50)
     reactor.callWhenRunning(lambda: _start(instance))
     reactor.run()
     handler.flush()
--- a/pistachiolift/node/instance.py
+++ b/pistachiolift/node/instance.py
@@ -13,14 +13,26 @@
 from ..common import Clock, Metrics, StoreUnavailableError, log_event
 from ..entry.http import HttpLimits, Listener, StreamingSite
 from .advice_desk import AdviceDesk
+from .handover import HandoverMonitor
 from .interfaces import AdviserClient, CoordinationStore, QueueTable, Translation
 from .job_service import JobService
+from .members import Members
 from .metrics_text import render_metrics
 from .owner import Owner
 from .owner_link import OwnerLink
-from .ownership import OwnerRecord, Ownership
+from .ownership import OWNER_KEY, OwnerRecord, Ownership
 from .peer_link import PeerConnection, PeerServer
-from .peer_messages import Advise, Hello, JobAnswer, JobOutcome, Message
+from .peer_messages import (
+    Advise,
+    Announce,
+    Hello,
+    JobAnswer,
+    JobOutcome,
+    Message,
+    Noted,
+    ProbeStore,
+    TakeOver,
+)
 from .settings import NodeSettings
 from .watching import ConfigurationWatch, DirectoryWatch
 from .worker_driver import LeaseTerms
@@ -83,7 +95,20 @@
         self._ready_port: IListeningPort | None = None
         common = {"clock": clock, "metrics": metrics}
         self._desk = AdviceDesk(adviser, peers=self._open_peers, **common)
-        self._link = OwnerLink(reactor, self._make_connection, settings.instance_id)
+        me = OwnerRecord(
+            instance_id=settings.instance_id,
+            incarnation=self._incarnation,
+            address=settings.peer_address,
+        )
+        self._members = Members(
+            reactor, store, me=me, metrics=metrics, make=self._make_connection
+        )
+        self._link = OwnerLink(
+            reactor,
+            self._make_connection,
+            settings.instance_id,
+            on_died=lambda record: self._ownership.owner_died(record),
+        )
         self.jobs = JobService(
             reactor, owner=self._current_owner, link=self._link, **common
         )
@@ -94,17 +119,17 @@
         self._ownership = Ownership(
             reactor,
             store,
-            me=OwnerRecord(
-                instance_id=settings.instance_id,
-                incarnation=self._incarnation,
-                address=settings.peer_address,
-            ),
+            me=me,
             may_claim=lambda: self._configuration.table is not None,
             on_owner=self._owner_changed,
             on_claimed=self._claimed,
             on_lost=self._ownership_lost,
+            cores=settings.cores,
             **common,
         )
+        self._handover = HandoverMonitor(
+            reactor, self._ownership, peers=self._open_peers, **common
+        )
         site = StreamingSite(
             make_caller_api(self), metrics=metrics, reactor=reactor, limits=HTTP_LIMITS
         )
@@ -137,6 +162,8 @@
         self._listener.start()
         self._configuration.start()
         self._ownership.start()
+        self._members.enter()
+        self._handover.start()
         log_event(
             logger,
             "instance_started",
@@ -207,6 +234,8 @@
 
     def _owner_changed(self, record: OwnerRecord | None) -> None:
         self._link.set_owner(record)
+        if record is not None:
+            self._members.enter()
 
     def _claimed(self, fence: int) -> None:
         if self._owner is not None:
@@ -225,6 +254,7 @@
             contact_s=lambda: self._ownership.contact_s,
             heard=self._ownership.heard,
             on_superseded=self._ownership.superseded,
+            on_failed_call=self._ownership.call_failed,
         )
         self._owner = owner
         self._directory = DirectoryWatch(
@@ -239,6 +269,7 @@
             metrics=self.metrics,
         )
         self._directory.start()
+        self._members.announce(fence)
         recovering = ensureDeferred(self._recover(owner, self._directory))
         recovering.addErrback(self._recovery_failed, owner)
 
@@ -269,8 +300,6 @@
         if self._directory is not None:
             self._directory.stop()
             self._directory = None
-        for connection in list(self._peers.connections):
-            connection.close()
 
     def _table_changed(self, table: QueueTable) -> None:
         if self._owner is not None and self._owner.ready:
@@ -297,11 +326,31 @@
             **callbacks,
         )
 
+    async def _probe_store(self) -> bool:
+        try:
+            await self._store.get(OWNER_KEY)
+        except StoreUnavailableError:
+            return False
+        return True
+
     async def _answer_peer(
         self, connection: PeerConnection, message: Message
     ) -> Message | None:
-        if isinstance(message, Advise):
-            return await self._desk.answer(message)
+        match message:
+            case Advise():
+                return await self._desk.answer(message)
+            case Announce():
+                record = OwnerRecord(
+                    instance_id=message.instance_id,
+                    incarnation=message.incarnation,
+                    address=message.address,
+                )
+                self._ownership.announced(record, message.fence)
+                return Noted()
+            case ProbeStore():
+                return Noted(await self._probe_store())
+            case TakeOver():
+                return Noted(await self._ownership.take_over(message.fence))
         owner = self._current_owner()
         if owner is None:
             return JobAnswer(JobOutcome.NOT_OWNER)
--- a/pistachiolift/node/ledger.py
+++ b/pistachiolift/node/ledger.py
@@ -19,9 +19,9 @@
 CLAIM_KEY = "pistachiolift/claim"
 LOG_PREFIX = "pistachiolift/log/"
 
-# Shortest time between the beginnings of two writes: at most 40 a second, a tenth of
+# Shortest time between the beginnings of two writes: at most 67 a second, a sixth of
 # the smallest rate that the platform grants to all instances together.
-COMMIT_INTERVAL_S = 0.025
+COMMIT_INTERVAL_S = 0.015
 RETRY_INTERVAL_S = 0.1
 
 # A batch is split so that its value, as base64 text, stays below the store's limit.
@@ -29,7 +29,7 @@
 BATCH_LIMIT_RECORDS = 2_000
 
 # The log is compacted above so many values: a new owner reads them page by page.
-COMPACT_ABOVE_VALUES = 1_200
+COMPACT_ABOVE_VALUES = 400
 # Values that are merged into one; a transaction takes 32 entries.
 COMPACT_VALUES = 24
 
@@ -40,6 +40,7 @@
     :param fence: version of the claim under which this owner writes.
     :param on_durable: called with the number of records that have become durable.
     :param on_superseded: called once when another owner has claimed the log.
+    :param on_failed_call: called when a write had no answer.
     """
 
     def __init__(
@@ -52,6 +53,7 @@
         fence: int,
         on_durable: Callable[[int], None],
         on_superseded: Callable[[], None],
+        on_failed_call: Callable[[], None],
     ):
         self._reactor = reactor
         self._store = store
@@ -60,6 +62,7 @@
         self.fence = fence
         self._on_durable = on_durable
         self._on_superseded = on_superseded
+        self._on_failed_call = on_failed_call
         self._queue: list[LedgerRecord] = []
         self._sequence = 0
         self._writing = False
@@ -198,6 +201,7 @@
         return True
 
     def _lost(self, error: StoreUnavailableError) -> None:
+        self._on_failed_call()
         self._metrics.count("ledger.write_failed")
         if self._failing_since_s is None:
             self._failing_since_s = self._clock.monotonic_s()
--- /dev/null
+++ b/pistachiolift/node/members.py
@@ -0,0 +1,138 @@
+"""The list of instances in the platform's store, and calls to all of them."""
+
+import logging
+
+import msgspec
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.error import ConnectError
+from twisted.internet.interfaces import IReactorTCP
+from twisted.internet.task import deferLater
+
+from ..common import (
+    MalformedMessageError,
+    Metrics,
+    NoOwnerError,
+    StoreUnavailableError,
+    decode_json,
+    encode_json,
+    log_event,
+)
+from .interfaces import CoordinationStore, Put, TransactionConflictError
+from .ownership import OwnerRecord
+from .peer_link import PeerConnection, connect_peer
+from .peer_messages import Announce
+
+__all__ = ["MEMBER_PREFIX", "Members"]
+
+logger = logging.getLogger(__name__)
+
+MEMBER_PREFIX = "pistachiolift/members/"
+RECORD_LIMIT_BYTES = 4_096
+RETRY_INTERVAL_S = 0.3
+
+# Announcements to one instance; one that never answers is taken off the list and
+# enters itself again when it hears of an owner.
+ANNOUNCE_TRIES = 4
+ANNOUNCE_TIMEOUT_S = 1.0
+
+
+class Members:
+    """Enters this instance into the list, and announces an owner to the others.
+
+    :param me: this instance's record.
+    :param make: returns a new connection.
+    """
+
+    def __init__(
+        self,
+        reactor: IReactorTCP,
+        store: CoordinationStore,
+        *,
+        me: OwnerRecord,
+        metrics: Metrics,
+        make,
+    ):
+        self._reactor = reactor
+        self.store = store
+        self._me = me
+        self._metrics = metrics
+        self._make = make
+        self._entering = False
+
+    def enter(self) -> None:
+        """Enter this instance, unless it stands in the list."""
+        if not self._entering:
+            self._entering = True
+            self._spawn(self._enter())
+
+    def _spawn(self, coroutine) -> None:
+        task = ensureDeferred(coroutine)
+        task.addErrback(self._failed)
+
+    def _failed(self, failure) -> None:
+        log_event(
+            logger,
+            "members_failed",
+            level=logging.ERROR,
+            error=f"{failure.type.__name__}: {failure.value}",
+            traceback=failure.getTraceback(elideFrameworkCode=True),
+        )
+
+    async def _enter(self) -> None:
+        key = MEMBER_PREFIX + self._me.instance_id
+        value = encode_json(self._me)
+        try:
+            while True:
+                try:
+                    entry = await self.store.get(key)
+                    if entry is not None and entry.value == value:
+                        return
+                    await self.store.transact(expected={}, puts={key: Put(value)})
+                    return
+                except StoreUnavailableError:
+                    self._metrics.count("members.enter_failed")
+                    await deferLater(self._reactor, RETRY_INTERVAL_S)
+        finally:
+            self._entering = False
+
+    def announce(self, fence: int) -> None:
+        """Tell all instances that this one owns."""
+        self._spawn(self._announce(fence))
+
+    async def _announce(self, fence: int) -> None:
+        try:
+            listing = await self.store.list_prefix(MEMBER_PREFIX)
+        except StoreUnavailableError as error:
+            log_event(logger, "announcement_failed", reason=error.message)
+            return
+        for key, entry in listing.entries_by_key.items():
+            try:
+                member = decode_json(
+                    entry.value, OwnerRecord, limit_bytes=RECORD_LIMIT_BYTES
+                )
+            except MalformedMessageError as error:
+                log_event(logger, "member_malformed", key=key, reason=error.message)
+                continue
+            if member.instance_id != self._me.instance_id:
+                self._spawn(self._announce_to(member, key, entry.version, fence))
+
+    async def _announce_to(
+        self, member: OwnerRecord, key: str, version: int, fence: int
+    ) -> None:
+        message = Announce(fence=fence, **msgspec.structs.asdict(self._me))
+        for _ in range(ANNOUNCE_TRIES):
+            connection: PeerConnection = self._make()
+            try:
+                await connect_peer(self._reactor, member.address, connection)
+                await connection.call(message, timeout_s=ANNOUNCE_TIMEOUT_S)
+                return
+            except (NoOwnerError, ConnectError, OSError) as error:
+                reason = type(error).__name__
+                await deferLater(self._reactor, RETRY_INTERVAL_S)
+            finally:
+                connection.close()
+        log_event(logger, "member_dropped", member=member.instance_id, reason=reason)
+        try:
+            await self.store.transact(expected={key: version}, puts={}, removes=(key,))
+        except (StoreUnavailableError, TransactionConflictError) as error:
+            log_event(logger, "member_drop_failed", reason=error.message)
--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -1,6 +1,7 @@
 """The owner's side: the scheduler, its ledger and the drivers of its workers."""
 
 import logging
+from collections import deque
 from collections.abc import Callable
 
 from twisted.internet.defer import Deferred, ensureDeferred, succeed
@@ -14,17 +15,15 @@
     GraphScheduler,
     JobChanged,
     JobGraph,
+    LedgerRecord,
     PaceRun,
-    PoolId,
     Queue,
     QueueId,
-    Size,
     StartAnswer,
     StartRun,
     StopRun,
     TaskKey,
     Worker,
-    WorkerState,
 )
 from .advice_desk import AdviceDesk
 from .interfaces import CoordinationStore, QueueTable, RunListing, Translation
@@ -40,9 +39,10 @@
 DECISION_INTERVAL_S = 0.004
 TICK_INTERVAL_S = 0.1
 
-# Orders go on for this long without the store, so that an outage does not end what
-# runs; an owner that is cut off alone is fenced at the workers by its successor.
-AUTHORITY_S = 8.0
+# Leases are renewed for this long without the store, so that an outage does not end
+# what runs. Nothing is started then, since no placement can be made durable; an
+# owner that is cut off alone is fenced at the workers by its successor.
+AUTHORITY_S = 10.0
 
 # A write in flight for longer than this means that nothing can be accepted now.
 STALLED_LIMIT_S = 0.6
@@ -59,6 +59,7 @@
     :param fence: version of the claim.
     :param contact_s: tells when the store was last heard.
     :param on_superseded: called with a reason when a later owner has been seen.
+    :param on_failed_call: called when a call to the store had no answer.
     """
 
     def __init__(
@@ -76,6 +77,7 @@
         contact_s: Callable[[], float],
         heard: Callable[[float], None],
         on_superseded: Callable[[str], None],
+        on_failed_call: Callable[[], None],
     ):
         self._reactor = reactor
         self._store = store
@@ -96,6 +98,7 @@
             fence=fence,
             on_durable=self._durable,
             on_superseded=lambda: self.superseded("ledger"),
+            on_failed_call=on_failed_call,
         )
         self._drivers_by_id: dict[WorkerId, WorkerDriver] = {}
         self._table = QueueTable()
@@ -104,6 +107,8 @@
         self._ticking.clock = reactor
         self.ready = False
         self._closed = False
+        # Starts whose placement is not durable yet, in order.
+        self._held_starts: deque[StartRun] = deque()
 
     # Beginning and end.
 
@@ -115,28 +120,16 @@
             return
         now_s, wall_ms = self._now()
         self.set_table(table)
-        records = [record for batch in log.values() for record in batch]
-        in_use = self.scheduler.replay(records, now_s=now_s, wall_ms=wall_ms)
-        self.ledger.adopt(log, self.scheduler.compact)
         for worker in workers.values():
             self.scheduler.worker_seen(worker, now_s=now_s, wall_ms=wall_ms)
-        lease_end_s = self._terms.end_s(now_s + AUTHORITY_S)
-        for worker_id, use in in_use.items():
-            worker = workers.get(worker_id)
-            if worker is None or worker.incarnation != use.incarnation:
-                worker = Worker(
-                    worker_id=worker_id,
-                    address=use.address,
-                    pool_id=PoolId(""),
-                    zone="",
-                    incarnation=use.incarnation,
-                    state=WorkerState.DRAINING,
-                    capacity=Size(),
-                )
-                if worker_id in workers:
-                    # The directory names a later process: the one in use has ended.
-                    continue
-            self.scheduler.worker_inherited(worker, lease_end_s=lease_end_s)
+        records = [record for batch in log.values() for record in batch]
+        self.scheduler.replay(
+            records,
+            lease_end_s=self._terms.end_s(now_s + AUTHORITY_S),
+            now_s=now_s,
+            wall_ms=wall_ms,
+        )
+        self.ledger.adopt(log, self._compact)
         for entry in list(self.scheduler.book.workers_by_id.values()):
             self._drive(entry.worker)
         self.ready = True
@@ -148,11 +141,14 @@
             jobs=len(self.scheduler.book.jobs_by_id),
             records=len(records),
             workers=len(self._drivers_by_id),
-            inherited_workers=len(in_use),
             took_s=self._clock.monotonic_s() - begun_s,
         )
         self._changed()
 
+    def _compact(self, records: list[LedgerRecord]) -> list[LedgerRecord]:
+        now_s, wall_ms = self._now()
+        return self.scheduler.compact(records, now_s=now_s, wall_ms=wall_ms)
+
     def claimed_again(self, fence: int) -> None:
         """Go on under a new fence; no other owner was in between."""
         self.scheduler.book.fence = fence
@@ -203,8 +199,7 @@
     def _carry_out_one(self, decision: Decision) -> None:
         match decision:
             case StartRun():
-                self._log_start(decision)
-                self._drivers_by_id[decision.worker_id].start(decision)
+                self._held_starts.append(decision)
             case StopRun():
                 self._log_stop(decision)
                 driver = self._drivers_by_id.get(decision.worker_id)
@@ -228,6 +223,16 @@
                     reason=decision.reason,
                 )
 
+    def _send_starts(self) -> None:
+        """Send the starts whose placement is durable."""
+        held = self._held_starts
+        while held and held[0].after_record <= self.scheduler.book.committed:
+            order = held.popleft()
+            driver = self._drivers_by_id.get(order.worker_id)
+            if driver is not None and self.scheduler.start_sent(order):
+                self._log_start(order)
+                driver.start(order)
+
     def _log_start(self, order: StartRun) -> None:
         entry = self.scheduler.book.workers_by_id[order.worker_id]
         log_event(
@@ -289,6 +294,7 @@
     def _durable(self, count: int) -> None:
         self._heard(self.ledger.last_contact_s)
         self.scheduler.committed(count)
+        self._send_starts()
         self._changed()
 
     # Configuration and directory.
--- a/pistachiolift/node/owner_link.py
+++ b/pistachiolift/node/owner_link.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Callable
 
+from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.interfaces import IReactorTCP
 
 from ..common import log_event
@@ -13,21 +14,30 @@
 
 logger = logging.getLogger(__name__)
 
-RECONNECT_INTERVAL_S = 0.15
+RECONNECT_INTERVAL_S = 0.12
+# Connections refused in a row after which the owner's process has ended.
+REFUSED_LIMIT = 2
 
 
 class OwnerLink:
     """Keeps one connection to the instance that the store names as the owner.
 
     :param make: returns a new connection with a callback for its opening and its end.
+    :param on_died: called when the owner's process has certainly ended.
     """
 
     def __init__(
-        self, reactor: IReactorTCP, make: Callable[..., PeerConnection], own_id: str
+        self,
+        reactor: IReactorTCP,
+        make: Callable[..., PeerConnection],
+        own_id: str,
+        on_died: Callable[[OwnerRecord], None],
     ):
         self._reactor = reactor
         self._make = make
         self._own_id = own_id
+        self._on_died = on_died
+        self._refused = 0
         self._target: OwnerRecord | None = None
         self._current: PeerConnection | None = None
         self._connecting = False
@@ -66,6 +76,7 @@
 
     def _connected(self, connection: PeerConnection, target: OwnerRecord) -> None:
         self._connecting = False
+        self._refused = 0
         if target != self._target:
             connection.close()
             self._connect()
@@ -74,6 +85,10 @@
 
     def _failed(self, failure, target: OwnerRecord) -> None:
         self._connecting = False
+        refused = failure.check(ConnectionRefusedError) is not None
+        self._refused = self._refused + 1 if refused else 0
+        if self._refused >= REFUSED_LIMIT and target == self._target:
+            self._on_died(target)
         log_event(
             logger,
             "owner_link_failed",
@@ -89,6 +104,12 @@
 
     def _opened(self, connection: PeerConnection) -> None:
         log_event(logger, "owner_link_open", owner=connection.peer.instance_id)
+        target = self._target
+        if (
+            connection.peer.instance_id == target.instance_id
+            and connection.peer.incarnation != target.incarnation
+        ):
+            self._on_died(target)
 
     def _closed(self, connection: PeerConnection) -> None:
         if connection is self._current:
--- a/pistachiolift/node/ownership.py
+++ b/pistachiolift/node/ownership.py
@@ -41,6 +41,9 @@
 RETRY_INTERVAL_S = 0.15
 # Claims of several instances are spread over this time.
 CLAIM_JITTER_S = 0.06
+# Instances with fewer processors than this wait up to so much longer.
+LARGE_INSTANCE_CORES = 2.0
+CLAIM_DELAY_S = 0.25
 RECORD_LIMIT_BYTES = 4_096
 
 
@@ -65,6 +68,7 @@
     :param on_claimed: called with the fence when this instance has become the owner,
         or has claimed again without another owner in between.
     :param on_lost: called when another instance has become the owner.
+    :param cores: processors of this instance; larger ones claim first.
     """
 
     def __init__(
@@ -79,6 +83,7 @@
         on_owner: Callable[[OwnerRecord | None], None],
         on_claimed: Callable[[int], None],
         on_lost: Callable[[str], None],
+        cores: float = 1.0,
     ):
         self._reactor = reactor
         self.store = store
@@ -89,12 +94,16 @@
         self._on_owner = on_owner
         self._on_claimed = on_claimed
         self._on_lost = on_lost
+        self._cores = cores
         self._lease_id: LeaseId | None = None
         self._stopped = False
         self._claiming = False
         self.fence: int | None = None
         self.contact_s = float("-inf")
         self.owner: OwnerRecord | None = None
+        self._owner_version = 0
+        self.failed_calls = 0
+        self.failing_since_s = 0.0
         self._renewing = LoopingCall(self._renew)
         self._renewing.clock = reactor
 
@@ -124,6 +133,13 @@
     def heard(self, sent_s: float) -> None:
         """Note that a call to the store sent at a time was answered."""
         self.contact_s = max(self.contact_s, sent_s)
+        self.failed_calls = 0
+
+    def call_failed(self) -> None:
+        """Note that a call to the store had no answer, or was turned away."""
+        if not self.failed_calls:
+            self.failing_since_s = self._clock.monotonic_s()
+        self.failed_calls += 1
 
     async def _watch_forever(self) -> None:
         revision = None
@@ -161,6 +177,10 @@
                 )
             except MalformedMessageError as error:
                 log_event(logger, "owner_record_malformed", reason=error.message)
+        if entry is not None:
+            if entry.version < self._owner_version:
+                return
+            self._owner_version = entry.version
         if record == self.owner:
             return
         self.owner = record
@@ -175,15 +195,73 @@
             self._lose("another_owner")
         self._on_owner(record)
 
+    def announced(self, record: OwnerRecord, fence: int) -> None:
+        """Take the word of an owner whose claim is newer than what is known."""
+        if fence <= self._owner_version or record == self._me:
+            return
+        self._owner_version = fence
+        self.owner = record
+        log_event(logger, "owner_announced", owner=record.instance_id, version=fence)
+        if self.fence is not None and fence > self.fence:
+            self._lose("another_owner")
+        self._on_owner(record)
+
     # Claims.
 
+    def owner_died(self, record: OwnerRecord) -> None:
+        """Claim at once from an owner whose process has ended."""
+        if record == self.owner and self.fence is None and not self._stopped:
+            log_event(logger, "owner_died", owner=record.instance_id)
+            self._spawn(self._replace(record))
+
+    async def _replace(self, record: OwnerRecord) -> None:
+        if not self._may_claim() or self._claiming:
+            return
+        self._claiming = True
+        try:
+            await deferLater(self._reactor, self._claim_delay_s())
+            if self.owner == record and self.fence is None and not self._stopped:
+                await self._claim_from(self._owner_version)
+        except StoreUnavailableError:
+            self._metrics.count("ownership.claim_failed")
+        finally:
+            self._claiming = False
+
+    async def take_over(self, fence: int) -> bool:
+        """Claim from an owner that has stopped and asks for it.
+
+        :returns: whether this instance owns.
+        """
+        if not self._may_claim() or self._claiming or self.fence is not None:
+            return self.fence is not None
+        self._claiming = True
+        try:
+            return await self._claim_from(fence)
+        except StoreUnavailableError:
+            self._metrics.count("ownership.claim_failed")
+            return False
+        finally:
+            self._claiming = False
+
+    async def _claim_from(self, fence: int) -> bool:
+        """Replace the owner that made a claim, also while its lease goes on."""
+        entry = await self.store.get(OWNER_KEY)
+        if entry is not None and entry.version != fence:
+            return False
+        return await self._claim_over(fence, owner_version=fence if entry else 0)
+
+    def _claim_delay_s(self) -> float:
+        """Return how long to leave the claim to instances with more processors."""
+        lack = max(0.0, 1 - self._cores / LARGE_INSTANCE_CORES)
+        return random.uniform(0, CLAIM_JITTER_S) + lack * CLAIM_DELAY_S
+
     async def _claim(self) -> None:
         if not self._may_claim() or self._stopped or self._claiming:
             await deferLater(self._reactor, RETRY_INTERVAL_S)
             return
-        await deferLater(self._reactor, random.uniform(0, CLAIM_JITTER_S))
         self._claiming = True
         try:
+            await deferLater(self._reactor, self._claim_delay_s())
             entry = await self.store.get(CLAIM_KEY)
             await self._claim_over(entry.version if entry else 0)
         except StoreUnavailableError:
@@ -192,9 +270,11 @@
         finally:
             self._claiming = False
 
-    async def _claim_over(self, claim_version: int) -> bool:
+    async def _claim_over(self, claim_version: int, *, owner_version: int = 0) -> bool:
         """Claim the ownership after the claim that has a version.
 
+        :param owner_version: version of the owner's key, 0 if it is gone.
+
         :returns: whether this instance is the owner.
         """
         sent_s = self._clock.monotonic_s()
@@ -202,7 +282,7 @@
         value = encode_json(self._me)
         try:
             fence = await self.store.transact(
-                expected={OWNER_KEY: 0, CLAIM_KEY: claim_version},
+                expected={OWNER_KEY: owner_version, CLAIM_KEY: claim_version},
                 puts={OWNER_KEY: Put(value, lease_id), CLAIM_KEY: Put(value)},
             )
         except TransactionConflictError:
@@ -226,6 +306,7 @@
         return True
 
     def _take_own(self) -> None:
+        self._owner_version = self.fence
         if self.owner != self._me:
             self.owner = self._me
             self._on_owner(self._me)
@@ -249,6 +330,7 @@
             await self.store.keep_alive(lease_id)
             self.heard(sent_s)
         except StoreUnavailableError:
+            self.call_failed()
             self._metrics.count("ownership.renewal_failed")
         except LeaseEndedError:
             if self._lease_id == lease_id and not self._claiming:
--- a/pistachiolift/node/peer_messages.py
+++ b/pistachiolift/node/peer_messages.py
@@ -10,6 +10,7 @@
 __all__ = [
     "Advise",
     "Advised",
+    "Announce",
     "CancelJob",
     "CountWaiting",
     "FRAME_LIMIT_BYTES",
@@ -18,9 +19,12 @@
     "Hello",
     "JobAnswer",
     "JobOutcome",
+    "Noted",
     "Ping",
     "Pong",
+    "ProbeStore",
     "SubmitJob",
+    "TakeOver",
     "decode_frame",
     "encode_frame",
 ]
@@ -107,6 +111,40 @@
     retry_after_s: float = 0.0
 
 
+class Announce(msgspec.Struct, frozen=True, tag="announce", array_like=True):
+    """Tells an instance who owns now; it may not reach the store itself.
+
+    :param fence: version of the owner's claim.
+    """
+
+    instance_id: str
+    incarnation: str
+    address: str
+    fence: int
+
+
+class Noted(msgspec.Struct, frozen=True, tag="noted", array_like=True):
+    """Answers a call that asks for nothing else.
+
+    :param done: whether it could be done.
+    """
+
+    done: bool = True
+
+
+class ProbeStore(msgspec.Struct, frozen=True, tag="probe", array_like=True):
+    """Asks an instance whether it reaches the store."""
+
+
+class TakeOver(msgspec.Struct, frozen=True, tag="takeover", array_like=True):
+    """Asks an instance to claim the ownership from an owner that has stopped.
+
+    :param fence: version of the claim to replace.
+    """
+
+    fence: int
+
+
 class Advise(msgspec.Struct, frozen=True, tag="advise", array_like=True):
     """Has an instance ask the placement adviser."""
 
@@ -131,6 +169,10 @@
     | GetStatus
     | CountWaiting
     | JobAnswer
+    | Announce
+    | Noted
+    | ProbeStore
+    | TakeOver
     | Advise
     | Advised
 )
--- a/pistachiolift/node/settings.py
+++ b/pistachiolift/node/settings.py
@@ -19,6 +19,8 @@
     :param ready_address: IP address and port of the readiness check.
     :param peer_ports: first and last port free for traffic between instances.
     :param adviser_address: empty where no queue needs advice.
+    :param cpu_share: share of a core that the process may use.
+    :param core_speed: speed of that core, in ordinary cores.
     :param grace_s: time between SIGTERM and SIGKILL, in seconds.
     :param lease_limit_ms: longest lease of the runs of a worker, in milliseconds.
     :param keep_final_s: time for which the state of a finished job is told.
@@ -34,6 +36,8 @@
     store_address: str
     adviser_address: str | None = ""
     machines_address: str | None = ""
+    cpu_share: float = 1.0
+    core_speed: float = 1.0
     grace_s: float = 6.0
     lease_limit_ms: float = 6_000.0
     keep_final_s: float = 120.0
@@ -50,6 +54,11 @@
             if not 0 < getattr(self, name) <= 86_400:
                 raise ValueError(f"{name} is {getattr(self, name)}; above 0 to 86400")
 
+    @property
+    def cores(self) -> float:
+        """Processors of the instance, in ordinary cores."""
+        return self.cpu_share * self.core_speed
+
     @property
     def peer_address(self) -> str:
         """IP address and port for other instances."""
--- a/pistachiolift/node/worker_driver.py
+++ b/pistachiolift/node/worker_driver.py
@@ -3,6 +3,7 @@
 import logging
 from abc import ABC, abstractmethod
 
+import msgspec
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import deferLater
@@ -22,13 +23,13 @@
 logger = logging.getLogger(__name__)
 
 # Longest time that a listing waits for an end; the lease is renewed with each.
-LISTING_WAIT_S = 1.0
+LISTING_WAIT_S = 0.8
 # Pause between two listings while ends cannot be made durable.
 STALLED_PAUSE_S = 0.5
 # Pause after a listing without an answer.
 RETRY_PAUSE_S = 0.15
 # Sends of one start before it is blocked by a stop.
-START_TRIES = 3
+START_TRIES = 5
 STOP_RETRY_S = 0.4
 # Connections refused in a row after which the worker's process has ended.
 REFUSED_LIMIT = 2
@@ -264,7 +265,7 @@
         self._spawn(self._start(order))
 
     async def _start(self, order: StartRun) -> None:
-        for _ in range(START_TRIES):
+        for tries in range(START_TRIES):
             if self._closed or not self._still_wanted(order):
                 return
             if not self._events.may_order():
@@ -272,6 +273,7 @@
             answer = await self._start_once(order)
             if answer is not None:
                 if not self._closed:
+                    answer = msgspec.structs.replace(answer, repeated=tries > 0)
                     self._events.start_answered(order, answer)
                 return
         if not self._closed:
--- a/pistachiolift/platform/workers.py
+++ b/pistachiolift/platform/workers.py
@@ -25,11 +25,12 @@
 
 __all__ = ["PlatformWorker"]
 
-# Longest time for the answer to an order; workers answer within milliseconds.
-ORDER_TIMEOUT_S = 0.7
+# Longest time for the answer to an order; workers answer within milliseconds, and
+# orders are repeated safely.
+ORDER_TIMEOUT_S = 0.5
 
 # What a waiting listing may take beyond the time that it asks for.
-LISTING_SLACK_S = 0.7
+LISTING_SLACK_S = 0.3
 
 # A worker lists at most so many ends at once.
 ENDS_PER_LISTING = 500
--- a/pistachiolift/workflows/book.py
+++ b/pistachiolift/workflows/book.py
@@ -70,6 +70,16 @@
         steps = job.occurrences[key.occurrence].steps
         return steps[key.step] if 0 <= key.step < len(steps) else None
 
+    def drop_job(self, job_id: JobId) -> None:
+        """Forget a job."""
+        job = self.jobs_by_id.pop(job_id, None)
+        if job is None:
+            return
+        self.health.forget_job(job_id)
+        for step in job.steps():
+            self.open_steps.pop(step.key, None)
+            self.timed_steps.pop(step.key, None)
+
     def usable_workers(self, pool_id: PoolId, now_s: float) -> Iterator[WorkerEntry]:
         """Return the workers of a pool that take new runs."""
         for entry in self.workers_by_id.values():
--- a/pistachiolift/workflows/decisions.py
+++ b/pistachiolift/workflows/decisions.py
@@ -13,6 +13,7 @@
 
     :param ticket: the adviser's approval, empty if the queue needs none.
     :param checkpoint: saved position to resume from, empty for none.
+    :param after_record: number of the record that must be durable before.
     """
 
     task: TaskKey
@@ -21,6 +22,7 @@
     payload: str
     ticket: str = ""
     checkpoint: str = ""
+    after_record: int = 0
 
 
 class StopRun(msgspec.Struct, frozen=True, kw_only=True):
--- a/pistachiolift/workflows/dispatch.py
+++ b/pistachiolift/workflows/dispatch.py
@@ -7,6 +7,7 @@
 from .lifecycle import Lifecycle
 from .model import PoolId, TaskRunStatus
 from .placement import choose_worker, eligible_workers, plan_gang, room_for_step
+from .records import RunPlaced
 from .state import StepEntry, TaskRun, WorkerEntry
 from .urgency import rank
 
@@ -30,12 +31,8 @@
         self._lifecycle = lifecycle
         self._advice = advice
 
-    def run(self, now_s: float, wall_ms: float, *, recovering: bool) -> None:
-        """Start what fits.
-
-        :param recovering: whether runs of inherited jobs may exist that have not
-            been listed yet.
-        """
+    def run(self, now_s: float, wall_ms: float) -> None:
+        """Start what fits."""
         self._open_due_steps(wall_ms)
         if not self._book.open_steps:
             return
@@ -46,7 +43,7 @@
         blocked: frozenset[WorkerId] = frozenset()
         waiting: list[StepEntry] = []
         for step in steps:
-            if step.not_before_s > now_s or (recovering and step.job.inherited):
+            if step.not_before_s > now_s:
                 continue
             pool_id = step.job.queue.pool_id
             workers = workers_by_pool.get(pool_id)
@@ -129,6 +126,7 @@
         )
         self._lifecycle.begin_run(step, run, worker)
         self._book.health.task_placed(worker.worker_id)
+        record = self._book.record(RunPlaced(run.task, number, worker.worker_id))
         self._book.emit(
             StartRun(
                 task=run.task,
@@ -137,5 +135,6 @@
                 payload=step.job.graph.payload,
                 ticket=step.tickets_by_worker.get(worker.worker_id, ("", 0.0))[0],
                 checkpoint=step.checkpoint(index),
+                after_record=record,
             )
         )
--- a/pistachiolift/workflows/lifecycle.py
+++ b/pistachiolift/workflows/lifecycle.py
@@ -37,7 +37,6 @@
         *,
         received_s: float,
         received_ms: int,
-        inherited: bool,
     ) -> JobEntry:
         """Enter a job with all its occurrences."""
         job = JobEntry(
@@ -46,7 +45,6 @@
             queue=queue,
             received_s=received_s,
             received_ms=received_ms,
-            inherited=inherited,
         )
         for number in range(max(1, graph.occurrences)):
             due_ms = graph.first_due_ms + number * graph.interval_ms
@@ -106,6 +104,9 @@
         if run.status is TaskRunStatus.STOPPING:
             return
         run.status = TaskRunStatus.STOPPING
+        if not run.sent:
+            self._withdraw(run)
+            return
         self._book.emit(
             StopRun(
                 task=run.task,
@@ -115,6 +116,17 @@
             )
         )
 
+    def _withdraw(self, run: TaskRun) -> None:
+        """Drop a run whose start has not been sent."""
+        worker = self._book.workers_by_id.get(run.worker_id)
+        if worker is not None:
+            worker.release(run)
+        step = self._book.step(run.task.step_key)
+        if step is not None:
+            self.apply_end(
+                step, run.task.index, run.number, EndKind.STOPPED, "", run.placed_s
+            )
+
     def run_ended(
         self,
         worker: WorkerEntry,
@@ -135,7 +147,10 @@
             return
         if run is not None:
             self._learn(worker, step, run, kind, now_s)
-        known = kind is EndKind.DONE and task.index in step.finished
+        known = task.index in step.finished
+        if kind is EndKind.FAILED:
+            slot = 0 if step.step.gang else task.index
+            known = number in step.failed_runs_by_index.get(slot, ())
         if kind in (EndKind.DONE, EndKind.FAILED) and not known:
             record = TaskFinished(task, number, kind, checkpoint, wall_ms)
             step.job.settled_record = self._book.record(record)
--- a/pistachiolift/workflows/listing.py
+++ b/pistachiolift/workflows/listing.py
@@ -116,6 +116,7 @@
             size=Size() if step is None else step.step.size,
             status=TaskRunStatus.RUNNING,
             placed_s=now_s,
+            sent=True,
             answered_s=now_s,
         )
         if step is None:
--- a/pistachiolift/workflows/records.py
+++ b/pistachiolift/workflows/records.py
@@ -3,13 +3,15 @@
 import msgspec
 
 from ..common import JobId, WorkerId
-from .model import EndKind, JobGraph, Queue, TaskKey
+from .model import EndKind, JobGraph, JobStatus, Queue, TaskKey
 
 __all__ = [
     "JobAccepted",
     "JobCancelled",
     "JobForgotten",
+    "JobSettled",
     "LedgerRecord",
+    "RunPlaced",
     "TaskFinished",
     "WorkerInUse",
     "WorkerReleased",
@@ -53,6 +55,31 @@
     at_ms: int
 
 
+class RunPlaced(msgspec.Struct, frozen=True, tag="run", array_like=True):
+    """A run that is about to be started, written before the order is sent.
+
+    A later owner takes it to be on the worker until the worker's list or the end of
+    its lease tells otherwise.
+    """
+
+    task: TaskKey
+    run: int
+    worker_id: WorkerId
+
+
+class JobSettled(msgspec.Struct, frozen=True, tag="settled", array_like=True):
+    """A job that has ended, without what it consisted of.
+
+    :param at_ms: Unix time of its end, in milliseconds.
+    """
+
+    job_id: JobId
+    queue: Queue
+    status: JobStatus
+    received_ms: int
+    at_ms: int
+
+
 class JobForgotten(msgspec.Struct, frozen=True, tag="forget", array_like=True):
     """A finished job whose state is no longer kept."""
 
@@ -78,6 +105,8 @@
     JobAccepted
     | JobCancelled
     | TaskFinished
+    | RunPlaced
+    | JobSettled
     | JobForgotten
     | WorkerInUse
     | WorkerReleased
--- /dev/null
+++ b/pistachiolift/workflows/replay.py
@@ -0,0 +1,245 @@
+"""Rebuilds the owner's tables from the ledger, and condenses old records."""
+
+from collections.abc import Iterable
+
+from ..common import JobId, WorkerId
+from .book import Book
+from .lifecycle import Lifecycle
+from .model import (
+    EndKind,
+    JobGraph,
+    JobStatus,
+    PoolId,
+    Size,
+    TaskKey,
+    TaskRunStatus,
+    Worker,
+    WorkerState,
+)
+from .records import (
+    JobAccepted,
+    JobCancelled,
+    JobForgotten,
+    JobSettled,
+    LedgerRecord,
+    RunPlaced,
+    TaskFinished,
+    WorkerInUse,
+    WorkerReleased,
+)
+from .state import JobEntry, TaskRun, WorkerEntry
+
+__all__ = ["Replay", "compact_records"]
+
+
+class Replay:
+    """Applies records in the order in which they were written.
+
+    :param book: the tables, which hold the directory's workers and nothing else.
+    """
+
+    def __init__(self, book: Book, lifecycle: Lifecycle, *, now_s: float, wall_ms: int):
+        self._book = book
+        self._lifecycle = lifecycle
+        self._now_s = now_s
+        self._wall_ms = wall_ms
+        self._in_use: dict[WorkerId, WorkerInUse] = {}
+        self._placed: dict[TaskKey, RunPlaced] = {}
+        self._incarnation_by_task: dict[TaskKey, int] = {}
+
+    def _at_s(self, unix_ms: int) -> float:
+        """Return the monotonic time of a moment in the past."""
+        return self._now_s - max(0.0, (self._wall_ms - unix_ms) / 1000)
+
+    def apply(self, record: LedgerRecord) -> None:
+        """Apply one record."""
+        match record:
+            case JobAccepted():
+                self._accepted(record)
+            case JobSettled():
+                self._settled(record)
+            case JobCancelled():
+                job = self._book.jobs_by_id.get(record.job_id)
+                if job is not None:
+                    self._lifecycle.finish_job(
+                        job, JobStatus.CANCELLED, "replayed", self._at_s(record.at_ms)
+                    )
+            case TaskFinished():
+                self._finished(record)
+            case RunPlaced():
+                use = self._in_use.get(record.worker_id)
+                if use is not None:
+                    self._placed[record.task] = record
+                    self._incarnation_by_task[record.task] = use.incarnation
+            case JobForgotten():
+                self._book.drop_job(record.job_id)
+            case WorkerInUse():
+                self._in_use[record.worker_id] = record
+            case WorkerReleased():
+                known = self._in_use.get(record.worker_id)
+                if known is not None and known.incarnation == record.incarnation:
+                    del self._in_use[record.worker_id]
+
+    def _accepted(self, record: JobAccepted) -> None:
+        if record.job_id in self._book.jobs_by_id:
+            return
+        queue = self._book.queues_by_id.get(record.queue.queue_id, record.queue)
+        self._lifecycle.add_job(
+            record.job_id,
+            record.graph,
+            queue,
+            received_s=self._at_s(record.received_ms),
+            received_ms=record.received_ms,
+        )
+
+    def _settled(self, record: JobSettled) -> None:
+        self._book.drop_job(record.job_id)
+        job = self._lifecycle.add_job(
+            record.job_id,
+            JobGraph(payload="", steps=()),
+            record.queue,
+            received_s=self._at_s(record.received_ms),
+            received_ms=record.received_ms,
+        )
+        job.begun = True
+        job.status = record.status
+        job.final_s = self._at_s(record.at_ms)
+
+    def _finished(self, record: TaskFinished) -> None:
+        step = self._book.step(record.task.step_key)
+        if step is None:
+            return
+        job = step.job
+        job.begun = True
+        if job.status is JobStatus.PENDING:
+            job.status = JobStatus.RUNNING
+        self._lifecycle.apply_end(
+            step,
+            record.task.index,
+            record.run,
+            record.kind,
+            record.checkpoint,
+            self._at_s(record.at_ms),
+        )
+
+    def enter_runs(self, lease_end_s: float) -> None:
+        """Enter the runs that may still be on their workers."""
+        for use in self._in_use.values():
+            self._enter_worker(use, lease_end_s)
+        for placed in self._placed.values():
+            self._enter_run(placed)
+
+    def _enter_worker(self, use: WorkerInUse, lease_end_s: float) -> None:
+        entry = self._book.workers_by_id.get(use.worker_id)
+        if entry is not None and entry.worker.incarnation != use.incarnation:
+            # A later process runs there: the one in use has ended.
+            return
+        if entry is None:
+            gone = Worker(
+                worker_id=use.worker_id,
+                address=use.address,
+                pool_id=PoolId(""),
+                zone="",
+                incarnation=use.incarnation,
+                state=WorkerState.DRAINING,
+                capacity=Size(),
+            )
+            entry = WorkerEntry(gone, registered=False)
+            self._book.workers_by_id[use.worker_id] = entry
+        entry.recorded = True
+        entry.lease_end_s = lease_end_s
+
+    def _enter_run(self, placed: RunPlaced) -> None:
+        task = placed.task
+        step = self._book.step(task.step_key)
+        worker = self._book.workers_by_id.get(placed.worker_id)
+        if step is None or worker is None or step.job.status.final:
+            return
+        last = step.last_run_by_index.get(task.index, 0)
+        if task.index in step.finished or last >= placed.run:
+            return
+        if worker.worker.incarnation != self._incarnation_by_task[task]:
+            step.last_run_by_index[task.index] = placed.run
+            return
+        run = TaskRun(
+            task=task,
+            number=placed.run,
+            worker_id=placed.worker_id,
+            size=step.step.size,
+            status=TaskRunStatus.STARTING,
+            placed_s=self._now_s,
+            sent=True,
+            # The first listing raises the worker's fence, after which the earlier
+            # owner's order can no longer be carried out.
+            answered_s=0.0,
+        )
+        self._lifecycle.begin_run(step, run, worker)
+
+
+def compact_records(
+    book: Book, records: Iterable[LedgerRecord], *, now_s: float, wall_ms: int
+) -> list[LedgerRecord]:
+    """Return what has to be kept of old records, brought up to date.
+
+    :param now_s: monotonic time.
+    :param wall_ms: Unix time, in milliseconds.
+    """
+    jobs: dict[JobId, None] = {}
+    workers: list[LedgerRecord] = []
+    for record in records:
+        match record:
+            case JobAccepted() | JobSettled():
+                jobs[record.job_id] = None
+            case WorkerInUse():
+                entry = book.workers_by_id.get(record.worker_id)
+                if (
+                    entry is not None
+                    and entry.recorded
+                    and entry.worker.incarnation == record.incarnation
+                ):
+                    workers.append(record)
+            case RunPlaced():
+                # The job's own record may be in a newer value.
+                jobs[record.task.job_id] = None
+    kept = workers
+    for job_id in jobs:
+        job = book.jobs_by_id.get(job_id)
+        if job is None:
+            continue
+        if job.final_s is not None and job.settled_record <= book.committed:
+            at_ms = wall_ms - int((now_s - job.final_s) * 1000)
+            kept.append(
+                JobSettled(job_id, job.queue, job.status, job.received_ms, at_ms)
+            )
+        else:
+            kept += _snapshot(job)
+    return kept
+
+
+def _snapshot(job: JobEntry) -> list[LedgerRecord]:
+    """Return records that stand for all that the ledger must hold of a job."""
+    job_id = job.job_id
+    received_ms = job.received_ms
+    records: list[LedgerRecord] = [
+        JobAccepted(job_id, job.queue, received_ms, job.graph)
+    ]
+    for step in job.steps():
+        for index in sorted(step.finished):
+            number = step.last_run_by_index.get(index, 0)
+            task = step.key.task(index)
+            records.append(TaskFinished(task, number, EndKind.DONE, "", received_ms))
+            if step.step.gang:
+                break
+        for index, numbers in step.failed_runs_by_index.items():
+            task = step.key.task(index)
+            records += [
+                TaskFinished(task, number, EndKind.FAILED, "", received_ms)
+                for number in sorted(numbers)
+            ]
+        records += [
+            RunPlaced(run.task, run.number, run.worker_id)
+            for run in step.runs_by_index.values()
+        ]
+    if job.status is JobStatus.CANCELLED:
+        records.append(JobCancelled(job_id, received_ms))
+    return records
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -5,10 +5,10 @@
 
 import msgspec
 
-from ..common import InvalidInputError, JobId, WorkerId, log_event
+from ..common import InvalidInputError, JobId, WorkerId
 from .advice import AdvicePlanner
 from .book import Book
-from .decisions import Decision
+from .decisions import Decision, StartRun
 from .dispatch import Dispatcher
 from .lifecycle import Lifecycle
 from .listing import ListedEnd, ListedRun, ListingReader
@@ -28,11 +28,11 @@
     JobCancelled,
     JobForgotten,
     LedgerRecord,
-    TaskFinished,
     WorkerInUse,
     WorkerReleased,
 )
-from .state import JobEntry, WorkerEntry
+from .replay import Replay, compact_records
+from .state import WorkerEntry
 
 __all__ = ["GraphScheduler", "StartAnswer", "validate_graph"]
 
@@ -52,10 +52,13 @@
 
     :param started: whether the run is there.
     :param reason: why not, in snake case.
+    :param repeated: whether an earlier send of the start had no answer, so that it
+        may still be carried out.
     """
 
     started: bool
     reason: str = ""
+    repeated: bool = False
 
 
 def validate_graph(graph: JobGraph) -> None:
@@ -104,133 +107,37 @@
         self.advice = AdvicePlanner(self.book)
         self._dispatcher = Dispatcher(self.book, self._lifecycle, self.advice)
         self._listings = ListingReader(self.book, self._lifecycle)
-        # Workers of earlier owners whose runs have not been listed yet.
-        self._unlisted: set[WorkerId] = set()
-
-    @property
-    def recovering(self) -> bool:
-        """Whether a run that an earlier owner started may still be unknown."""
-        return bool(self._unlisted)
 
     # Replay of the ledger.
 
     def replay(
-        self, records: Iterable[LedgerRecord], *, now_s: float, wall_ms: int
-    ) -> dict[WorkerId, WorkerInUse]:
+        self,
+        records: Iterable[LedgerRecord],
+        *,
+        lease_end_s: float,
+        now_s: float,
+        wall_ms: int,
+    ) -> None:
         """Rebuild the state that an earlier owner has left.
 
-        :returns: the workers on which its runs may be.
+        The directory's workers have been entered before.
+
+        :param lease_end_s: time by which everything that earlier owners have granted
+            has certainly ended.
         """
-        in_use: dict[WorkerId, WorkerInUse] = {}
+        replay = Replay(self.book, self._lifecycle, now_s=now_s, wall_ms=wall_ms)
         for record in records:
-            self._replay_one(record, in_use, now_s, wall_ms)
+            replay.apply(record)
+        replay.enter_runs(lease_end_s)
         for job in self.book.jobs_by_id.values():
             job.settled_record = job.accepted_record = 0
         self.book.decisions.clear()
-        return in_use
 
-    def _replay_one(
-        self,
-        record: LedgerRecord,
-        in_use: dict[WorkerId, WorkerInUse],
-        now_s: float,
-        wall_ms: int,
-    ) -> None:
-        match record:
-            case JobAccepted() if record.job_id not in self.book.jobs_by_id:
-                queue = self.book.queues_by_id.get(record.queue.queue_id, record.queue)
-                age_s = max(0.0, (wall_ms - record.received_ms) / 1000)
-                self._lifecycle.add_job(
-                    record.job_id,
-                    record.graph,
-                    queue,
-                    received_s=now_s - age_s,
-                    received_ms=record.received_ms,
-                    inherited=True,
-                )
-            case JobCancelled():
-                job = self.book.jobs_by_id.get(record.job_id)
-                if job is not None:
-                    final_s = now_s - max(0.0, (wall_ms - record.at_ms) / 1000)
-                    self._lifecycle.finish_job(
-                        job, JobStatus.CANCELLED, "replayed", final_s
-                    )
-            case TaskFinished():
-                step = self.book.step(record.task.step_key)
-                if step is not None:
-                    step.job.begun = True
-                    self._lifecycle.apply_end(
-                        step,
-                        record.task.index,
-                        record.run,
-                        record.kind,
-                        record.checkpoint,
-                        now_s - max(0.0, (wall_ms - record.at_ms) / 1000),
-                    )
-                    if step.job.status is JobStatus.PENDING:
-                        step.job.status = JobStatus.RUNNING
-            case JobForgotten():
-                self._drop_job(record.job_id)
-            case WorkerInUse():
-                in_use[record.worker_id] = record
-            case WorkerReleased():
-                known = in_use.get(record.worker_id)
-                if known is not None and known.incarnation == record.incarnation:
-                    del in_use[record.worker_id]
-
-    def compact(self, records: Iterable[LedgerRecord]) -> list[LedgerRecord]:
+    def compact(
+        self, records: Iterable[LedgerRecord], *, now_s: float, wall_ms: int
+    ) -> list[LedgerRecord]:
         """Return what has to be kept of old records, brought up to date."""
-        jobs: dict[JobId, None] = {}
-        kept: list[LedgerRecord] = []
-        for record in records:
-            match record:
-                case JobAccepted():
-                    jobs[record.job_id] = None
-                case WorkerInUse():
-                    entry = self.book.workers_by_id.get(record.worker_id)
-                    if entry is not None and entry.recorded:
-                        if entry.worker.incarnation == record.incarnation:
-                            kept.append(record)
-        for job_id in jobs:
-            kept += self._snapshot_job(job_id)
-        return kept
-
-    def _snapshot_job(self, job_id: JobId) -> list[LedgerRecord]:
-        """Return records that stand for all that the ledger must hold of a job."""
-        job = self.book.jobs_by_id.get(job_id)
-        if job is None:
-            return []
-        records: list[LedgerRecord] = [
-            JobAccepted(job_id, job.queue, job.received_ms, job.graph)
-        ]
-        for step in job.steps():
-            for index in sorted(step.finished):
-                number = step.last_run_by_index.get(index, 0)
-                records.append(
-                    TaskFinished(
-                        step.key.task(index),
-                        number,
-                        EndKind.DONE,
-                        "",
-                        job.received_ms,
-                    )
-                )
-                if step.step.gang:
-                    break
-            for index, numbers in step.failed_runs_by_index.items():
-                records += [
-                    TaskFinished(
-                        step.key.task(index),
-                        number,
-                        EndKind.FAILED,
-                        step.checkpoint(index),
-                        job.received_ms,
-                    )
-                    for number in sorted(numbers)
-                ]
-        if job.status is JobStatus.CANCELLED:
-            records.append(JobCancelled(job_id, job.received_ms))
-        return records
+        return compact_records(self.book, records, now_s=now_s, wall_ms=wall_ms)
 
     # Configuration.
 
@@ -266,7 +173,6 @@
             queue,
             received_s=received_s,
             received_ms=received_ms,
-            inherited=False,
         )
         record = JobAccepted(job_id, queue, received_ms, graph)
         job.accepted_record = self.book.record(record)
@@ -318,16 +224,6 @@
         entry.worker = worker
         entry.registered = True
 
-    def worker_inherited(self, worker: Worker, *, lease_end_s: float) -> None:
-        """Enter a worker on which an earlier owner's runs may be."""
-        entry = self.book.workers_by_id.get(worker.worker_id)
-        if entry is None or entry.worker.incarnation != worker.incarnation:
-            entry = WorkerEntry(worker, registered=False)
-            self.book.workers_by_id[worker.worker_id] = entry
-        entry.recorded = True
-        entry.lease_end_s = lease_end_s
-        self._unlisted.add(worker.worker_id)
-
     def worker_unregistered(self, worker_id: WorkerId) -> None:
         """Note that the directory no longer names a worker."""
         entry = self.book.workers_by_id.get(worker_id)
@@ -337,7 +233,6 @@
     def worker_dead(self, worker_id: WorkerId, *, now_s: float, wall_ms: int) -> None:
         """Forget a worker whose process has certainly ended."""
         entry = self.book.workers_by_id.pop(worker_id, None)
-        self._unlisted.discard(worker_id)
         if entry is None:
             return
         self._lifecycle.worker_lost(entry, now_s=now_s, wall_ms=wall_ms)
@@ -389,9 +284,6 @@
         if complete and not entry.listed:
             entry.listed = True
             self._record_use(entry)
-            self._unlisted.discard(worker_id)
-            if not self._unlisted:
-                log_event(logger, "all_workers_listed", worker=worker_id)
 
     def _record_use(self, entry: WorkerEntry) -> None:
         """See that later owners know of the worker before a run is placed there."""
@@ -405,6 +297,17 @@
 
     # Orders.
 
+    def start_sent(self, order: StartRun) -> bool:
+        """Note that a start is about to be sent.
+
+        :returns: whether it is still wanted.
+        """
+        run = self.book.run(order.worker_id, (order.task, order.number))
+        if run is None or run.status is TaskRunStatus.STOPPING:
+            return False
+        run.sent = True
+        return True
+
     def start_answered(
         self,
         worker_id: WorkerId,
@@ -422,11 +325,18 @@
             run.answered_s = now_s
             self._lifecycle.run_confirmed(run, now_s)
             return
+        if answer.reason == "old":
+            # It has run and ended here, or was blocked: the next listing tells.
+            run.answered_s = now_s
+            return
+        if answer.repeated:
+            self._lifecycle.stop(run, "start_uncertain")
+            return
         worker = self.book.workers_by_id[worker_id]
         step = self.book.step(task.step_key)
         if answer.reason == "ticket" and step is not None:
             step.tickets_by_worker.pop(worker_id, None)
-        elif answer.reason not in ("fence", "old"):
+        else:
             worker.refused_until_s = now_s + REFUSED_PAUSE_S
         worker.release(run)
         self.book.health.task_inconclusive(worker_id)
@@ -472,7 +382,7 @@
             self._check_worker(worker_id, entry, now_s, wall_ms)
         for job_id, job in list(self.book.jobs_by_id.items()):
             if job.final_s is not None and now_s > job.final_s + self._keep_final_s:
-                self._drop_job(job_id)
+                self.book.drop_job(job_id)
                 self.book.record(JobForgotten(job_id))
 
     def _check_worker(
@@ -482,7 +392,6 @@
             return
         if now_s < entry.lease_end_s:
             return
-        self._unlisted.discard(worker_id)
         if not entry.registered:
             self.worker_dead(worker_id, now_s=now_s, wall_ms=wall_ms)
         elif entry.listed:
@@ -492,16 +401,7 @@
 
     def dispatch(self, *, now_s: float, wall_ms: int) -> None:
         """Place what waits."""
-        self._dispatcher.run(now_s, wall_ms, recovering=self.recovering)
-
-    def _drop_job(self, job_id: JobId) -> None:
-        job: JobEntry | None = self.book.jobs_by_id.pop(job_id, None)
-        if job is None:
-            return
-        self.book.health.forget_job(job_id)
-        for step in job.steps():
-            self.book.open_steps.pop(step.key, None)
-            self.book.timed_steps.pop(step.key, None)
+        self._dispatcher.run(now_s, wall_ms)
 
     def take_decisions(self) -> list[Decision]:
         """Return and clear the decisions made so far."""
--- a/pistachiolift/workflows/state.py
+++ b/pistachiolift/workflows/state.py
@@ -27,6 +27,7 @@
     :param confirmed_s: time at which the worker was known to have it, or ``None``.
     :param answered_s: time at which the worker last answered an order about it; a
         listing requested later must name the run if it still exists.
+    :param sent: whether a start may have left this process.
     :param percent: progress that the worker reported last.
     :param progressed_s: time at which ``percent`` last rose.
     """
@@ -37,6 +38,7 @@
     size: Size
     status: TaskRunStatus
     placed_s: float
+    sent: bool = False
     confirmed_s: float | None = None
     answered_s: float | None = None
     percent: int = 0
@@ -120,8 +122,6 @@
     """A job that the owner knows.
 
     :param received_s: monotonic time of the first request.
-    :param inherited: accepted by an earlier owner, so that a run of one of its tasks
-        may exist on a worker that has not been listed yet.
     :param final_s: monotonic time of its end, or ``None``.
     :param accepted_record: number of the record that must be durable before a start.
     :param settled_record: number of the newest record that tells of its state.
@@ -132,7 +132,6 @@
     queue: Queue
     received_s: float
     received_ms: int
-    inherited: bool
     occurrences: list[OccurrenceEntry] = field(default_factory=list)
     status: JobStatus = JobStatus.PENDING
     final_s: float | None = None
