Prove the path with real processes beside stand-ins of the platform

Change: stand-ins for store, executors, adviser and operator in the adapter's tests; process tests from acceptance to completion, with bad input, a killed owner, all instances killed, the store down, and a planned stop.

--- a/pistachiolift/node/ownership.py
+++ b/pistachiolift/node/ownership.py
@@ -299,6 +299,7 @@
         self.fence = fence
         self.heard(sent_s)
         self._take_own()
+        self._metrics.gauge("ownership.owner", 1)
         log_event(logger, "ownership_claimed", fence=fence, over=claim_version)
         self._on_claimed(fence)
         if not self._renewing.running:
@@ -364,6 +365,7 @@
     def _lose(self, reason: str) -> None:
         log_event(logger, "ownership_lost", fence=self.fence, reason=reason)
         self.fence = None
+        self._metrics.gauge("ownership.owner", 0)
         self._lease_id = None
         if self._renewing.running:
             self._renewing.stop()
--- /dev/null
+++ b/pistachiolift/platform/tests/platform_cell.py
@@ -0,0 +1,183 @@
+"""Starts instances as processes beside the platform's stand-ins."""
+
+import http.client
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from pistachiolift.standins import free_ports
+
+ROOT = Path(__file__).resolve().parents[3]
+START_LIMIT_S = 40.0
+HOST = "jobs.example"
+
+
+class PlatformCell:
+    """Instances on loopback; as a context manager it ends what it has started.
+
+    :param directory: for settings files and logs.
+    """
+
+    def __init__(self, directory: Path, *, instances: int = 3, workers: int = 3):
+        self.directory = directory
+        ports = free_ports(4 + workers + 3 * instances)
+        self.ports = {
+            "store": ports[0],
+            "adviser": ports[1],
+            "control": ports[2],
+            "workers": ports[4 : 4 + workers],
+        }
+        rest = ports[4 + workers :]
+        self.caller_ports = rest[:instances]
+        self.ready_ports = rest[instances : 2 * instances]
+        self.peer_ports = rest[2 * instances :]
+        self.processes: dict[str, subprocess.Popen] = {}
+
+    def __enter__(self) -> "PlatformCell":
+        try:
+            self._start(
+                "platform",
+                "pistachiolift.platform.tests.standin_platform",
+                json.dumps(self.ports),
+            )
+            self.wait_until(self._platform_answers, "the platform's stand-ins")
+            for index in range(len(self.caller_ports)):
+                self.start_instance(index)
+            for index in range(len(self.caller_ports)):
+                self.wait_until(lambda i=index: self.ready(i), f"instance {index}")
+        except BaseException:
+            self.__exit__()
+            raise
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        for process in self.processes.values():
+            process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+    def _start(self, name: str, module: str, *arguments: str) -> None:
+        log = open(self.directory / f"{name}.log", "ab")
+        with log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                cwd=ROOT,
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+
+    def start_instance(self, index: int) -> None:
+        """Start an instance, or start it again."""
+        path = self.directory / f"settings-{index}.json"
+        path.write_text(json.dumps(self.settings(index)))
+        self._start(
+            f"instance-{index}",
+            "pistachiolift",
+            "node",
+            "--settings-file",
+            str(path),
+        )
+
+    def settings(self, index: int) -> dict:
+        """Return an instance's settings."""
+        peer_port = self.peer_ports[index]
+        return {
+            "instance_id": f"node-{index}",
+            "ip": "127.0.0.1",
+            "zone": "z1",
+            "caller_address": f"127.0.0.1:{self.caller_ports[index]}",
+            "ready_address": f"127.0.0.1:{self.ready_ports[index]}",
+            "peer_ports": [peer_port, peer_port],
+            "store_address": f"127.0.0.1:{self.ports['store']}",
+            "adviser_address": f"127.0.0.1:{self.ports['adviser']}",
+            "grace_s": 6.0,
+        }
+
+    def kill(self, index: int) -> None:
+        """Kill an instance's process."""
+        process = self.processes[f"instance-{index}"]
+        process.kill()
+        process.wait()
+
+    def terminate(self, index: int) -> None:
+        """Ask an instance to stop."""
+        self.processes[f"instance-{index}"].send_signal(signal.SIGTERM)
+
+    @staticmethod
+    def wait_until(condition, what: str, limit_s: float = START_LIMIT_S) -> None:
+        """Wait until a condition holds."""
+        end = time.monotonic() + limit_s
+        while not condition():
+            if time.monotonic() > end:
+                raise TimeoutError(f"{what}: not within {limit_s} s")
+            time.sleep(0.05)
+
+    @staticmethod
+    def request(port, method, path, body=None, timeout_s=5.0) -> tuple[int, dict]:
+        """Make a call; the status is 0 if there is no answer."""
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout_s)
+        try:
+            data = None if body is None else json.dumps(body)
+            headers = {"Host": HOST, "Content-Type": "application/json"}
+            connection.request(method, path, body=data, headers=headers)
+            answer = connection.getresponse()
+            text = answer.read()
+            try:
+                return answer.status, json.loads(text) if text else {}
+            except ValueError:
+                return answer.status, {"text": text.decode("utf-8", "replace")}
+        except (OSError, http.client.HTTPException):
+            return 0, {}
+        finally:
+            connection.close()
+
+    def _platform_answers(self) -> bool:
+        return self.request(self.ports["control"], "GET", "/runs")[0] == 200
+
+    def ready(self, index: int) -> bool:
+        """Whether an instance's readiness check passes."""
+        return self.request(self.ready_ports[index], "GET", "/api/readyz")[0] == 200
+
+    def call(self, index: int, method: str, path: str, body=None) -> tuple[int, dict]:
+        """Call an instance as a client does."""
+        return self.request(self.caller_ports[index], method, path, body)
+
+    def submit(self, index: int, job: str, *, ms=200, queue="urgent", steps=None):
+        """Submit a job whose tasks take a time."""
+        steps = steps or [{"Count": 2, "Cpu": 500, "MemMb": 100, "EstimateMs": ms}]
+        return self.call(
+            index, "POST", f"/{queue}/{job}", {"Spec": str(ms), "Steps": steps}
+        )[0]
+
+    def state(self, index: int, job: str, queue="urgent") -> str:
+        """Return a job's state."""
+        return self.call(index, "GET", f"/{queue}/{job}")[1].get("State", "")
+
+    def runs(self) -> list[dict]:
+        """Return what the workers have run."""
+        port = self.ports["control"]
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5)
+        try:
+            connection.request("GET", "/runs")
+            return json.loads(connection.getresponse().read())
+        finally:
+            connection.close()
+
+    def control(self, path: str, body=None) -> None:
+        """Change the stand-ins."""
+        status, _ = self.request(self.ports["control"], "POST", path, body)
+        assert status == 200
+
+    def owner(self) -> int | None:
+        """Return the index of the owner, as its metrics tell."""
+        for index, port in enumerate(self.ready_ports):
+            status, answer = self.request(port, "GET", "/metrics")
+            if status == 200 and "pistachiolift_ownership_owner 1.0" in str(answer):
+                return index
+        return None
--- /dev/null
+++ b/pistachiolift/platform/tests/test_path.py
@@ -0,0 +1,154 @@
+"""The path of a job with real processes beside the platform's stand-ins."""
+
+import time
+
+import pytest
+
+from .platform_cell import PlatformCell
+
+JOB = "00000000000000{:02x}"
+
+
+@pytest.fixture
+def cell(tmp_path):
+    with PlatformCell(tmp_path) as running:
+        yield running
+
+
+def overlaps(runs):
+    """Return pairs of runs of one task that were there at the same time."""
+    found = []
+    for i, run in enumerate(runs):
+        for other in runs[i + 1 :]:
+            if run["task"] != other["task"]:
+                continue
+            ends = [r["end"] or float("inf") for r in (run, other)]
+            if run["start"] < ends[1] and other["start"] < ends[0]:
+                found.append((run, other))
+    return found
+
+
+def done_twice(runs):
+    """Return tasks that ended successfully more than once."""
+    done = [run["task"] for run in runs if run["how"] == "done"]
+    return {task for task in done if done.count(task) > 1}
+
+
+class TestCalls:
+    def test_a_job_goes_from_acceptance_to_completion(self, cell):
+        job = JOB.format(1)
+        steps = [
+            {"Count": 3, "Cpu": 500, "MemMb": 100, "EstimateMs": 200},
+            {"Count": 1, "Cpu": 500, "MemMb": 100, "EstimateMs": 200, "After": [0]},
+        ]
+        assert cell.submit(0, job, steps=steps) == 200
+        assert cell.submit(1, job, steps=steps) == 200
+        cell.wait_until(lambda: cell.state(2, job) == "completed", "completion", 10)
+        runs = cell.runs()
+        assert len(runs) == 4
+        last = next(run for run in runs if run["task"].endswith(".1.0"))
+        assert all(run["end"] <= last["start"] for run in runs if run is not last)
+        assert cell.call(0, "DELETE", f"/urgent/{job}")[0] == 200
+        assert cell.state(0, job) == "completed"
+
+    def test_calls_that_cannot_be_served_get_their_status(self, cell):
+        job = JOB.format(2)
+        assert cell.call(0, "GET", f"/urgent/{job}")[0] == 410
+        assert cell.call(0, "DELETE", f"/urgent/{job}")[0] == 410
+        assert cell.call(0, "GET", f"/nowhere/{job}")[0] == 404
+        assert cell.call(0, "GET", "/urgent/")[1] == {"Waiting": 0}
+        assert cell.call(0, "POST", f"/urgent/{job}", ["no job"])[0] == 400
+        assert cell.submit(0, "not-an-id") == 400
+        wrong = [{"Count": 0, "Cpu": 1}]
+        assert cell.submit(0, job, steps=wrong) == 400
+        later = [{"Count": 1, "Cpu": 1, "After": [1]}, {"Count": 1, "Cpu": 1}]
+        assert cell.submit(0, job, steps=later) == 400
+        cell.control("/item/servers/i-broken", {"Service": 3})
+        cell.control("/item/op/config", {"Version": "x"})
+        assert cell.submit(0, job) == 200
+        cell.wait_until(lambda: cell.state(1, job) == "completed", "completion", 10)
+
+    def test_a_queue_with_advice_is_served(self, cell):
+        job = JOB.format(3)
+        assert cell.submit(0, job, queue="advised") == 200
+        cell.wait_until(
+            lambda: cell.state(0, job, "advised") == "completed", "completion", 10
+        )
+
+    def test_a_cancelled_job_is_stopped(self, cell):
+        job = JOB.format(4)
+        assert cell.submit(0, job, ms=20_000) == 200
+        cell.wait_until(lambda: cell.state(0, job) == "running", "start", 10)
+        assert cell.call(1, "DELETE", f"/urgent/{job}")[0] == 200
+        assert cell.state(2, job) == "cancelled"
+        cell.wait_until(
+            lambda: all(run["how"] == "stopped" for run in cell.runs()), "stops", 5
+        )
+
+
+class TestFailures:
+    def _submit_until_accepted(self, cell, indices, job, **options):
+        """Submit through the instances in turn, as a client does."""
+        for _ in range(40):
+            for index in indices:
+                if cell.submit(index, job, **options) == 200:
+                    return
+            time.sleep(0.1)
+        raise AssertionError(f"job {job} was never accepted")
+
+    def test_the_owner_is_killed_between_acceptance_and_completion(self, cell):
+        jobs = [JOB.format(16 + i) for i in range(6)]
+        for i, job in enumerate(jobs):
+            assert cell.submit(i % 3, job, ms=1500) == 200
+        owner = cell.owner()
+        assert owner is not None
+        cell.kill(owner)
+        others = [i for i in range(3) if i != owner]
+        late = JOB.format(32)
+        self._submit_until_accepted(cell, others, late, ms=200)
+        for job in [*jobs, late]:
+            cell.wait_until(
+                lambda j=job: cell.state(others[0], j) == "completed", "completion", 20
+            )
+        runs = cell.runs()
+        assert not overlaps(runs)
+        assert not done_twice(runs)
+        assert len([run for run in runs if run["how"] == "done"]) == 14
+
+    def test_all_instances_are_killed_and_started_again(self, cell):
+        jobs = [JOB.format(48 + i) for i in range(4)]
+        for job in jobs:
+            assert cell.submit(0, job, ms=1000) == 200
+        for index in range(3):
+            cell.kill(index)
+        for index in range(3):
+            cell.start_instance(index)
+        for job in jobs:
+            cell.wait_until(
+                lambda j=job: cell.state(0, j) == "completed", "completion", 30
+            )
+        assert not overlaps(cell.runs())
+        assert not done_twice(cell.runs())
+
+    def test_the_store_is_down_for_a_while(self, cell):
+        job, refused = JOB.format(64), JOB.format(65)
+        assert cell.submit(0, job, ms=1500) == 200
+        cell.control("/store/down")
+        time.sleep(1.0)
+        assert cell.submit(1, refused) in (503, 504)
+        time.sleep(1.0)
+        cell.control("/store/up")
+        cell.wait_until(lambda: cell.state(2, job) == "completed", "completion", 20)
+        assert not done_twice(cell.runs())
+
+    def test_a_planned_stop_hands_the_ownership_over(self, cell):
+        owner = cell.owner()
+        cell.terminate(owner)
+        others = [i for i in range(3) if i != owner]
+        job = JOB.format(80)
+        self._submit_until_accepted(cell, others, job, ms=200)
+        cell.wait_until(
+            lambda: cell.state(others[1], job) == "completed", "completion", 10
+        )
+        cell.processes[f"instance-{owner}"].wait(timeout=10)
+        assert cell.processes[f"instance-{owner}"].returncode == 0
