Learn workers' speeds, stop stalled runs, refuse unsent jobs in an outage

Cause: workers of the sites differ in speed by a factor of 2.5, which best-fit packing ignored; tasks on workers that stand still waited for the worker; in an outage jobs that were still queued for the ledger were held to their deadline (504) although nothing of them had been sent; Retry-After was 1 s whatever the objective. Change: mean log ratio of taken to declared time per worker, fast workers first; progress monitor; withdrawal of unsent records; Retry-After is a quarter of the objective, 1 to 4 s.

--- a/pistachiolift/node/job_service.py
+++ b/pistachiolift/node/job_service.py
@@ -30,7 +30,6 @@
 
 # A takeover takes about 2 s; beyond that a caller is better off coming back.
 OWNER_WAIT_S = 2.3
-RETRY_AFTER_S = 1.0
 
 
 class JobService:
@@ -107,7 +106,8 @@
             sent, answer = await self._call_once(message(), left_s)
             undecided = undecided or sent
             if answer is not None and answer.outcome is not JobOutcome.NOT_OWNER:
-                if answer.outcome is JobOutcome.REFUSED and undecided and sent is None:
+                if answer.outcome is JobOutcome.REFUSED and undecided:
+                    # An earlier call may have been taken by another owner.
                     break
                 return answer
             if self._clock.monotonic_s() >= give_up_s:
@@ -115,7 +115,7 @@
             await deferLater(self._reactor, RETRY_INTERVAL_S)
         if undecided:
             return JobAnswer(JobOutcome.UNDECIDED)
-        return JobAnswer(JobOutcome.REFUSED, retry_after_s=RETRY_AFTER_S)
+        return JobAnswer(JobOutcome.REFUSED)
 
     async def _call_once(
         self, message: Message, left_s: float
--- a/pistachiolift/node/ledger.py
+++ b/pistachiolift/node/ledger.py
@@ -69,6 +69,7 @@
         self._closed = False
         self._failing_since_s: float | None = None
         self._started_s: float | None = None
+        self._sent = 0
         self._waiters: list[tuple[int, Deferred]] = []
         self._done = 0
         self._compact: Callable[[list[LedgerRecord]], list[LedgerRecord]] | None = None
@@ -105,6 +106,10 @@
             loop = ensureDeferred(self._write_all())
             loop.addErrback(self._failed)
 
+    def replace_unsent(self, replace: Callable[[LedgerRecord], LedgerRecord]) -> None:
+        """Replace records of which no write has been tried yet."""
+        self._queue[self._sent :] = [replace(r) for r in self._queue[self._sent :]]
+
     def when_durable(self, number: int) -> Deferred:
         """Return a Deferred that fires when so many records are durable.
 
@@ -142,8 +147,10 @@
         self._sequence += 1
         key = f"{LOG_PREFIX}{self.fence:015d}-{self._sequence:09d}"
         self._started_s = self._clock.monotonic_s()
+        self._sent = len(batch)
         durable = await self._write(key, value, removes)
         self._started_s = None
+        self._sent = 0
         if not durable:
             return
         del self._queue[: len(batch)]
--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -3,8 +3,14 @@
 import logging
 from collections import deque
 from collections.abc import Callable
+from math import exp
 
-from twisted.internet.defer import Deferred, ensureDeferred, succeed
+from twisted.internet.defer import (
+    Deferred,
+    DeferredList,
+    ensureDeferred,
+    succeed,
+)
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 from twisted.internet.task import LoopingCall
 
@@ -13,7 +19,9 @@
     AskAdvice,
     Decision,
     GraphScheduler,
+    JobAccepted,
     JobChanged,
+    JobForgotten,
     JobGraph,
     LedgerRecord,
     PaceRun,
@@ -46,7 +54,6 @@
 
 # A write in flight for longer than this means that nothing can be accepted now.
 STALLED_LIMIT_S = 0.6
-RETRY_AFTER_S = 1.0
 
 # Age of the last contact with the store up to which a job that is not known here is
 # known nowhere: below the lease of the ownership.
@@ -107,6 +114,8 @@
         self._ticking.clock = reactor
         self.ready = False
         self._closed = False
+        # Jobs whose submission is not durable yet.
+        self._submits_by_id: dict[JobId, Deferred] = {}
         # Starts whose placement is not durable yet, in order.
         self._held_starts: deque[StartRun] = deque()
 
@@ -243,10 +252,16 @@
             run=order.number,
             worker=order.worker_id,
             free_cpu_milli=entry.free_cpu_milli,
+            pace=exp(entry.pace.log_ratio),
+            estimate_ms=self._estimate_ms(order.task),
             resumed=bool(order.checkpoint),
             config=self._table.version,
         )
 
+    def _estimate_ms(self, task: TaskKey) -> float:
+        step = self.scheduler.book.step(task.step_key)
+        return 0.0 if step is None else step.step.estimate_s * 1000
+
     def _log_stop(self, order: StopRun) -> None:
         log_event(
             logger,
@@ -283,6 +298,8 @@
 
     def _tick(self) -> None:
         now_s, wall_ms = self._now()
+        if self.ledger.stalled_s > STALLED_LIMIT_S:
+            self._refuse_unsent()
         self.scheduler.tick(now_s=now_s, wall_ms=wall_ms)
         self._drop_drivers()
         self._decide()
@@ -291,6 +308,21 @@
         self._metrics.gauge("steps.open", len(book.open_steps))
         self._metrics.gauge("workers.known", len(book.workers_by_id))
 
+    def _refuse_unsent(self) -> None:
+        """Refuse the jobs that wait for the ledger and have not been sent to it."""
+
+        def withdraw(record: LedgerRecord) -> LedgerRecord:
+            if not isinstance(record, JobAccepted):
+                return record
+            waiter = self._submits_by_id.pop(record.job_id, None)
+            if waiter is None:
+                return record
+            self.scheduler.withdraw(record.job_id)
+            waiter.callback(False)
+            return JobForgotten(record.job_id)
+
+        self.ledger.replace_unsent(withdraw)
+
     def _durable(self, count: int) -> None:
         self._heard(self.ledger.last_contact_s)
         self.scheduler.committed(count)
@@ -452,15 +484,7 @@
             return JobAnswer(JobOutcome.NOT_OWNER)
         known = job_id in self.scheduler.book.jobs_by_id
         if not known and self.ledger.stalled_s > STALLED_LIMIT_S:
-            self._metrics.count("refusal.ledger_stalled")
-            log_event(
-                logger,
-                "job_refused",
-                job=job_id,
-                reason="ledger_stalled",
-                stalled_s=self.ledger.stalled_s,
-            )
-            return JobAnswer(JobOutcome.REFUSED, retry_after_s=RETRY_AFTER_S)
+            return self._refuse(job_id, "ledger_stalled")
         now_s, wall_ms = self._now()
         number = self.scheduler.submit(
             job_id,
@@ -471,7 +495,15 @@
         )
         self._carry_out()
         self._changed()
-        durable = await self.ledger.when_durable(number)
+        withdrawn: Deferred = Deferred()
+        if not known:
+            self._submits_by_id[job_id] = withdrawn
+        durable, _ = await DeferredList(
+            [self.ledger.when_durable(number), withdrawn], fireOnOneCallback=True
+        )
+        self._submits_by_id.pop(job_id, None)
+        if withdrawn.called:
+            return self._refuse(job_id, "not_durable")
         log_event(
             logger,
             "job_submitted",
@@ -486,6 +518,17 @@
         )
         return JobAnswer(JobOutcome.OK if durable else JobOutcome.UNDECIDED)
 
+    def _refuse(self, job_id: JobId, reason: str) -> JobAnswer:
+        self._metrics.count(f"refusal.{reason}")
+        log_event(
+            logger,
+            "job_refused",
+            job=job_id,
+            reason=reason,
+            stalled_s=self.ledger.stalled_s,
+        )
+        return JobAnswer(JobOutcome.REFUSED)
+
     async def cancel(self, job_id: JobId) -> JobAnswer:
         """Cancel a job, durably."""
         if not self.ready:
--- a/pistachiolift/node/peer_messages.py
+++ b/pistachiolift/node/peer_messages.py
@@ -100,15 +100,11 @@
 
 
 class JobAnswer(msgspec.Struct, frozen=True, tag="job", array_like=True):
-    """Answers a call about jobs.
-
-    :param retry_after_s: when a refused job may be sent again.
-    """
+    """Answers a call about jobs."""
 
     outcome: JobOutcome
     status: JobStatus | None = None
     count: int = 0
-    retry_after_s: float = 0.0
 
 
 class Announce(msgspec.Struct, frozen=True, tag="announce", array_like=True):
--- a/pistachiolift/platform/caller_api.py
+++ b/pistachiolift/platform/caller_api.py
@@ -18,7 +18,7 @@
 from ..entry.http import StreamingRequest
 from ..node.instance import NodeInstance
 from ..node.peer_messages import JobAnswer, JobOutcome
-from ..workflows import Queue, validate_graph
+from ..workflows import JobGraph, Queue, validate_graph
 from .jobs import decode_job, encode_status, encode_waiting
 
 __all__ = ["make_caller_api"]
@@ -32,6 +32,9 @@
 # The answer has to be back before the caller's time is over.
 ANSWER_MARGIN_S = 0.15
 RETRY_AFTER_S = 1.0
+RETRY_AFTER_LIMIT_S = 4.0
+# Tries of a caller after its first.
+RETURNS = 4
 
 _HEADERS = [(b"Content-Type", b"application/json")]
 
@@ -135,14 +138,30 @@
     answer = await instance.jobs.submit(job_id, queue, graph, until_s=until_s)
     if answer.outcome is JobOutcome.OK:
         return _Reply(200)
-    return _other(answer)
+    return _other(answer, queue, graph)
+
+
+def _return_s(queue: Queue, graph: JobGraph) -> float:
+    """Return when a refused caller should come back.
 
+    A caller tries a few times; spread over its objective, the tries outlast a short
+    outage as long as the result is still of use.
+    """
+    work_s = sum(step.estimate_s for step in graph.steps)
+    objective_s = queue.target_s + queue.stretch * work_s
+    return min(RETRY_AFTER_LIMIT_S, max(RETRY_AFTER_S, objective_s / RETURNS))
 
-def _other(answer: JobAnswer) -> _Reply:
+
+def _other(
+    answer: JobAnswer, queue: Queue | None = None, graph: JobGraph | None = None
+) -> _Reply:
     if answer.outcome is JobOutcome.UNKNOWN_JOB:
         return _Reply(410)
     if answer.outcome is JobOutcome.REFUSED:
-        return _Reply(503, retry_after_s=answer.retry_after_s)
+        retry_after_s = RETRY_AFTER_S
+        if queue is not None and graph is not None:
+            retry_after_s = _return_s(queue, graph)
+        return _Reply(503, retry_after_s=retry_after_s)
     # The call may have taken effect, so that "not accepted" would be untrue.
     return _Reply(504)
 
--- a/pistachiolift/workflows/lifecycle.py
+++ b/pistachiolift/workflows/lifecycle.py
@@ -16,9 +16,6 @@
 # A task that fails at once on a busy worker should not use up its tries there.
 RETRY_DELAY_S = 0.15
 
-# Weight of a new sample in a worker's average slowdown.
-SLOWDOWN_WEIGHT = 0.08
-
 
 class Lifecycle:
     """Applies the events that change jobs and runs.
@@ -270,14 +267,8 @@
                 )
         else:
             health.task_inconclusive(worker.worker_id)
-        if kind is not EndKind.DONE or not step.step.estimate_s:
-            return
-        if step.step.gang or run.confirmed_s is None:
-            return
-        sample = (now_s - run.confirmed_s) / step.step.estimate_s
-        weight = max(SLOWDOWN_WEIGHT, 1 / (1 + worker.slowdown_samples))
-        worker.slowdown_samples += 1
-        worker.slowdown += weight * (min(sample, 8.0) - worker.slowdown)
+        if kind is EndKind.DONE and not step.step.gang and run.confirmed_s is not None:
+            worker.pace.add(now_s - run.confirmed_s, step.step.estimate_s)
 
     def worker_lost(self, worker: WorkerEntry, *, now_s: float, wall_ms: int) -> None:
         """End all runs of a worker on which nothing can be running any more."""
--- a/pistachiolift/workflows/listing.py
+++ b/pistachiolift/workflows/listing.py
@@ -78,6 +78,7 @@
                 wall_ms=wall_ms,
             )
         worker.unlisted_size = False
+        worker.listed_s = max(worker.listed_s, sent_s)
         present = set()
         for listed in running:
             present.add((listed.task, listed.number))
--- a/pistachiolift/workflows/placement.py
+++ b/pistachiolift/workflows/placement.py
@@ -75,7 +75,7 @@
         key = (
             entry.worker_id in failed_on,
             far,
-            round(entry.slowdown * 2),
+            entry.pace.bucket,
             entry.free_cpu_milli,
         )
         if best_key is None or key < best_key:
@@ -120,7 +120,13 @@
     """Return a worker for each task, or nothing if they do not all fit."""
     near = step.step.data_rack
     room = [(entry, room_for_step(step, entry)) for entry in workers]
-    room.sort(key=lambda item: (bool(near) and item[0].worker.rack != near, -item[1]))
+    room.sort(
+        key=lambda item: (
+            bool(near) and item[0].worker.rack != near,
+            item[0].pace.bucket,
+            -item[1],
+        )
+    )
     chosen: list[WorkerId] = []
     for entry, count in room:
         missing = step.step.count - len(chosen)
--- /dev/null
+++ b/pistachiolift/workflows/progress.py
@@ -0,0 +1,73 @@
+"""Finds runs that make no progress."""
+
+import logging
+
+from ..common import log_event
+from .book import Book
+from .lifecycle import Lifecycle
+from .model import TaskRunStatus
+from .state import StepEntry, TaskRun, WorkerEntry
+
+__all__ = ["ProgressMonitor"]
+
+logger = logging.getLogger(__name__)
+
+# A task shows progress of a percent at least this often on a sound worker, also if it
+# takes several times its declared time; a lost listing delays the news by 1 s.
+STALL_BASE_S = 2.5
+STALL_SHARE = 0.15
+
+# A worker on which a run has stalled gets no new ones for this time.
+STALLED_WORKER_PAUSE_S = 2.0
+
+CHECK_INTERVAL_S = 0.5
+
+
+class ProgressMonitor:
+    """Stops runs whose progress has not changed over several listings.
+
+    :param book: the owner's tables.
+    """
+
+    def __init__(self, book: Book, lifecycle: Lifecycle):
+        self._book = book
+        self._lifecycle = lifecycle
+        self._checked_s = float("-inf")
+
+    def check(self, now_s: float) -> None:
+        """Look at all runs, at most twice a second."""
+        if now_s - self._checked_s < CHECK_INTERVAL_S:
+            return
+        self._checked_s = now_s
+        for worker in list(self._book.workers_by_id.values()):
+            if worker.reachable:
+                self._check_worker(worker, now_s)
+
+    def _check_worker(self, worker: WorkerEntry, now_s: float) -> None:
+        for run in list(worker.runs.values()):
+            step = self._book.step(run.task.step_key)
+            if step is None or not self._stalled(run, step, worker):
+                continue
+            log_event(
+                logger,
+                "run_stalled",
+                job=run.task.job_id,
+                worker=worker.worker_id,
+                run=run.number,
+                percent=run.percent,
+                stalled_s=worker.listed_s - run.progressed_s,
+            )
+            worker.refused_until_s = now_s + STALLED_WORKER_PAUSE_S
+            self._book.health.task_failed(worker.worker_id, run.task.job_id, now_s)
+            step.failed_on_by_index.setdefault(run.task.index, set()).add(
+                worker.worker_id
+            )
+            self._lifecycle.stop(run, "no_progress")
+
+    @staticmethod
+    def _stalled(run: TaskRun, step: StepEntry, worker: WorkerEntry) -> bool:
+        spec = step.step
+        if run.status is not TaskRunStatus.RUNNING or spec.long_running or spec.fills:
+            return False
+        limit_s = STALL_BASE_S + STALL_SHARE * spec.estimate_s
+        return worker.listed_s - run.progressed_s > limit_s
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -23,6 +23,7 @@
     TaskRunStatus,
     Worker,
 )
+from .progress import ProgressMonitor
 from .records import (
     JobAccepted,
     JobCancelled,
@@ -107,6 +108,7 @@
         self.advice = AdvicePlanner(self.book)
         self._dispatcher = Dispatcher(self.book, self._lifecycle, self.advice)
         self._listings = ListingReader(self.book, self._lifecycle)
+        self._progress = ProgressMonitor(self.book, self._lifecycle)
 
     # Replay of the ledger.
 
@@ -178,6 +180,10 @@
         job.accepted_record = self.book.record(record)
         return job.accepted_record
 
+    def withdraw(self, job_id: JobId) -> None:
+        """Forget a job that has been refused before its record was written."""
+        self.book.drop_job(job_id)
+
     def cancel(self, job_id: JobId, *, now_s: float, wall_ms: int) -> int | None:
         """Withdraw a job.
 
@@ -378,6 +384,7 @@
     def tick(self, *, now_s: float, wall_ms: int) -> None:
         """Apply what follows from the passing of time."""
         self.advice.expire(now_s)
+        self._progress.check(now_s)
         for worker_id, entry in list(self.book.workers_by_id.items()):
             self._check_worker(worker_id, entry, now_s, wall_ms)
         for job_id, job in list(self.book.jobs_by_id.items()):
--- a/pistachiolift/workflows/state.py
+++ b/pistachiolift/workflows/state.py
@@ -1,6 +1,7 @@
 """State of jobs, steps, runs and workers at the owner."""
 
 from dataclasses import dataclass, field
+from math import log
 
 from ..common import JobId, WorkerId
 from .model import (
@@ -16,7 +17,43 @@
     WorkerState,
 )
 
-__all__ = ["JobEntry", "OccurrenceEntry", "StepEntry", "TaskRun", "WorkerEntry"]
+# A sample counts at most as a factor of 12 either way.
+LOG_LIMIT = 2.5
+# About the last 40 tasks of a worker, some ten seconds under load.
+LEAST_WEIGHT = 0.025
+PRIOR_SAMPLES = 3
+BUCKETS_PER_E = 6
+
+__all__ = ["JobEntry", "OccurrenceEntry", "Pace", "StepEntry", "TaskRun", "WorkerEntry"]
+
+
+@dataclass(slots=True)
+class Pace:
+    """How long a worker takes for its tasks, against what the tasks declare.
+
+    Declared times are off by large factors either way, so that the mean is taken of
+    logarithms. An unknown worker counts as fast, which sees to it that it is tried.
+
+    :param log_ratio: mean logarithm of the time taken over the time declared.
+    :param samples: number of tasks that have ended.
+    """
+
+    log_ratio: float = 0.0
+    samples: int = 0
+
+    def add(self, taken_s: float, declared_s: float) -> None:
+        """Take a task that has ended."""
+        if taken_s <= 0 or declared_s <= 0:
+            return
+        sample = max(-LOG_LIMIT, min(LOG_LIMIT, log(taken_s / declared_s)))
+        weight = max(LEAST_WEIGHT, 1 / (PRIOR_SAMPLES + self.samples))
+        self.samples += 1
+        self.log_ratio += weight * (sample - self.log_ratio)
+
+    @property
+    def bucket(self) -> int:
+        """Speeds that differ by less than a sixth are not told apart."""
+        return round(self.log_ratio * BUCKETS_PER_E)
 
 
 @dataclass(slots=True, eq=False)
@@ -151,6 +188,7 @@
     :param listed: whether its runs have been listed under this owner's fence.
     :param reachable: whether its last listing was answered.
     :param registered: whether the directory names it.
+    :param listed_s: time at which its newest listing was requested.
     :param use_record: number of the record that must be durable before a start.
     :param lease_end_s: time after which nothing that was ever granted can run there.
     """
@@ -164,12 +202,12 @@
     used_memory_mb: int = 0
     used_accelerators: int = 0
     runs: dict[tuple[TaskKey, int], TaskRun] = field(default_factory=dict)
+    listed_s: float = 0.0
     recorded: bool = False
     use_record: int = 0
     refused_until_s: float = 0.0
     unlisted_size: bool = False
-    slowdown: float = 1.0
-    slowdown_samples: int = 0
+    pace: Pace = field(default_factory=Pace)
 
     @property
     def worker_id(self) -> WorkerId:
--- /dev/null
+++ b/pistachiolift/workflows/tests/test_sick_workers.py
@@ -0,0 +1,63 @@
+"""Workers that hang, fail everything or are slow, beside sound ones."""
+
+from pistachiolift.workflows import JobStatus
+
+from .virtual_cell import VirtualCell, make_graph, make_queue, make_step
+
+
+def submit_stream(cell, queue, *, jobs, every_s, estimate_s=0.6, tasks=2):
+    """Submit jobs at a steady rate."""
+    for index in range(jobs):
+        graph = make_graph(make_step(tasks, estimate_s=estimate_s))
+        cell.at(index * every_s, cell.submit, f"j{index}", queue, graph)
+
+
+class TestHangingWorkers:
+    def test_tasks_of_a_worker_that_stands_still_finish_elsewhere(self):
+        cell = VirtualCell(workers=6)
+        cell.workers_by_id["w0"].hangs = True
+        queue = make_queue()
+        submit_stream(cell, queue, jobs=60, every_s=0.1)
+        cell.run(16.0)
+        assert len(cell.finished_s) == 60
+        late = [job for job in cell.finished_s if cell.took_s(job) > 5.0]
+        assert not late
+
+    def test_a_sound_task_that_takes_ten_times_its_declared_time_is_left_alone(self):
+        cell = VirtualCell()
+        cell.duration_of = lambda task, step: 10 * step.estimate_s
+        job = cell.submit("a", make_queue(), make_graph(make_step(3, estimate_s=2.0)))
+        cell.run(25.0)
+        assert cell.status(job) is JobStatus.COMPLETED
+        assert len(cell.runs_by_job[job]) == 3
+
+
+class TestFailingWorkers:
+    def test_a_worker_that_fails_everything_gets_little_work(self):
+        cell = VirtualCell(workers=6)
+        cell.workers_by_id["w0"].fails = True
+        queue = make_queue(max_failures=3)
+        submit_stream(cell, queue, jobs=80, every_s=0.1)
+        cell.run(20.0)
+        assert all(cell.status(job) is JobStatus.COMPLETED for job in cell.submitted_s)
+        on_w0 = [run for runs in cell.runs_by_job.values() for run in runs]
+        assert sum(1 for _, worker, _ in on_w0 if worker == "w0") < 30
+
+
+class TestSlowWorkers:
+    def test_fast_workers_are_preferred_once_speeds_are_known(self):
+        cell = VirtualCell(workers=6, seed=3)
+        for index in range(3):
+            cell.workers_by_id[f"w{index}"].slowness = 2.5
+        noise = cell.rng
+        cell.duration_of = lambda task, step: (
+            step.estimate_s * noise.lognormvariate(0, 0.5)
+        )
+        queue = make_queue()
+        submit_stream(cell, queue, jobs=300, every_s=0.1)
+        cell.run(45.0)
+        recent = [
+            run for runs in cell.runs_by_job.values() for run in runs if run[0] > 115
+        ]
+        slow = sum(1 for _, worker, _ in recent if worker in ("w0", "w1", "w2"))
+        assert slow < 0.2 * len(recent)
