Let leases of silent workers end, and retry undecided calls at the next owner

Change: a worker that does not answer is only looked at; a claim from an owner that has certainly stopped does not wait for its authority; entry instances repeat undecided calls until the caller's time is over.

--- a/pistachiolift/node/instance.py
+++ b/pistachiolift/node/instance.py
@@ -18,7 +18,7 @@
 from .job_service import JobService
 from .members import Members
 from .metrics_text import render_metrics
-from .owner import Owner
+from .owner import AUTHORITY_S, Owner
 from .owner_link import OwnerLink
 from .ownership import OWNER_KEY, OwnerRecord, Ownership
 from .peer_link import PeerConnection, PeerServer
@@ -237,7 +237,7 @@
         if record is not None:
             self._members.enter()
 
-    def _claimed(self, fence: int) -> None:
+    def _claimed(self, fence: int, stopped: bool) -> None:
         if self._owner is not None:
             self._owner.claimed_again(fence)
             return
@@ -255,6 +255,7 @@
             heard=self._ownership.heard,
             on_superseded=self._ownership.superseded,
             on_failed_call=self._ownership.call_failed,
+            authority_s=0.0 if stopped else AUTHORITY_S,
         )
         self._owner = owner
         self._directory = DirectoryWatch(
--- a/pistachiolift/node/job_service.py
+++ b/pistachiolift/node/job_service.py
@@ -24,6 +24,9 @@
 
 logger = logging.getLogger(__name__)
 
+# An owner that is replaced leaves calls undecided; its successor decides them.
+RETRIED_OUTCOMES = (JobOutcome.NOT_OWNER, JobOutcome.UNDECIDED)
+
 # Longest wait for an answer of the owner before the call is made again.
 CALL_TIMEOUT_S = 1.5
 RETRY_INTERVAL_S = 0.05
@@ -105,7 +108,7 @@
                 break
             sent, answer = await self._call_once(message(), left_s)
             undecided = undecided or sent
-            if answer is not None and answer.outcome is not JobOutcome.NOT_OWNER:
+            if answer is not None and answer.outcome not in RETRIED_OUTCOMES:
                 if answer.outcome is JobOutcome.REFUSED and undecided:
                     # An earlier call may have been taken by another owner.
                     break
@@ -138,7 +141,7 @@
         except NoOwnerError:
             self._metrics.count("entry.call_unanswered")
             return True, None
-        return False, answer
+        return answer.outcome is JobOutcome.UNDECIDED, answer
 
     @staticmethod
     async def answer(owner: Owner, message: Message) -> JobAnswer:
--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -39,7 +39,7 @@
 from .peer_messages import JobAnswer, JobOutcome
 from .worker_driver import LeaseTerms, WorkerDriver, WorkerEvents
 
-__all__ = ["Owner"]
+__all__ = ["AUTHORITY_S", "Owner"]
 
 logger = logging.getLogger(__name__)
 
@@ -67,6 +67,7 @@
     :param contact_s: tells when the store was last heard.
     :param on_superseded: called with a reason when a later owner has been seen.
     :param on_failed_call: called when a call to the store had no answer.
+    :param authority_s: time for which an earlier owner may still renew leases.
     """
 
     def __init__(
@@ -85,6 +86,7 @@
         heard: Callable[[float], None],
         on_superseded: Callable[[str], None],
         on_failed_call: Callable[[], None],
+        authority_s: float = AUTHORITY_S,
     ):
         self._reactor = reactor
         self._store = store
@@ -96,6 +98,7 @@
         self._contact_s = contact_s
         self._heard = heard
         self._on_superseded = on_superseded
+        self._earlier_authority_s = authority_s
         self.scheduler = GraphScheduler(fence=fence, keep_final_s=keep_final_s)
         self.ledger = Ledger(
             reactor,
@@ -134,7 +137,7 @@
         records = [record for batch in log.values() for record in batch]
         self.scheduler.replay(
             records,
-            lease_end_s=self._terms.end_s(now_s + AUTHORITY_S),
+            lease_end_s=self._terms.end_s(now_s + self._earlier_authority_s),
             now_s=now_s,
             wall_ms=wall_ms,
         )
--- a/pistachiolift/node/ownership.py
+++ b/pistachiolift/node/ownership.py
@@ -66,7 +66,8 @@
     :param may_claim: whether this instance is able to own.
     :param on_owner: called with the owner that the store names, or ``None``.
     :param on_claimed: called with the fence when this instance has become the owner,
-        or has claimed again without another owner in between.
+        or has claimed again without another owner in between, and with whether the
+        owner before is known to give no more orders.
     :param on_lost: called when another instance has become the owner.
     :param cores: processors of this instance; larger ones claim first.
     """
@@ -81,7 +82,7 @@
         metrics: Metrics,
         may_claim: Callable[[], bool],
         on_owner: Callable[[OwnerRecord | None], None],
-        on_claimed: Callable[[int], None],
+        on_claimed: Callable[[int, bool], None],
         on_lost: Callable[[str], None],
         cores: float = 1.0,
     ):
@@ -248,7 +249,9 @@
         entry = await self.store.get(OWNER_KEY)
         if entry is not None and entry.version != fence:
             return False
-        return await self._claim_over(fence, owner_version=fence if entry else 0)
+        return await self._claim_over(
+            fence, owner_version=fence if entry else 0, stopped=True
+        )
 
     def _claim_delay_s(self) -> float:
         """Return how long to leave the claim to instances with more processors."""
@@ -270,10 +273,13 @@
         finally:
             self._claiming = False
 
-    async def _claim_over(self, claim_version: int, *, owner_version: int = 0) -> bool:
+    async def _claim_over(
+        self, claim_version: int, *, owner_version: int = 0, stopped: bool = False
+    ) -> bool:
         """Claim the ownership after the claim that has a version.
 
         :param owner_version: version of the owner's key, 0 if it is gone.
+        :param stopped: whether the owner before is known to give no more orders.
 
         :returns: whether this instance is the owner.
         """
@@ -301,7 +307,7 @@
         self._take_own()
         self._metrics.gauge("ownership.owner", 1)
         log_event(logger, "ownership_claimed", fence=fence, over=claim_version)
-        self._on_claimed(fence)
+        self._on_claimed(fence, stopped)
         if not self._renewing.running:
             self._renewing.start(RENEW_INTERVAL_S, now=False)
         return True
--- a/pistachiolift/node/worker_driver.py
+++ b/pistachiolift/node/worker_driver.py
@@ -177,7 +177,11 @@
 
     async def _list_once(self, wait_s: float) -> "tuple[RunListing, float] | None":
         sent_s = self._clock.monotonic_s()
-        until_ms = self._lease_until_ms(sent_s)
+        until_ms = None
+        if self._reachable:
+            # A worker that does not answer is only looked at: a renewal that may
+            # have arrived would put off the end of its lease again and again.
+            until_ms = self._lease_until_ms(sent_s)
         if until_ms is not None:
             self._events.lease_granted(self.worker, self._terms.end_s(sent_s))
         self._metrics.count("workers.listings")
