--- a/pistachiolift/workflows/advice.py
+++ b/pistachiolift/workflows/advice.py
@@ -66,12 +66,12 @@
         cost_s = policy.decide_s + policy.each_s * len(step.approved)
         if now_s < step.tickets_end_s - cost_s - RENEWAL_MARGIN_S:
             return False
-        size, fills = step.step.size, step.step.fills
+        size = step.step.reserved
         if step.step.gang:
             return True
         # Without room, a renewed ticket would expire unused.
         return any(
-            entry.room_for(size, fills=fills)
+            entry.room_for(size)
             for entry in workers
             if entry.worker_id in step.approved
             or entry.worker_id not in step.asked_workers
--- a/pistachiolift/workflows/dispatch.py
+++ b/pistachiolift/workflows/dispatch.py
@@ -120,7 +120,7 @@
             task=step.key.task(index),
             number=number,
             worker_id=worker.worker_id,
-            size=step.step.size,
+            size=step.step.reserved,
             status=TaskRunStatus.STARTING,
             placed_s=now_s,
         )
--- a/pistachiolift/workflows/listing.py
+++ b/pistachiolift/workflows/listing.py
@@ -114,7 +114,7 @@
             task=listed.task,
             number=listed.number,
             worker_id=worker.worker_id,
-            size=Size() if step is None else step.step.size,
+            size=Size() if step is None else step.step.reserved,
             status=TaskRunStatus.RUNNING,
             placed_s=now_s,
             sent=True,
--- a/pistachiolift/workflows/model.py
+++ b/pistachiolift/workflows/model.py
@@ -154,6 +154,13 @@
     fills: bool = False
     may_miss: int = 0
 
+    @property
+    def reserved(self) -> Size:
+        """What a task takes out of a worker's capacity."""
+        if not self.fills:
+            return self.size
+        return Size(memory_mb=self.size.memory_mb, accelerators=self.size.accelerators)
+
 
 class JobGraph(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """What a caller submits: steps with dependencies, run once or at set times.
--- a/pistachiolift/workflows/placement.py
+++ b/pistachiolift/workflows/placement.py
@@ -50,7 +50,7 @@
 
 def room_for_step(step: StepEntry, entry: WorkerEntry) -> int:
     """Return how many more tasks of the step the worker can take."""
-    room = entry.room_for(step.step.size, fills=step.step.fills)
+    room = entry.room_for(step.step.reserved)
     if room and step.step.max_per_worker:
         room = min(room, step.step.max_per_worker - _tasks_there(step, entry))
     return max(0, room)
@@ -65,6 +65,8 @@
     filled, so that whole workers stay free for gangs.
     """
     step_spec = step.step
+    if step_spec.fills:
+        return _choose_for_fill(step, workers)
     failed_on = step.failed_on_by_index.get(index, ())
     best = None
     best_key = None
@@ -83,6 +85,23 @@
     return best
 
 
+def _choose_for_fill(step: StepEntry, workers: list[WorkerEntry]) -> WorkerEntry | None:
+    """Return the worker with the most processors that nobody uses."""
+    fitting = [entry for entry in workers if room_for_step(step, entry)]
+    return max(
+        fitting,
+        key=lambda entry: (
+            entry.free_cpu_milli / (1 + _fills_there(entry)),
+            -_fills_there(entry),
+        ),
+        default=None,
+    )
+
+
+def _fills_there(entry: WorkerEntry) -> int:
+    return sum(1 for run in entry.runs.values() if not run.size.cpu_milli)
+
+
 def plan_gang(
     step: StepEntry, workers: list[WorkerEntry], blocked: frozenset[WorkerId]
 ) -> GangPlan:
--- a/pistachiolift/workflows/replay.py
+++ b/pistachiolift/workflows/replay.py
@@ -165,7 +165,7 @@
             task=task,
             number=placed.run,
             worker_id=placed.worker_id,
-            size=step.step.size,
+            size=step.step.reserved,
             status=TaskRunStatus.STARTING,
             placed_s=self._now_s,
             sent=True,
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -33,6 +33,7 @@
     WorkerReleased,
 )
 from .replay import Replay, compact_records
+from .sharing import SharingController
 from .state import WorkerEntry
 
 __all__ = ["GraphScheduler", "StartAnswer", "validate_graph"]
@@ -109,6 +110,7 @@
         self._dispatcher = Dispatcher(self.book, self._lifecycle, self.advice)
         self._listings = ListingReader(self.book, self._lifecycle)
         self._progress = ProgressMonitor(self.book, self._lifecycle)
+        self._sharing = SharingController(self.book)
 
     # Replay of the ledger.
 
@@ -385,6 +387,7 @@
         """Apply what follows from the passing of time."""
         self.advice.expire(now_s)
         self._progress.check(now_s)
+        self._sharing.check(now_s)
         for worker_id, entry in list(self.book.workers_by_id.items()):
             self._check_worker(worker_id, entry, now_s, wall_ms)
         for job_id, job in list(self.book.jobs_by_id.items()):
--- a/pistachiolift/workflows/state.py
+++ b/pistachiolift/workflows/state.py
@@ -65,6 +65,9 @@
     :param answered_s: time at which the worker last answered an order about it; a
         listing requested later must name the run if it still exists.
     :param sent: whether a start may have left this process.
+    :param usage: what the worker reported last: for a serving task its tail latency
+        in milliseconds, for any other thousandths of a core.
+    :param pace_percent: share that it may use, as ordered last.
     :param percent: progress that the worker reported last.
     :param progressed_s: time at which ``percent`` last rose.
     """
@@ -82,6 +85,7 @@
     progressed_s: float = 0.0
     usage: int = 0
     pace_percent: int = 100
+    paced_s: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -189,6 +193,7 @@
     :param reachable: whether its last listing was answered.
     :param registered: whether the directory names it.
     :param listed_s: time at which its newest listing was requested.
+    :param fill_percent: share that its filling tasks may use; ``None`` without any.
     :param use_record: number of the record that must be durable before a start.
     :param lease_end_s: time after which nothing that was ever granted can run there.
     """
@@ -208,6 +213,7 @@
     refused_until_s: float = 0.0
     unlisted_size: bool = False
     pace: Pace = field(default_factory=Pace)
+    fill_percent: int | None = None
 
     @property
     def worker_id(self) -> WorkerId:
@@ -230,11 +236,11 @@
             and now_s >= self.refused_until_s
         )
 
-    def room_for(self, size: Size, *, fills: bool = False) -> int:
+    def room_for(self, size: Size) -> int:
         """Return how many tasks of a size fit into what is free."""
         capacity = self.worker.capacity
         counts = []
-        if size.cpu_milli and not fills:
+        if size.cpu_milli:
             counts.append((capacity.cpu_milli - self.used_cpu_milli) // size.cpu_milli)
         if size.memory_mb:
             counts.append((capacity.memory_mb - self.used_memory_mb) // size.memory_mb)
