Test the ledger and the ownership in virtual time

Change: a store in memory; tests of commits, withdrawal, compaction, claims, replacement and release.

--- /dev/null
+++ b/pistachiolift/node/tests/test_ledger.py
@@ -0,0 +1,152 @@
+"""The owner's log under lost answers, outages and other owners."""
+
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import Clock as ReactorClock
+
+from pistachiolift.common import JobId, ManualClock, Metrics
+from pistachiolift.node.interfaces import Put
+from pistachiolift.node.ledger import (
+    CLAIM_KEY,
+    COMPACT_ABOVE_VALUES,
+    LOG_PREFIX,
+    Ledger,
+    read_ledger,
+)
+from pistachiolift.workflows import JobForgotten
+
+from .fake_store import FakeStore
+
+
+def record(index):
+    return JobForgotten(JobId(f"j{index}"))
+
+
+class Bench:
+    """A ledger over a store in memory, under a claim."""
+
+    def __init__(self):
+        self.reactor = ReactorClock()
+        self.clock = ManualClock()
+        self.store = FakeStore()
+        claim = ensureDeferred(
+            self.store.transact(expected={}, puts={CLAIM_KEY: Put(b"me")})
+        )
+        self.durable = 0
+        self.superseded = 0
+        self.failed = 0
+        self.ledger = Ledger(
+            self.reactor,
+            self.store,
+            clock=self.clock,
+            metrics=Metrics(),
+            fence=claim.result,
+            on_durable=self._durable,
+            on_superseded=self._superseded,
+            on_failed_call=self._failed,
+        )
+
+    def _durable(self, count):
+        self.durable += count
+
+    def _superseded(self):
+        self.superseded += 1
+
+    def _failed(self):
+        self.failed += 1
+
+    def advance(self, interval_s, step_s=0.01):
+        for _ in range(round(interval_s / step_s)):
+            self.clock.advance(step_s)
+            self.reactor.advance(step_s)
+
+    def records(self):
+        result = ensureDeferred(read_ledger(self.store)).result
+        return [r.job_id for key in sorted(result) for r in result[key]]
+
+
+class TestCommits:
+    def test_records_that_arrive_together_are_written_together(self):
+        bench = Bench()
+        bench.ledger.append([record(0)])
+        for index in range(1, 50):
+            bench.ledger.append([record(index)])
+        bench.advance(0.1)
+        assert bench.durable == 50
+        assert bench.store.writes == 3
+        assert bench.records() == [f"j{i}" for i in range(50)]
+
+    def test_a_write_whose_answer_was_lost_counts_once(self):
+        bench = Bench()
+        bench.store.lost_answers = 1
+        bench.ledger.append([record(0)])
+        assert bench.durable == 0
+        bench.advance(0.3)
+        assert bench.durable == 1
+        assert bench.records() == ["j0"]
+        assert bench.superseded == 0
+
+    def test_writes_wait_for_the_end_of_an_outage(self):
+        bench = Bench()
+        bench.store.down = True
+        bench.ledger.append([record(0)])
+        bench.advance(2.0)
+        assert bench.ledger.stalled_s >= 1.9
+        assert bench.failed > 5
+        bench.store.down = False
+        bench.advance(0.3)
+        assert bench.durable == 1
+        assert bench.ledger.stalled_s == 0.0
+
+    def test_only_records_that_were_never_sent_can_be_withdrawn(self):
+        bench = Bench()
+        bench.store.down = True
+        bench.ledger.append([record(0)])
+        bench.ledger.append([record(1)])
+        seen = []
+
+        def replace(old):
+            seen.append(old.job_id)
+            return record(9)
+
+        bench.ledger.replace_unsent(replace)
+        assert seen == ["j1"]
+        bench.store.down = False
+        bench.advance(0.5)
+        assert bench.records() == ["j0", "j9"]
+
+    def test_waiters_learn_whether_their_record_is_durable(self):
+        bench = Bench()
+        results = []
+        bench.ledger.append([record(0)])
+        bench.ledger.when_durable(1).addCallback(results.append)
+        bench.store.down = True
+        bench.ledger.append([record(1)])
+        bench.ledger.when_durable(2).addCallback(results.append)
+        bench.advance(0.2)
+        bench.ledger.close()
+        assert results == [True, False]
+
+
+class TestOtherOwners:
+    def test_a_later_claim_ends_the_writing(self):
+        bench = Bench()
+        ensureDeferred(
+            bench.store.transact(expected={}, puts={CLAIM_KEY: Put(b"other")})
+        )
+        bench.ledger.append([record(0)])
+        bench.advance(0.5)
+        assert bench.superseded == 1
+        assert bench.durable == 0
+        assert bench.records() == []
+
+
+class TestCompaction:
+    def test_old_values_are_condensed(self):
+        bench = Bench()
+        bench.ledger.adopt({}, lambda records: records[-1:])
+        for index in range(COMPACT_ABOVE_VALUES + 60):
+            bench.ledger.append([record(index)])
+            bench.advance(0.02)
+        keys = [key for key in bench.store.entries if key.startswith(LOG_PREFIX)]
+        assert len(keys) <= COMPACT_ABOVE_VALUES + 1
+        assert bench.durable == COMPACT_ABOVE_VALUES + 60
--- /dev/null
+++ b/pistachiolift/node/tests/test_ownership.py
@@ -0,0 +1,154 @@
+"""Claims of several instances under lapses, deaths and handovers."""
+
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import Clock as ReactorClock
+
+from pistachiolift.common import ManualClock, Metrics
+from pistachiolift.node.ownership import OWNER_KEY, OwnerRecord, Ownership
+
+from .fake_store import FakeStore
+
+
+class Cell:
+    """Instances that share one store and one clock."""
+
+    def __init__(self, instances=3):
+        self.reactor = ReactorClock()
+        self.clock = ManualClock()
+        self.store = FakeStore()
+        self.events = []
+        self.ownerships = [self._make(index) for index in range(instances)]
+        for ownership in self.ownerships:
+            ownership.start()
+
+    def _make(self, index):
+        me = OwnerRecord(
+            instance_id=f"n{index}",
+            incarnation=f"i{index}",
+            address=f"127.0.0.1:{index}",
+        )
+
+        def claimed(fence, stopped):
+            self.events.append(("claimed", index, fence, stopped))
+
+        def lost(reason):
+            self.events.append(("lost", index, reason))
+
+        return Ownership(
+            self.reactor,
+            self.store,
+            me=me,
+            clock=self.clock,
+            metrics=Metrics(),
+            may_claim=lambda: True,
+            on_owner=lambda record: None,
+            on_claimed=claimed,
+            on_lost=lost,
+        )
+
+    def advance(self, interval_s):
+        for _ in range(round(interval_s / 0.05)):
+            self.clock.advance(0.05)
+            self.reactor.advance(0.05)
+
+    def owners(self):
+        return [i for i, o in enumerate(self.ownerships) if o.fence is not None]
+
+    def owner(self):
+        (index,) = self.owners()
+        return index
+
+
+class TestClaims:
+    def test_one_instance_becomes_the_owner(self):
+        cell = Cell()
+        cell.advance(1.0)
+        assert len(cell.owners()) == 1
+        names = {o.owner.instance_id for o in cell.ownerships}
+        assert names == {f"n{cell.owner()}"}
+
+    def test_a_claim_whose_answer_was_lost_is_found(self):
+        cell = Cell(instances=1)
+        cell.store.lost_answers = 1
+        cell.advance(1.0)
+        assert cell.owners() == [0]
+        assert cell.ownerships[0].fence == cell.store.entries[OWNER_KEY].version
+
+    def test_a_lapsed_lease_is_claimed_again_under_a_higher_fence(self):
+        cell = Cell(instances=1)
+        cell.advance(1.0)
+        first = cell.ownerships[0].fence
+        cell.store.lapse(cell.store.entries[OWNER_KEY].lease_id)
+        cell.advance(1.0)
+        assert cell.ownerships[0].fence > first
+        assert not [event for event in cell.events if event[0] == "lost"]
+
+    def test_an_owner_cut_off_from_the_store_is_replaced_and_steps_down(self):
+        cell = Cell(instances=2)
+        cell.advance(1.0)
+        old = cell.owner()
+        cut = FakeStore()
+        cut.down = True
+        cell.ownerships[old].store = cut
+        cell.store.lapse(cell.store.entries[OWNER_KEY].lease_id)
+        cell.advance(1.0)
+        new = 1 - old
+        assert cell.ownerships[new].fence > cell.ownerships[old].fence
+        cell.ownerships[old].announced(
+            cell.ownerships[new].owner, cell.ownerships[new].fence
+        )
+        assert cell.owners() == [new]
+        assert cell.ownerships[old].failed_calls > 0
+
+
+class TestDeathAndHandover:
+    def test_a_dead_owner_is_replaced_before_its_lease_ends(self):
+        cell = Cell(instances=3)
+        cell.advance(1.0)
+        old = cell.owner()
+        record = cell.ownerships[old].owner
+        cell.ownerships[old].fence = None
+        cell.ownerships[old]._stopped = True
+        others = [o for i, o in enumerate(cell.ownerships) if i != old]
+        for other in others:
+            other.owner_died(record)
+        cell.advance(0.5)
+        claims = [event for event in cell.events if event[0] == "claimed"]
+        assert len(claims) == 2
+        assert claims[-1][3] is True
+
+    def test_news_of_an_earlier_owner_s_death_changes_nothing(self):
+        cell = Cell(instances=2)
+        cell.advance(1.0)
+        stale = OwnerRecord(instance_id="x", incarnation="y", address="127.0.0.1:9")
+        cell.ownerships[1 - cell.owner()].owner_died(stale)
+        cell.advance(0.5)
+        assert len([e for e in cell.events if e[0] == "claimed"]) == 1
+
+    def test_an_owner_hands_over_to_a_named_instance(self):
+        cell = Cell(instances=3)
+        cell.advance(1.0)
+        old = cell.owner()
+        fence = cell.ownerships[old].fence
+        chosen = (old + 1) % 3
+        cell.ownerships[old].superseded("store_out_of_reach")
+        result = ensureDeferred(cell.ownerships[chosen].take_over(fence))
+        assert result.result is True
+        cell.advance(1.0)
+        assert cell.owners() == [chosen]
+
+    def test_a_handover_from_an_earlier_claim_is_refused(self):
+        cell = Cell(instances=2)
+        cell.advance(1.0)
+        other = 1 - cell.owner()
+        result = ensureDeferred(cell.ownerships[other].take_over(3))
+        assert result.result is False
+        assert len(cell.owners()) == 1
+
+    def test_a_planned_release_frees_the_key_at_once(self):
+        cell = Cell(instances=2)
+        cell.advance(1.0)
+        old = cell.owner()
+        ensureDeferred(cell.ownerships[old].release())
+        cell.advance(1.0)
+        assert cell.owners() == [1 - old]
