Block starts that a worker's next process may have taken

Cause: a worker that starts again under its identifier answers starts that were meant for the process before; the scheduler took all its runs for ended, so that such a start could overlap with the next run of its task. A worker taken for dead by two refused connections never came back if its directory entry stayed the same. Change: starts newer than the last listing of the old process are stopped at the new one before their tasks go on; workers that still stand in the directory after 6 s are entered again; shorter waits of the watches; claims are less spread.

--- a/pistachiolift/node/instance.py
+++ b/pistachiolift/node/instance.py
@@ -255,6 +255,7 @@
             heard=self._ownership.heard,
             on_superseded=self._ownership.superseded,
             on_failed_call=self._ownership.call_failed,
+            directory=lambda: self._directory.workers_by_id if self._directory else {},
             authority_s=0.0 if stopped else AUTHORITY_S,
         )
         self._owner = owner
--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -52,6 +52,9 @@
 # owner that is cut off alone is fenced at the workers by its successor.
 AUTHORITY_S = 10.0
 
+# Entries of workers that have died leave the directory within this time.
+DEAD_IN_DIRECTORY_S = 6.0
+
 # A write in flight for longer than this means that nothing can be accepted now.
 STALLED_LIMIT_S = 0.6
 
@@ -67,6 +70,7 @@
     :param contact_s: tells when the store was last heard.
     :param on_superseded: called with a reason when a later owner has been seen.
     :param on_failed_call: called when a call to the store had no answer.
+    :param directory: returns the workers that the directory names.
     :param authority_s: time for which an earlier owner may still renew leases.
     """
 
@@ -86,6 +90,7 @@
         heard: Callable[[float], None],
         on_superseded: Callable[[str], None],
         on_failed_call: Callable[[], None],
+        directory: Callable[[], dict[WorkerId, Worker]],
         authority_s: float = AUTHORITY_S,
     ):
         self._reactor = reactor
@@ -99,6 +104,7 @@
         self._heard = heard
         self._on_superseded = on_superseded
         self._earlier_authority_s = authority_s
+        self._directory = directory
         self.scheduler = GraphScheduler(fence=fence, keep_final_s=keep_final_s)
         self.ledger = Ledger(
             reactor,
@@ -117,6 +123,7 @@
         self._ticking.clock = reactor
         self.ready = False
         self._closed = False
+        self._dead_s_by_id: dict[WorkerId, float] = {}
         # Jobs whose submission is not durable yet.
         self._submits_by_id: dict[JobId, Deferred] = {}
         # Starts whose placement is not durable yet, in order.
@@ -305,6 +312,7 @@
             self._refuse_unsent()
         self.scheduler.tick(now_s=now_s, wall_ms=wall_ms)
         self._drop_drivers()
+        self._see_again()
         self._decide()
         book = self.scheduler.book
         self._metrics.gauge("jobs.known", len(book.jobs_by_id))
@@ -349,6 +357,19 @@
         self._drive(worker)
         self._changed()
 
+    def _see_again(self) -> None:
+        """Enter workers that were taken for dead and still stand in the directory."""
+        now_s = self._clock.monotonic_s()
+        workers = self._directory()
+        for worker_id, dead_s in list(self._dead_s_by_id.items()):
+            if now_s - dead_s < DEAD_IN_DIRECTORY_S:
+                continue
+            del self._dead_s_by_id[worker_id]
+            worker = workers.get(worker_id)
+            if worker is not None and worker_id not in self._drivers_by_id:
+                log_event(logger, "worker_seen_again", worker=worker_id)
+                self.worker_seen(worker)
+
     def worker_unregistered(self, worker_id: WorkerId) -> None:
         """Note that the directory no longer names a worker."""
         self.scheduler.worker_unregistered(worker_id)
@@ -460,7 +481,13 @@
         now_s, wall_ms = self._now()
         entry = self.scheduler.book.workers_by_id.get(worker.worker_id)
         if entry is not None and entry.worker.incarnation == worker.incarnation:
-            self.scheduler.worker_dead(worker.worker_id, now_s=now_s, wall_ms=wall_ms)
+            self.scheduler.worker_dead(
+                worker.worker_id,
+                now_s=now_s,
+                wall_ms=wall_ms,
+                replaced=reason == "replaced",
+            )
+            self._dead_s_by_id[worker.worker_id] = now_s
         self._changed()
 
     def lease_granted(self, worker: Worker, lease_end_s: float) -> None:
--- a/pistachiolift/node/ownership.py
+++ b/pistachiolift/node/ownership.py
@@ -40,10 +40,10 @@
 WATCH_WAIT_S = 2.0
 RETRY_INTERVAL_S = 0.15
 # Claims of several instances are spread over this time.
-CLAIM_JITTER_S = 0.06
+CLAIM_JITTER_S = 0.04
 # Instances with fewer processors than this wait up to so much longer.
 LARGE_INSTANCE_CORES = 2.0
-CLAIM_DELAY_S = 0.25
+CLAIM_DELAY_S = 0.12
 RECORD_LIMIT_BYTES = 4_096
 
 
--- a/pistachiolift/node/watching.py
+++ b/pistachiolift/node/watching.py
@@ -27,8 +27,8 @@
 
 # Longest silence before a watch is opened anew: a configuration has to be in force
 # within two seconds, also if the connection has gone silent.
-CONFIGURATION_WAIT_S = 1.0
-DIRECTORY_WAIT_S = 1.0
+CONFIGURATION_WAIT_S = 0.8
+DIRECTORY_WAIT_S = 0.8
 # Changes of the directory are fetched together: each worker's entry changes often.
 DIRECTORY_PAUSE_S = 0.25
 
--- a/pistachiolift/workflows/lifecycle.py
+++ b/pistachiolift/workflows/lifecycle.py
@@ -288,3 +288,32 @@
                 self.apply_end(
                     step, task.index, number, EndKind.LEASE_EXPIRED, "", now_s
                 )
+
+    def take_astray(self, worker: WorkerEntry) -> list[TaskRun]:
+        """Take out the runs whose start the worker's next process may have taken.
+
+        These are the ones that the last listing of the old process cannot tell of.
+        """
+        astray = [
+            run
+            for run in worker.runs.values()
+            if run.sent and (run.answered_s is None or run.answered_s > worker.listed_s)
+        ]
+        for run in astray:
+            worker.release(run)
+        return astray
+
+    def block_astray(self, run: TaskRun, worker: WorkerEntry) -> None:
+        """Stop a run at a process that may have taken its start."""
+        run.status = TaskRunStatus.RUNNING
+        run.answered_s = None
+        worker.reserve(run)
+        self.stop(run, "worker_replaced")
+
+    def astray_ended(self, run: TaskRun, now_s: float) -> None:
+        """End a run whose worker has not come back."""
+        step = self._book.step(run.task.step_key)
+        if step is not None:
+            self.apply_end(
+                step, run.task.index, run.number, EndKind.LEASE_EXPIRED, "", now_s
+            )
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -34,7 +34,7 @@
 )
 from .replay import Replay, compact_records
 from .sharing import SharingController
-from .state import WorkerEntry
+from .state import TaskRun, WorkerEntry
 
 __all__ = ["GraphScheduler", "StartAnswer", "validate_graph"]
 
@@ -43,6 +43,10 @@
 # Time that a refused start keeps a worker from getting more.
 REFUSED_PAUSE_S = 0.5
 
+# A process that has taken the place of another is in the directory by then, or its
+# runs have lost their lease.
+ASTRAY_S = 12.0
+
 # Largest numbers accepted in a job.
 MAX_TASKS = 10_000
 MAX_STEPS = 256
@@ -111,6 +115,9 @@
         self._listings = ListingReader(self.book, self._lifecycle)
         self._progress = ProgressMonitor(self.book, self._lifecycle)
         self._sharing = SharingController(self.book)
+        # Starts that a worker's next process may have taken, until it is listed,
+        # with the time at which they are given up.
+        self._astray: dict[WorkerId, tuple[float, list[TaskRun]]] = {}
 
     # Replay of the ledger.
 
@@ -223,11 +230,15 @@
         """Take a directory entry; a new incarnation ends all runs of the old one."""
         entry = self.book.workers_by_id.get(worker.worker_id)
         if entry is not None and entry.worker.incarnation != worker.incarnation:
-            self.worker_dead(worker.worker_id, now_s=now_s, wall_ms=wall_ms)
+            self.worker_dead(
+                worker.worker_id, now_s=now_s, wall_ms=wall_ms, replaced=True
+            )
             entry = None
         if entry is None:
-            self.book.workers_by_id[worker.worker_id] = WorkerEntry(worker)
+            entry = self.book.workers_by_id[worker.worker_id] = WorkerEntry(worker)
             self.advice.worker_replaced(worker.worker_id)
+            for run in self._astray.pop(worker.worker_id, (0.0, []))[1]:
+                self._lifecycle.block_astray(run, entry)
             return
         entry.worker = worker
         entry.registered = True
@@ -238,11 +249,26 @@
         if entry is not None:
             entry.registered = False
 
-    def worker_dead(self, worker_id: WorkerId, *, now_s: float, wall_ms: int) -> None:
-        """Forget a worker whose process has certainly ended."""
+    def worker_dead(
+        self,
+        worker_id: WorkerId,
+        *,
+        now_s: float,
+        wall_ms: int,
+        replaced: bool = False,
+    ) -> None:
+        """Forget a worker whose process has certainly ended.
+
+        :param replaced: whether another process answers in its place, which may have
+            taken the newest starts.
+        """
         entry = self.book.workers_by_id.pop(worker_id, None)
         if entry is None:
             return
+        if replaced:
+            astray = self._lifecycle.take_astray(entry)
+            if astray:
+                self._astray[worker_id] = (now_s + ASTRAY_S, astray)
         self._lifecycle.worker_lost(entry, now_s=now_s, wall_ms=wall_ms)
         self.book.health.forget_worker(worker_id)
         if entry.recorded:
@@ -388,6 +414,11 @@
         self.advice.expire(now_s)
         self._progress.check(now_s)
         self._sharing.check(now_s)
+        for worker_id, (end_s, runs) in list(self._astray.items()):
+            if now_s > end_s:
+                del self._astray[worker_id]
+                for run in runs:
+                    self._lifecycle.astray_ended(run, now_s)
         for worker_id, entry in list(self.book.workers_by_id.items()):
             self._check_worker(worker_id, entry, now_s, wall_ms)
         for job_id, job in list(self.book.jobs_by_id.items()):
--- a/pistachiolift/workflows/tests/test_scheduler.py
+++ b/pistachiolift/workflows/tests/test_scheduler.py
@@ -1,5 +1,6 @@
 """Jobs of steps from submission to their end."""
 
+import msgspec
 import pytest
 
 from pistachiolift.common import InvalidInputError, JobId
@@ -322,3 +323,36 @@
         assert (task, number) in entry.runs
         cell.run(3.0)
         assert cell.status(job) is JobStatus.COMPLETED
+
+
+class TestReplacedWorkers:
+    def test_a_start_that_the_next_process_may_have_taken_is_blocked_there(self):
+        cell = VirtualCell(workers=2)
+        graph = make_graph(make_step(1, estimate_s=5.0))
+        job = cell.submit("a", make_queue(), graph)
+        cell.run(0.0145)
+        ((task, number),) = [
+            run for fake in cell.workers_by_id.values() for run in fake.running
+        ]
+        worker_id = cell.runs_by_job[job][0][1]
+        # The directory names another process, which has taken the newest start.
+        fake = cell.workers_by_id[worker_id]
+        reborn = msgspec.structs.replace(fake.worker, incarnation=2)
+        fake.worker = reborn
+        cell.scheduler.worker_seen(reborn, now_s=cell.now_s, wall_ms=cell.wall_ms)
+        cell.run(0.05)
+        assert len(cell.runs_by_job[job]) == 1
+        cell.run(7.0)
+        assert cell.status(job) is JobStatus.COMPLETED
+
+    def test_runs_that_the_old_process_had_listed_start_elsewhere_at_once(self):
+        cell = VirtualCell(workers=2)
+        job = cell.submit("a", make_queue(), make_graph(make_step(1, estimate_s=5.0)))
+        cell.run(1.0)
+        worker_id = cell.runs_by_job[job][0][1]
+        fake = cell.workers_by_id[worker_id]
+        fake.running.clear()
+        fake.worker = msgspec.structs.replace(fake.worker, incarnation=2)
+        cell.scheduler.worker_seen(fake.worker, now_s=cell.now_s, wall_ms=cell.wall_ms)
+        cell.run(0.3)
+        assert len(cell.runs_by_job[job]) == 2
