Place jobs before their acceptance is durable

Change: the log is ordered and a start waits for the record of its placement, so that jobs are placed at once; a refused job takes its unsent runs with it.

--- a/pistachiolift/workflows/dispatch.py
+++ b/pistachiolift/workflows/dispatch.py
@@ -50,9 +50,7 @@
             if workers is None:
                 workers = list(self._book.usable_workers(pool_id, now_s))
                 workers_by_pool[pool_id] = workers
-            if step.job.accepted_record > self._book.committed:
-                pass
-            elif step.step.gang:
+            if step.step.gang:
                 blocked |= self._place_gang(step, workers, blocked, now_s)
             else:
                 self._place_tasks(step, workers, blocked, now_s)
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -190,7 +190,16 @@
         return job.accepted_record
 
     def withdraw(self, job_id: JobId) -> None:
-        """Forget a job that has been refused before its record was written."""
+        """Forget a job that has been refused before its record was written.
+
+        Its starts wait for later records, so that none has been sent.
+        """
+        job = self.book.jobs_by_id.get(job_id)
+        if job is None:
+            return
+        for step in job.steps():
+            for run in list(step.runs_by_index.values()):
+                self._lifecycle.stop(run, "job_refused")
         self.book.drop_job(job_id)
 
     def cancel(self, job_id: JobId, *, now_s: float, wall_ms: int) -> int | None:
--- a/pistachiolift/workflows/tests/test_scheduler.py
+++ b/pistachiolift/workflows/tests/test_scheduler.py
@@ -245,6 +245,27 @@
         cell.run(2.0)
         assert not cell.runs_by_job[job]
 
+    def test_a_job_that_is_refused_before_it_is_durable_leaves_nothing_behind(self):
+        cell = VirtualCell()
+        cell.run(0.2)
+        cell.store_up = False
+        job = cell.submit("a", make_queue(), make_graph(make_step(3)))
+        cell.run(0.5)
+        assert any(e.runs for e in cell.scheduler.book.workers_by_id.values())
+        cell.scheduler.withdraw(job)
+        assert not any(e.runs for e in cell.scheduler.book.workers_by_id.values())
+        cell.store_up = True
+        cell.run(2.0)
+        assert not cell.runs_by_job[job]
+        assert cell.status(job) is None
+
+    def test_acceptance_and_placement_share_one_write(self):
+        cell = VirtualCell()
+        cell.run(0.2)
+        job = cell.submit("a", make_queue(), make_graph())
+        cell.run(0.0095)
+        assert cell.first_start_s[job] - cell.submitted_s[job] < 0.009
+
     def test_an_earlier_owner_s_start_that_never_arrived_is_made_up_for(self):
         cell = VirtualCell()
         job = cell.submit("a", make_queue(), make_graph())
