--- /dev/null
+++ b/pistachiolift/backends/tests/test_http.py
@@ -0,0 +1,30 @@
+"""What the HTTP client reports when a server gives no answer."""
+
+import pytest
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.testing import MemoryReactorClock
+
+from pistachiolift.backends.http import JsonHttpClient
+from pistachiolift.common import StoreUnavailableError
+
+
+class TestTimeLimits:
+    @pytest.mark.parametrize("timeout_s", [0.3, 0.9])
+    def test_a_connection_that_does_not_open_in_time_counts_as_no_answer(
+        self, timeout_s
+    ):
+        """Covers a call's limit before and after that of the connection."""
+        reactor = MemoryReactorClock()
+        client = JsonHttpClient(
+            reactor,
+            "http://192.0.2.1:80",
+            timeout_s=timeout_s,
+            unavailable=StoreUnavailableError,
+        )
+        result = ensureDeferred(client.call("GET", "/"))
+        failures = []
+        result.addErrback(failures.append)
+        for _ in range(10):
+            reactor.advance(0.1)
+        assert len(failures) == 1
+        assert failures[0].check(StoreUnavailableError)
