Repeat ledger writes that were sent under an earlier claim of the same owner

Ends were acknowledged that the ledger did not hold, and the next owner ran the tasks again. Change: the write counts as done only if its own key exists; otherwise it is sent again under the new claim. The soak runs instances, stand-ins and a proxy as processes under kills, pauses, stops, outages and bad links, and checks the promises from what clients and workers saw. Result: the ledger's test fails before and passes after.

--- a/pistachiolift/node/ledger.py
+++ b/pistachiolift/node/ledger.py
@@ -190,8 +190,12 @@
                 if error.versions_by_key.get(CLAIM_KEY) != self.fence:
                     self._supersede()
                     return False
-                # Only this owner writes the key: an earlier try has arrived.
-                return self._heard(sent_s)
+                if error.versions_by_key.get(key):
+                    # Only this owner writes the key: an earlier try has arrived.
+                    return self._heard(sent_s)
+                # This owner has claimed again since the write was sent.
+                self._metrics.count("ledger.claim_renewed")
+                continue
             except StoreUnavailableError as error:
                 self._lost(error)
                 await deferLater(self._reactor, RETRY_INTERVAL_S)
--- a/pistachiolift/node/tests/fake_store.py
+++ b/pistachiolift/node/tests/fake_store.py
@@ -22,7 +22,7 @@
         self.down = False
         self.lost_answers = 0
         self.writes = 0
-        self.unanswered: Deferred | None = None
+        self.before_transact = lambda: None
         self._events: list[WatchEvent] = []
         self._waiting: list[tuple[str, int, Deferred]] = []
         self._next_lease = 1
@@ -74,6 +74,7 @@
 
     async def transact(self, *, expected, puts, removes=()):
         self._check()
+        self.before_transact()
         versions = {
             key: self.entries[key].version if key in self.entries else 0
             for key in expected
--- a/pistachiolift/node/tests/test_ledger.py
+++ b/pistachiolift/node/tests/test_ledger.py
@@ -126,6 +126,23 @@
         bench.ledger.close()
         assert results == [True, False]
 
+    def test_a_write_sent_under_the_earlier_claim_of_this_owner_is_repeated(self):
+        bench = Bench()
+
+        def claim_again():
+            bench.store.before_transact = lambda: None
+            claim = ensureDeferred(
+                bench.store.transact(expected={}, puts={CLAIM_KEY: Put(b"me")})
+            )
+            bench.ledger.fence = claim.result
+
+        bench.store.before_transact = claim_again
+        bench.ledger.append([record(0)])
+        bench.advance(0.3)
+        assert bench.superseded == 0
+        assert bench.durable == 1
+        assert bench.records() == ["j0"]
+
 
 class TestOtherOwners:
     def test_a_later_claim_ends_the_writing(self):
--- /dev/null
+++ b/pistachiolift/platform/tests/soak/run.py
@@ -0,0 +1,299 @@
+"""Runs the soak: ``python -m pistachiolift.platform.tests.soak.run --seed 1``.
+
+Instances, stand-ins and a proxy run as processes. Faults come in series and overlap;
+clients go on meanwhile. The promises are checked from what clients and workers saw.
+"""
+
+import http.client
+import json
+import random
+import signal
+import tempfile
+import threading
+import time
+from contextlib import contextmanager
+from pathlib import Path
+
+import click
+
+from pistachiolift.standins import free_ports
+
+from ..platform_cell import PlatformCell
+from .checks import check_history
+
+INSTANCES = 3
+WORKERS = 4
+CLIENTS = 4
+CALM_S = 4.0
+FINISH_LIMIT_S = 40.0
+JOB_MS = (50, 150, 400, 1200)
+
+
+class SoakCell(PlatformCell):
+    """A cell whose instances reach the store and the workers through the proxy."""
+
+    def __init__(self, directory: Path):
+        super().__init__(directory, instances=INSTANCES, workers=WORKERS)
+        ports = free_ports(1 + INSTANCES + WORKERS)
+        self.proxy_control = ports[0]
+        self.store_links = ports[1 : 1 + INSTANCES]
+        self.worker_links = ports[1 + INSTANCES :]
+        self.ports["advertised"] = self.worker_links
+
+    def __enter__(self) -> "SoakCell":
+        links = {port: self.ports["store"] for port in self.store_links}
+        links.update(zip(self.worker_links, self.ports["workers"], strict=True))
+        options = json.dumps({"control": self.proxy_control, "links": links})
+        self._start("proxy", "pistachiolift.platform.tests.soak.proxy", options)
+        super().__enter__()
+        return self
+
+    def settings(self, index: int) -> dict:
+        """Return an instance's settings."""
+        store = f"127.0.0.1:{self.store_links[index]}"
+        return {**super().settings(index), "store_address": store}
+
+    def set_link(self, port: int, mode: str, delay_ms: int = 0) -> None:
+        """Change how a link is treated."""
+        path = f"/link/{port}/{mode}/{delay_ms}"
+        status, _ = self.request(self.proxy_control, "POST", path)
+        assert status == 200
+
+
+class Faults(threading.Thread):
+    """Injects faults until its time is over, then undoes them."""
+
+    def __init__(self, cell: SoakCell, rng: random.Random, duration_s: float):
+        super().__init__(daemon=True)
+        self._cell = cell
+        self._rng = rng
+        self._end_s = time.monotonic() + duration_s
+        self.log: list[str] = []
+        self.failure: BaseException | None = None
+
+    def run(self) -> None:
+        """Start one fault after the other; some overlap."""
+        threads = []
+        kinds = [self._kill, self._pause, self._terminate, self._store, self._link]
+        try:
+            while time.monotonic() < self._end_s:
+                fault = self._rng.choice(kinds)
+                arguments = self._rng.random(), self._rng.randrange(100)
+                thread = threading.Thread(target=self._one, args=(fault, *arguments))
+                thread.start()
+                threads.append(thread)
+                time.sleep(self._rng.choice((0.1, 0.6, 1.5, 2.5)))
+            for thread in threads:
+                thread.join()
+        except BaseException as error:
+            self.failure = error
+
+    def _one(self, fault, share: float, number: int) -> None:
+        try:
+            fault(share, number)
+        except BaseException as error:
+            self.failure = error
+
+    def _note(self, text: str) -> None:
+        self.log.append(f"{time.monotonic():.2f} {text}")
+
+    @contextmanager
+    def _instance(self, number: int):
+        """Take one instance, unless another fault has it."""
+        index = number % INSTANCES
+        lock = self._cell.locks[index]
+        if lock.acquire(blocking=False):
+            try:
+                yield index
+            finally:
+                lock.release()
+        else:
+            yield None
+
+    def _kill(self, share: float, number: int) -> None:
+        with self._instance(number) as index:
+            if index is None:
+                return
+            self._note(f"kill {index}")
+            self._cell.kill(index)
+            time.sleep(share)
+            self._cell.start_instance(index)
+            time.sleep(2.0)
+
+    def _pause(self, share: float, number: int) -> None:
+        with self._instance(number) as index:
+            if index is None:
+                return
+            self._note(f"pause {index} {share * 3:.2f} s")
+            process = self._cell.processes[f"instance-{index}"]
+            process.send_signal(signal.SIGSTOP)
+            time.sleep(share * 3)
+            process.send_signal(signal.SIGCONT)
+
+    def _terminate(self, share: float, number: int) -> None:
+        with self._instance(number) as index:
+            if index is None:
+                return
+            self._note(f"stop {index}")
+            process = self._cell.processes[f"instance-{index}"]
+            process.terminate()
+            process.wait(timeout=15)
+            self._cell.start_instance(index)
+            time.sleep(2.0)
+
+    def _store(self, share: float, number: int) -> None:
+        with self._cell.store_lock:
+            self._note(f"store down {share * 2.5:.2f} s")
+            self._cell.control("/store/down")
+            time.sleep(share * 2.5)
+            self._cell.control("/store/up")
+
+    def _link(self, share: float, number: int) -> None:
+        port = self._rng.choice(self._cell.store_links + self._cell.worker_links)
+        modes = ("delay", "reset", "silent", "cut_to_server", "cut_to_client")
+        mode = modes[number % len(modes)]
+        self._note(f"link {port} {mode} {share * 3:.2f} s")
+        self._cell.set_link(port, mode, int(share * 300))
+        time.sleep(share * 3)
+        self._cell.set_link(port, "pass")
+
+
+class Client(threading.Thread):
+    """Submits jobs over connections that it keeps open, and cancels some."""
+
+    def __init__(self, cell: SoakCell, number: int, seed: int, end_s: float):
+        super().__init__(daemon=True)
+        self._cell = cell
+        self._number = number
+        self._rng = random.Random(f"{seed}-{number}")
+        self._end_s = end_s
+        self._connection: http.client.HTTPConnection | None = None
+        self._index = number % INSTANCES
+        self.jobs: dict[str, dict] = {}
+
+    def run(self) -> None:
+        """Submit until the time is over."""
+        count = 0
+        while time.monotonic() < self._end_s:
+            count += 1
+            self._submit(f"{self._number:04x}{count:012x}")
+            time.sleep(self._rng.uniform(0.02, 0.2))
+        if self._connection is not None:
+            self._connection.close()
+
+    def _call(self, method: str, path: str, body=None) -> int:
+        """Call; the status is 0 without an answer, -1 if nothing was sent."""
+        try:
+            if self._connection is None:
+                port = self._cell.caller_ports[self._index]
+                connection = http.client.HTTPConnection("127.0.0.1", port, timeout=4)
+                connection.connect()
+                self._connection = connection
+        except OSError:
+            self._index = (self._index + 1) % INSTANCES
+            return -1
+        try:
+            headers = {"Host": "jobs.example", "Content-Type": "application/json"}
+            data = None if body is None else json.dumps(body)
+            self._connection.request(method, path, body=data, headers=headers)
+            answer = self._connection.getresponse()
+            answer.read()
+            return answer.status
+        except (OSError, http.client.HTTPException):
+            self._connection.close()
+            self._connection = None
+            self._index = (self._index + 1) % INSTANCES
+            return 0
+
+    def _submit(self, job: str) -> None:
+        queue = self._rng.choice(("urgent", "urgent", "advised"))
+        steps = [self._step()]
+        if self._rng.random() < 0.3:
+            steps.append({**self._step(), "After": [0]})
+        if self._rng.random() < 0.2:
+            steps[0].update(Gang=True, Count=3)
+        body = {"Spec": str(self._rng.choice(JOB_MS)), "Steps": steps}
+        record = {"queue": queue, "steps": steps, "statuses": [], "cancelled_s": None}
+        self.jobs[job] = record
+        for _ in range(self._rng.randrange(1, 5)):
+            status = self._call("POST", f"/{queue}/{job}", body)
+            record["statuses"].append(status)
+            if status == 200:
+                break
+            time.sleep(0.3)
+        if 200 in record["statuses"] and self._rng.random() < 0.08:
+            if self._call("DELETE", f"/{queue}/{job}") == 200:
+                record["cancelled_s"] = time.monotonic()
+
+    def _step(self) -> dict:
+        cpu = self._rng.choice((500, 1500, 4000))
+        count = self._rng.randrange(1, 4)
+        return {"Count": count, "Cpu": cpu, "MemMb": 100, "EstimateMs": 300}
+
+
+def run_soak(seed: int, duration_s: float, directory: Path) -> list[str]:
+    """Run one seed.
+
+    :returns: what went wrong.
+    """
+    rng = random.Random(seed)
+    with SoakCell(directory) as cell:
+        cell.locks = [threading.Lock() for _ in range(INSTANCES)]
+        cell.store_lock = threading.Lock()
+        end_s = time.monotonic() + duration_s
+        clients = [Client(cell, n, seed, end_s) for n in range(CLIENTS)]
+        faults = Faults(cell, rng, duration_s)
+        for thread in [faults, *clients]:
+            thread.start()
+        for thread in [faults, *clients]:
+            thread.join()
+        (directory / "faults.log").write_text("\n".join(faults.log))
+        if faults.failure is not None:
+            raise faults.failure
+        jobs = {job: each for client in clients for job, each in client.jobs.items()}
+        time.sleep(CALM_S)
+        states = _final_states(cell, jobs)
+        runs = cell.runs()
+    (directory / "history.json").write_text(
+        json.dumps({"jobs": jobs, "states": states, "runs": runs})
+    )
+    return check_history(jobs, states, runs)
+
+
+def _final_states(cell: SoakCell, jobs: dict) -> dict[str, str]:
+    """Ask for all accepted jobs until they have ended, or the time is over."""
+    states: dict[str, str] = {}
+    open_jobs = {job for job, each in jobs.items() if 200 in each["statuses"]}
+    end_s = time.monotonic() + FINISH_LIMIT_S
+    while open_jobs and time.monotonic() < end_s:
+        for job in sorted(open_jobs):
+            status, body = cell.call(0, "GET", f"/{jobs[job]['queue']}/{job}")
+            states[job] = body.get("State", f"status {status}")
+        ended = ("completed", "cancelled", "failed")
+        open_jobs = {job for job in open_jobs if states[job] not in ended}
+        time.sleep(0.2)
+    return states
+
+
+@click.command()
+@click.option("--seed", type=int, default=None, help="First seed; random if left out.")
+@click.option("--seeds", type=int, default=1, help="Number of seeds.")
+@click.option("--duration", "duration_s", type=float, default=20.0, help="Seconds.")
+@click.option("--keep", type=click.Path(path_type=Path), help="Folder for failed runs.")
+def main(seed: int | None, seeds: int, duration_s: float, keep: Path | None) -> None:
+    """Run the soak and report each seed."""
+    first = random.SystemRandom().randrange(1_000_000) if seed is None else seed
+    failed = 0
+    for number in range(first, first + seeds):
+        directory = Path(tempfile.mkdtemp(prefix=f"soak-{number}-", dir=keep))
+        problems = run_soak(number, duration_s, directory)
+        failed += bool(problems)
+        click.echo(f"seed {number}: {'FAILED' if problems else 'passed'} {directory}")
+        for problem in problems[:10]:
+            click.echo(f"  {problem}")
+    click.echo(f"{seeds - failed} passed, {failed} failed")
+    raise SystemExit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/pistachiolift/platform/tests/standin_platform.py
+++ b/pistachiolift/platform/tests/standin_platform.py
@@ -54,7 +54,7 @@
     log: list[dict] = []
     workers = [
         StandinWorker(f"i-{index}", f"127.0.0.1:{port}", log)
-        for index, port in enumerate(ports["workers"])
+        for index, port in enumerate(ports.get("advertised", ports["workers"]))
     ]
 
     def listen(port, app):
