Retry the start of test cells whose ports were taken

Change: all ports of a cell are chosen at once; a process that ends because its address is in use makes the cell start again with other ports.

--- a/pistachiolift/platform/tests/platform_cell.py
+++ b/pistachiolift/platform/tests/platform_cell.py
@@ -13,9 +13,14 @@
 
 ROOT = Path(__file__).resolve().parents[3]
 START_LIMIT_S = 40.0
+START_TRIES = 4
 HOST = "jobs.example"
 
 
+class PortTakenError(Exception):
+    """Another process has bound a port first."""
+
+
 class PlatformCell:
     """Instances on loopback; as a context manager it ends what it has started.
 
@@ -24,41 +29,75 @@
 
     def __init__(self, directory: Path, *, instances: int = 3, workers: int = 3):
         self.directory = directory
-        ports = free_ports(4 + workers + 3 * instances)
+        self._instances = instances
+        self._workers = workers
+        self.processes: dict[str, subprocess.Popen] = {}
+
+    def assign_ports(self, ports: list[int]) -> None:
+        """Take ports that are free now; another process may still bind one first."""
+        workers, instances = self._workers, self._instances
         self.ports = {
             "store": ports[0],
             "adviser": ports[1],
             "control": ports[2],
-            "workers": ports[4 : 4 + workers],
+            "workers": ports[3 : 3 + workers],
         }
-        rest = ports[4 + workers :]
+        rest = ports[3 + workers :]
         self.caller_ports = rest[:instances]
         self.ready_ports = rest[instances : 2 * instances]
-        self.peer_ports = rest[2 * instances :]
-        self.processes: dict[str, subprocess.Popen] = {}
+        self.peer_ports = rest[2 * instances : 3 * instances]
+
+    def port_count(self) -> int:
+        """Return how many ports the cell needs."""
+        return 3 + self._workers + 3 * self._instances
 
     def __enter__(self) -> "PlatformCell":
-        try:
-            self._start(
-                "platform",
-                "pistachiolift.platform.tests.standin_platform",
-                json.dumps(self.ports),
-            )
-            self.wait_until(self._platform_answers, "the platform's stand-ins")
-            for index in range(len(self.caller_ports)):
-                self.start_instance(index)
-            for index in range(len(self.caller_ports)):
-                self.wait_until(lambda i=index: self.ready(i), f"instance {index}")
-        except BaseException:
-            self.__exit__()
-            raise
-        return self
+        for _ in range(START_TRIES):
+            self.assign_ports(free_ports(self.port_count()))
+            try:
+                self.start()
+                return self
+            except PortTakenError:
+                self.__exit__()
+            except BaseException:
+                self.__exit__()
+                raise
+        raise PortTakenError(f"ports were taken {START_TRIES} times")
+
+    def start(self) -> None:
+        """Start all processes."""
+        self._start(
+            "platform",
+            "pistachiolift.platform.tests.standin_platform",
+            json.dumps(self.ports),
+        )
+        self._wait_for_start(self._platform_answers, "platform")
+        for index in range(self._instances):
+            self.start_instance(index)
+        for index in range(self._instances):
+            self._wait_for_start(lambda i=index: self.ready(i), f"instance-{index}")
+
+    def _wait_for_start(self, condition, name: str) -> None:
+        def started() -> bool:
+            if self.processes[name].poll() is not None:
+                log = (self.directory / f"{name}.log").read_text()
+                if "Address already in use" in log:
+                    raise PortTakenError(f"a port of {name} was taken")
+                raise RuntimeError(f"{name} ended: {log[-2000:]}")
+            return condition()
+
+        self.wait_until(started, name)
 
     def __exit__(self, *exc_info: object) -> None:
         for process in self.processes.values():
             process.kill()
         for process in self.processes.values():
             process.wait()
+        for name in self.processes:
+            log = self.directory / f"{name}.log"
+            if "Address already in use" in log.read_text():
+                log.write_text("")
+        self.processes.clear()
 
     def _start(self, name: str, module: str, *arguments: str) -> None:
         log = open(self.directory / f"{name}.log", "ab")
--- a/pistachiolift/platform/tests/soak/run.py
+++ b/pistachiolift/platform/tests/soak/run.py
@@ -16,8 +16,6 @@
 
 import click
 
-from pistachiolift.standins import free_ports
-
 from ..platform_cell import PlatformCell
 from .checks import check_history
 
@@ -34,19 +32,33 @@
 
     def __init__(self, directory: Path):
         super().__init__(directory, instances=INSTANCES, workers=WORKERS)
-        ports = free_ports(1 + INSTANCES + WORKERS)
-        self.proxy_control = ports[0]
-        self.store_links = ports[1 : 1 + INSTANCES]
-        self.worker_links = ports[1 + INSTANCES :]
+        self.locks = [threading.Lock() for _ in range(INSTANCES)]
+        self.store_lock = threading.Lock()
+
+    def port_count(self) -> int:
+        """Return how many ports the cell and its proxy need."""
+        return super().port_count() + 1 + INSTANCES + WORKERS
+
+    def assign_ports(self, ports: list[int]) -> None:
+        """Take ports, the last ones for the proxy."""
+        super().assign_ports(ports)
+        proxy = ports[super().port_count() :]
+        self.proxy_control = proxy[0]
+        self.store_links = proxy[1 : 1 + INSTANCES]
+        self.worker_links = proxy[1 + INSTANCES :]
         self.ports["advertised"] = self.worker_links
 
-    def __enter__(self) -> "SoakCell":
+    def start(self) -> None:
+        """Start the proxy first."""
         links = {port: self.ports["store"] for port in self.store_links}
         links.update(zip(self.worker_links, self.ports["workers"], strict=True))
         options = json.dumps({"control": self.proxy_control, "links": links})
         self._start("proxy", "pistachiolift.platform.tests.soak.proxy", options)
-        super().__enter__()
-        return self
+        self._wait_for_start(lambda: self._accepts(self.proxy_control), "proxy")
+        super().start()
+
+    def _accepts(self, port: int) -> bool:
+        return self.request(port, "GET", "/")[0] != 0
 
     def settings(self, index: int) -> dict:
         """Return an instance's settings."""
@@ -238,8 +250,6 @@
     """
     rng = random.Random(seed)
     with SoakCell(directory) as cell:
-        cell.locks = [threading.Lock() for _ in range(INSTANCES)]
-        cell.store_lock = threading.Lock()
         end_s = time.monotonic() + duration_s
         clients = [Client(cell, n, seed, end_s) for n in range(CLIENTS)]
         faults = Faults(cell, rng, duration_s)
