Let no call to a worker hang, and distrust a worker that is not listed

The log does not show where it hung; a call whose connection ignores its cancellation would do it, and a request on a connection lost between two requests raised an error that is not a time-out. Change: a call's time limit no longer depends on the cancellation; RequestNotSent and RequestTransmissionFailed count as no answer; a worker without a listing for 4 s is unreachable, so that its leases end.

--- a/pistachiolift/backends/http.py
+++ b/pistachiolift/backends/http.py
@@ -5,7 +5,13 @@
 import treq
 from twisted.internet import defer, error
 from twisted.internet.interfaces import IReactorTime
-from twisted.web.client import Agent, HTTPConnectionPool, ResponseFailed
+from twisted.web.client import (
+    Agent,
+    HTTPConnectionPool,
+    RequestNotSent,
+    RequestTransmissionFailed,
+    ResponseFailed,
+)
 
 from ..common import PistachioliftError
 
@@ -16,6 +22,9 @@
 # What a broken or refused connection raises in Twisted's client.
 CONNECTION_ERRORS = (
     ResponseFailed,
+    # The connection was lost between two requests, or while one was written.
+    RequestNotSent,
+    RequestTransmissionFailed,
     error.ConnectError,
     error.ConnectionLost,
     error.ConnectionDone,
@@ -83,14 +92,25 @@
         headers: dict[str, str],
         timeout_s: float | None,
     ) -> tuple[int, bytes]:
-        call = defer.ensureDeferred(
-            self._exchange(method, path, body, headers),
-        )
-        call.addTimeout(timeout_s or self._timeout_s, self._reactor)
-        try:
-            return await call
-        except defer.TimeoutError as failure:
-            raise self._unavailable("timeout") from failure
+        call = defer.ensureDeferred(self._exchange(method, path, body, headers))
+        result: defer.Deferred[tuple[int, bytes]] = defer.Deferred()
+
+        # The caller's time limit does not depend on how the connection takes the
+        # cancellation.
+        def expire() -> None:
+            result.errback(self._unavailable("timeout"))
+            call.cancel()
+
+        timer = self._reactor.callLater(timeout_s or self._timeout_s, expire)
+
+        def settle(value: object) -> None:
+            if timer.active():
+                timer.cancel()
+            if not result.called:
+                result.callback(value)
+
+        call.addBoth(settle)
+        return await result
 
     async def _exchange(
         self, method: str, path: str, body: bytes | None, headers: dict[str, str]
--- a/pistachiolift/backends/tests/test_http.py
+++ b/pistachiolift/backends/tests/test_http.py
@@ -1,8 +1,9 @@
 """What the HTTP client reports when a server gives no answer."""
 
 import pytest
-from twisted.internet.defer import ensureDeferred
+from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 from twisted.internet.testing import MemoryReactorClock
+from twisted.web.client import RequestNotSent, RequestTransmissionFailed
 
 from pistachiolift.backends.http import JsonHttpClient
 from pistachiolift.common import StoreUnavailableError
@@ -28,3 +29,45 @@
             reactor.advance(0.1)
         assert len(failures) == 1
         assert failures[0].check(StoreUnavailableError)
+
+    def test_a_call_that_ignores_its_cancellation_ends_in_time(self, monkeypatch):
+        reactor = MemoryReactorClock()
+        client = JsonHttpClient(
+            reactor,
+            "http://192.0.2.1:80",
+            timeout_s=0.3,
+            unavailable=StoreUnavailableError,
+        )
+
+        async def exchange(*arguments):
+            while True:
+                try:
+                    await Deferred()
+                except CancelledError:
+                    continue
+
+        monkeypatch.setattr(client, "_exchange", exchange)
+        failures = []
+        ensureDeferred(client.call("GET", "/")).addErrback(failures.append)
+        reactor.advance(0.4)
+        assert len(failures) == 1
+        assert failures[0].check(StoreUnavailableError)
+
+
+class TestLostConnections:
+    @pytest.mark.parametrize("error", [RequestNotSent(), RequestTransmissionFailed([])])
+    def test_a_request_that_was_not_sent_counts_as_no_answer(self, error, monkeypatch):
+        client = JsonHttpClient(
+            MemoryReactorClock(),
+            "http://192.0.2.1:80",
+            timeout_s=0.3,
+            unavailable=StoreUnavailableError,
+        )
+
+        async def exchange(*arguments):
+            raise error
+
+        monkeypatch.setattr(client, "_exchange", exchange)
+        failures = []
+        ensureDeferred(client.call("GET", "/")).addErrback(failures.append)
+        assert failures[0].check(StoreUnavailableError)
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -43,6 +43,10 @@
 # Time that a refused start keeps a worker from getting more.
 REFUSED_PAUSE_S = 0.5
 
+# A worker that has not been listed for so long counts as unreachable, whatever its
+# driver says; listings follow each other within 1.5 s.
+SILENT_S = 4.0
+
 # A process that has taken the place of another is in the directory by then, or its
 # runs have lost their lease.
 ASTRAY_S = 12.0
@@ -438,6 +442,8 @@
     def _check_worker(
         self, worker_id: WorkerId, entry: WorkerEntry, now_s: float, wall_ms: int
     ) -> None:
+        if entry.listed and now_s - entry.listed_s > SILENT_S:
+            entry.reachable = False
         if entry.reachable and entry.listed:
             return
         if now_s < entry.lease_end_s:
--- a/pistachiolift/workflows/tests/test_sick_workers.py
+++ b/pistachiolift/workflows/tests/test_sick_workers.py
@@ -61,3 +61,20 @@
         ]
         slow = sum(1 for _, worker, _ in recent if worker in ("w0", "w1", "w2"))
         assert slow < 0.2 * len(recent)
+
+
+class TestSilentDrivers:
+    def test_a_worker_that_is_no_longer_listed_loses_its_tasks(self):
+        cell = VirtualCell(workers=2)
+        job = cell.submit("a", make_queue(), make_graph(make_step(1, estimate_s=30.0)))
+        cell.run(0.5)
+        worker_id = cell.runs_by_job[job][0][1]
+        fake = cell.workers_by_id[worker_id]
+        # Nothing is heard of the worker any more, not even that it does not answer.
+        real = cell._list
+        cell._list = lambda other: None if other is fake else real(other)
+        cell.run(4.0)
+        assert len(cell.runs_by_job[job]) == 1
+        fake.running.clear()
+        cell.run(3.0)
+        assert len(cell.runs_by_job[job]) == 2
