Split the owner and the scheduler, and run background work in one way

A second call for a job that was withdrawn before it was durable was answered as accepted. Change: JobCalls (submit, cancel, state), decision_log, Fleet, validation and run_in_background; all calls for a withdrawn job are refused. Result: all tests of the packages pass; the new test of two calls for one job covers the withdrawal.

--- a/pistachiolift/node/handover.py
+++ b/pistachiolift/node/handover.py
@@ -3,11 +3,11 @@
 import logging
 from collections.abc import Callable
 
-from twisted.internet.defer import ensureDeferred
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall
 
 from ..common import Clock, Metrics, NoOwnerError, log_event
+from .background import run_in_background
 from .ownership import Ownership
 from .peer_link import PeerConnection
 from .peer_messages import Noted, ProbeStore, TakeOver
@@ -67,17 +67,7 @@
         ):
             return
         self._asked_s = now_s
-        asking = ensureDeferred(self._ask())
-        asking.addErrback(self._failed)
-
-    def _failed(self, failure) -> None:
-        log_event(
-            logger,
-            "handover_failed",
-            level=logging.ERROR,
-            error=f"{failure.type.__name__}: {failure.value}",
-            traceback=failure.getTraceback(elideFrameworkCode=True),
-        )
+        run_in_background(self._ask(), logger=logger, event="handover_failed")
 
     async def _ask(self) -> None:
         peers = sorted(
--- a/pistachiolift/node/instance.py
+++ b/pistachiolift/node/instance.py
@@ -13,6 +13,7 @@
 from ..common import Clock, Metrics, StoreUnavailableError, log_event
 from ..entry.http import HttpLimits, Listener, StreamingSite
 from .advice_desk import AdviceDesk
+from .background import run_in_background
 from .handover import HandoverMonitor
 from .interfaces import AdviserClient, CoordinationStore, QueueTable, Translation
 from .job_service import JobService
@@ -272,8 +273,12 @@
         )
         self._directory.start()
         self._members.announce(fence)
-        recovering = ensureDeferred(self._recover(owner, self._directory))
-        recovering.addErrback(self._recovery_failed, owner)
+        run_in_background(
+            self._recover(owner, self._directory),
+            logger=logger,
+            event="owner_recovery_failed",
+            on_failure=lambda: owner.superseded("recovery_failed"),
+        )
 
     async def _recover(self, owner: Owner, directory: DirectoryWatch) -> None:
         while not directory.complete:
@@ -285,16 +290,6 @@
                 log_event(logger, "ledger_read_failed", reason=error.message)
                 await deferLater(self._reactor, 0.1)
 
-    def _recovery_failed(self, failure, owner: Owner) -> None:
-        log_event(
-            logger,
-            "owner_recovery_failed",
-            level=logging.ERROR,
-            error=f"{failure.type.__name__}: {failure.value}",
-            traceback=failure.getTraceback(elideFrameworkCode=True),
-        )
-        owner.superseded("recovery_failed")
-
     def _ownership_lost(self, reason: str) -> None:
         owner, self._owner = self._owner, None
         if owner is not None:
--- a/pistachiolift/node/job_service.py
+++ b/pistachiolift/node/job_service.py
@@ -148,13 +148,13 @@
         """Answer a call at the owner."""
         match message:
             case SubmitJob():
-                return await owner.submit(
+                return await owner.calls.submit(
                     message.job_id, message.queue, message.graph, message.age_s
                 )
             case CancelJob():
-                return await owner.cancel(message.job_id)
+                return await owner.calls.cancel(message.job_id)
             case GetStatus():
-                return owner.status(message.job_id)
+                return owner.calls.status(message.job_id)
             case CountWaiting():
-                return owner.waiting(message.queue_id)
+                return owner.calls.waiting(message.queue_id)
         return JobAnswer(JobOutcome.NOT_OWNER)
--- a/pistachiolift/node/ledger.py
+++ b/pistachiolift/node/ledger.py
@@ -4,12 +4,13 @@
 from collections.abc import Callable
 
 import msgspec
-from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import deferLater
 
 from ..common import Clock, Metrics, StoreUnavailableError, log_event
 from ..workflows import LedgerRecord, decode_batch, encode_batch
+from .background import run_in_background
 from .interfaces import CoordinationStore, Put, TransactionConflictError
 
 __all__ = ["CLAIM_KEY", "LOG_PREFIX", "Ledger", "read_ledger"]
@@ -103,8 +104,12 @@
         self._queue += records
         if not self._writing and not self._closed and self._queue:
             self._writing = True
-            loop = ensureDeferred(self._write_all())
-            loop.addErrback(self._failed)
+            run_in_background(
+                self._write_all(),
+                logger=logger,
+                event="ledger_failed",
+                on_failure=self._supersede,
+            )
 
     def replace_unsent(self, replace: Callable[[LedgerRecord], LedgerRecord]) -> None:
         """Replace records of which no write has been tried yet."""
@@ -236,16 +241,6 @@
         for _, result in waiters:
             result.callback(False)
 
-    def _failed(self, failure) -> None:
-        log_event(
-            logger,
-            "ledger_failed",
-            level=logging.ERROR,
-            error=f"{failure.type.__name__}: {failure.value}",
-            traceback=failure.getTraceback(elideFrameworkCode=True),
-        )
-        self._supersede()
-
 
 async def read_ledger(store: CoordinationStore) -> dict[str, list[LedgerRecord]]:
     """Return the records of the log by key, in order.
--- a/pistachiolift/node/members.py
+++ b/pistachiolift/node/members.py
@@ -1,9 +1,9 @@
 """The list of instances in the platform's store, and calls to all of them."""
 
 import logging
+from collections.abc import Coroutine
 
 import msgspec
-from twisted.internet.defer import ensureDeferred
 from twisted.internet.error import ConnectError
 from twisted.internet.interfaces import IReactorTCP
 from twisted.internet.task import deferLater
@@ -17,6 +17,7 @@
     encode_json,
     log_event,
 )
+from .background import run_in_background
 from .interfaces import CoordinationStore, Put, TransactionConflictError
 from .ownership import OwnerRecord
 from .peer_link import PeerConnection, connect_peer
@@ -65,18 +66,8 @@
             self._entering = True
             self._spawn(self._enter())
 
-    def _spawn(self, coroutine) -> None:
-        task = ensureDeferred(coroutine)
-        task.addErrback(self._failed)
-
-    def _failed(self, failure) -> None:
-        log_event(
-            logger,
-            "members_failed",
-            level=logging.ERROR,
-            error=f"{failure.type.__name__}: {failure.value}",
-            traceback=failure.getTraceback(elideFrameworkCode=True),
-        )
+    def _spawn(self, coroutine: Coroutine) -> None:
+        run_in_background(coroutine, logger=logger, event="members_failed")
 
     async def _enter(self) -> None:
         key = MEMBER_PREFIX + self._me.instance_id
--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -3,30 +3,22 @@
 import logging
 from collections import deque
 from collections.abc import Callable
-from math import exp
 
 from twisted.internet.defer import (
     Deferred,
-    DeferredList,
-    ensureDeferred,
     succeed,
 )
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 from twisted.internet.task import LoopingCall
 
-from ..common import Clock, JobId, Metrics, WorkerId, log_event
+from ..common import Clock, Metrics, WorkerId, log_event
 from ..workflows import (
     AskAdvice,
     Decision,
     GraphScheduler,
-    JobAccepted,
     JobChanged,
-    JobForgotten,
-    JobGraph,
     LedgerRecord,
     PaceRun,
-    Queue,
-    QueueId,
     StartAnswer,
     StartRun,
     StopRun,
@@ -34,9 +26,11 @@
     Worker,
 )
 from .advice_desk import AdviceDesk
+from .background import run_in_background
+from .decision_log import log_job_changed, log_start, log_stop
 from .interfaces import CoordinationStore, QueueTable, RunListing, Translation
+from .job_calls import STALLED_LIMIT_S, JobCalls
 from .ledger import Ledger, read_ledger
-from .peer_messages import JobAnswer, JobOutcome
 from .worker_driver import LeaseTerms, WorkerDriver, WorkerEvents
 
 __all__ = ["AUTHORITY_S", "Owner"]
@@ -55,13 +49,6 @@
 # Entries of workers that have died leave the directory within this time.
 DEAD_IN_DIRECTORY_S = 6.0
 
-# A write in flight for longer than this means that nothing can be accepted now.
-STALLED_LIMIT_S = 0.6
-
-# Age of the last contact with the store up to which a job that is not known here is
-# known nowhere: below the lease of the ownership.
-FRESH_S = 1.2
-
 
 class Owner(WorkerEvents):
     """Schedules while this instance owns.
@@ -116,6 +103,15 @@
             on_superseded=lambda: self.superseded("ledger"),
             on_failed_call=on_failed_call,
         )
+        self.calls = JobCalls(
+            self.scheduler,
+            self.ledger,
+            clock=clock,
+            metrics=metrics,
+            is_ready=lambda: self.ready,
+            contact_s=contact_s,
+            on_changed=self._apply,
+        )
         self._drivers_by_id: dict[WorkerId, WorkerDriver] = {}
         self._table = QueueTable()
         self._pending: IDelayedCall | None = None
@@ -124,8 +120,6 @@
         self.ready = False
         self._closed = False
         self._dead_s_by_id: dict[WorkerId, float] = {}
-        # Jobs whose submission is not durable yet.
-        self._submits_by_id: dict[JobId, Deferred] = {}
         # Starts whose placement is not durable yet, in order.
         self._held_starts: deque[StartRun] = deque()
 
@@ -140,7 +134,7 @@
         now_s, wall_ms = self._now()
         self.set_table(table)
         for worker in workers.values():
-            self.scheduler.worker_seen(worker, now_s=now_s, wall_ms=wall_ms)
+            self.scheduler.workers.seen(worker, now_s=now_s, wall_ms=wall_ms)
         records = [record for batch in log.values() for record in batch]
         self.scheduler.replay(
             records,
@@ -208,6 +202,11 @@
             self.scheduler.dispatch(now_s=now_s, wall_ms=wall_ms)
         self._carry_out()
 
+    def _apply(self) -> None:
+        """Carry out what has been decided, and decide again soon."""
+        self._carry_out()
+        self._changed()
+
     def _carry_out(self) -> None:
         records = self.scheduler.take_records()
         if records:
@@ -220,7 +219,7 @@
             case StartRun():
                 self._held_starts.append(decision)
             case StopRun():
-                self._log_stop(decision)
+                log_stop(decision)
                 driver = self._drivers_by_id.get(decision.worker_id)
                 if driver is not None:
                     driver.stop(decision)
@@ -230,17 +229,15 @@
                     driver.pace(decision.task, decision.number, decision.percent)
             case AskAdvice():
                 self._metrics.count("advice.asked")
-                asked = ensureDeferred(self._ask(decision))
-                asked.addErrback(self._failed)
+                run_in_background(
+                    self._ask(decision),
+                    logger=logger,
+                    event="owner_failed",
+                    on_failure=lambda: self.superseded("internal_error"),
+                )
             case JobChanged():
                 self._metrics.count(f"jobs.{decision.status.value}")
-                log_event(
-                    logger,
-                    "job_changed",
-                    job=decision.job_id,
-                    status=decision.status.value,
-                    reason=decision.reason,
-                )
+                log_job_changed(decision)
 
     def _send_starts(self) -> None:
         """Send the starts whose placement is durable."""
@@ -249,40 +246,9 @@
             order = held.popleft()
             driver = self._drivers_by_id.get(order.worker_id)
             if driver is not None and self.scheduler.start_sent(order):
-                self._log_start(order)
+                log_start(order, self.scheduler.book, self._table.version)
                 driver.start(order)
 
-    def _log_start(self, order: StartRun) -> None:
-        entry = self.scheduler.book.workers_by_id[order.worker_id]
-        log_event(
-            logger,
-            "run_placed",
-            job=order.task.job_id,
-            task=f"{order.task.occurrence}.{order.task.step}.{order.task.index}",
-            run=order.number,
-            worker=order.worker_id,
-            free_cpu_milli=entry.free_cpu_milli,
-            pace=exp(entry.pace.log_ratio),
-            estimate_ms=self._estimate_ms(order.task),
-            resumed=bool(order.checkpoint),
-            config=self._table.version,
-        )
-
-    def _estimate_ms(self, task: TaskKey) -> float:
-        step = self.scheduler.book.step(task.step_key)
-        return 0.0 if step is None else step.step.estimate_s * 1000
-
-    def _log_stop(self, order: StopRun) -> None:
-        log_event(
-            logger,
-            "run_stopped",
-            job=order.task.job_id,
-            task=f"{order.task.occurrence}.{order.task.step}.{order.task.index}",
-            run=order.number,
-            worker=order.worker_id,
-            reason=order.reason,
-        )
-
     async def _ask(self, decision: AskAdvice) -> None:
         answer = await self._desk.ask(decision)
         if self._closed:
@@ -296,20 +262,10 @@
         )
         self._changed()
 
-    def _failed(self, failure) -> None:
-        log_event(
-            logger,
-            "owner_failed",
-            level=logging.ERROR,
-            error=f"{failure.type.__name__}: {failure.value}",
-            traceback=failure.getTraceback(elideFrameworkCode=True),
-        )
-        self.superseded("internal_error")
-
     def _tick(self) -> None:
         now_s, wall_ms = self._now()
         if self.ledger.stalled_s > STALLED_LIMIT_S:
-            self._refuse_unsent()
+            self.calls.refuse_unsent()
         self.scheduler.tick(now_s=now_s, wall_ms=wall_ms)
         self._drop_drivers()
         self._see_again()
@@ -319,21 +275,6 @@
         self._metrics.gauge("steps.open", len(book.open_steps))
         self._metrics.gauge("workers.known", len(book.workers_by_id))
 
-    def _refuse_unsent(self) -> None:
-        """Refuse the jobs that wait for the ledger and have not been sent to it."""
-
-        def withdraw(record: LedgerRecord) -> LedgerRecord:
-            if not isinstance(record, JobAccepted):
-                return record
-            waiter = self._submits_by_id.pop(record.job_id, None)
-            if waiter is None:
-                return record
-            self.scheduler.withdraw(record.job_id)
-            waiter.callback(False)
-            return JobForgotten(record.job_id)
-
-        self.ledger.replace_unsent(withdraw)
-
     def _durable(self, count: int) -> None:
         self._heard(self.ledger.last_contact_s)
         self.scheduler.committed(count)
@@ -353,7 +294,7 @@
     def worker_seen(self, worker: Worker) -> None:
         """Take a directory entry."""
         now_s, wall_ms = self._now()
-        self.scheduler.worker_seen(worker, now_s=now_s, wall_ms=wall_ms)
+        self.scheduler.workers.seen(worker, now_s=now_s, wall_ms=wall_ms)
         self._drive(worker)
         self._changed()
 
@@ -372,7 +313,7 @@
 
     def worker_unregistered(self, worker_id: WorkerId) -> None:
         """Note that the directory no longer names a worker."""
-        self.scheduler.worker_unregistered(worker_id)
+        self.scheduler.workers.unregistered(worker_id)
 
     def _drive(self, worker: Worker) -> None:
         known = self._drivers_by_id.get(worker.worker_id)
@@ -415,7 +356,7 @@
     def listed(self, worker: Worker, listing: RunListing, sent_s: float) -> Deferred:
         """Take a listing; fires when its ends are durable."""
         now_s, wall_ms = self._now()
-        self.scheduler.worker_listed(
+        self.scheduler.workers.listed(
             worker.worker_id,
             listing.running,
             listing.ended,
@@ -474,14 +415,14 @@
 
     def unreachable(self, worker: Worker) -> None:
         """Note that a worker does not answer."""
-        self.scheduler.worker_unreachable(worker.worker_id)
+        self.scheduler.workers.unreachable(worker.worker_id)
 
     def ended(self, worker: Worker, reason: str) -> None:
         """Note that a worker's process has ended."""
         now_s, wall_ms = self._now()
         entry = self.scheduler.book.workers_by_id.get(worker.worker_id)
         if entry is not None and entry.worker.incarnation == worker.incarnation:
-            self.scheduler.worker_dead(
+            self.scheduler.workers.dead(
                 worker.worker_id,
                 now_s=now_s,
                 wall_ms=wall_ms,
@@ -492,7 +433,7 @@
 
     def lease_granted(self, worker: Worker, lease_end_s: float) -> None:
         """Note how long a worker's runs may go on."""
-        self.scheduler.lease_granted(worker.worker_id, lease_end_s)
+        self.scheduler.workers.lease_granted(worker.worker_id, lease_end_s)
 
     def has_run(self, worker: Worker, task: TaskKey, number: int) -> bool:
         """Whether a run is still on record."""
@@ -503,93 +444,3 @@
         if not self._closed:
             self.close()
             self._on_superseded(reason)
-
-    # Calls about jobs.
-
-    async def submit(
-        self, job_id: JobId, queue: Queue, graph: JobGraph, age_s: float
-    ) -> JobAnswer:
-        """Accept a job, durably, or refuse it."""
-        if not self.ready:
-            return JobAnswer(JobOutcome.NOT_OWNER)
-        known = job_id in self.scheduler.book.jobs_by_id
-        if not known and self.ledger.stalled_s > STALLED_LIMIT_S:
-            return self._refuse(job_id, "ledger_stalled")
-        now_s, wall_ms = self._now()
-        number = self.scheduler.submit(
-            job_id,
-            queue,
-            graph,
-            received_s=now_s - age_s,
-            received_ms=wall_ms - int(age_s * 1000),
-        )
-        self._carry_out()
-        self._changed()
-        withdrawn: Deferred = Deferred()
-        if not known:
-            self._submits_by_id[job_id] = withdrawn
-        durable, _ = await DeferredList(
-            [self.ledger.when_durable(number), withdrawn], fireOnOneCallback=True
-        )
-        self._submits_by_id.pop(job_id, None)
-        if withdrawn.called:
-            return self._refuse(job_id, "not_durable")
-        log_event(
-            logger,
-            "job_submitted",
-            job=job_id,
-            queue=queue.queue_id,
-            known=known,
-            durable=durable,
-            age_ms=age_s * 1000,
-            took_ms=(self._clock.monotonic_s() - now_s) * 1000,
-            steps=len(graph.steps),
-            tasks=sum(step.count for step in graph.steps),
-        )
-        return JobAnswer(JobOutcome.OK if durable else JobOutcome.UNDECIDED)
-
-    def _refuse(self, job_id: JobId, reason: str) -> JobAnswer:
-        self._metrics.count(f"refusal.{reason}")
-        log_event(
-            logger,
-            "job_refused",
-            job=job_id,
-            reason=reason,
-            stalled_s=self.ledger.stalled_s,
-        )
-        return JobAnswer(JobOutcome.REFUSED)
-
-    async def cancel(self, job_id: JobId) -> JobAnswer:
-        """Cancel a job, durably."""
-        if not self.ready:
-            return JobAnswer(JobOutcome.NOT_OWNER)
-        now_s, wall_ms = self._now()
-        number = self.scheduler.cancel(job_id, now_s=now_s, wall_ms=wall_ms)
-        if number is None:
-            return self._unknown()
-        self._carry_out()
-        self._changed()
-        durable = await self.ledger.when_durable(number)
-        log_event(logger, "job_cancel", job=job_id, durable=durable)
-        return JobAnswer(JobOutcome.OK if durable else JobOutcome.UNDECIDED)
-
-    def status(self, job_id: JobId) -> JobAnswer:
-        """Tell a job's state."""
-        if not self.ready:
-            return JobAnswer(JobOutcome.NOT_OWNER)
-        status = self.scheduler.status(job_id)
-        if status is None:
-            return self._unknown()
-        return JobAnswer(JobOutcome.OK, status=status)
-
-    def _unknown(self) -> JobAnswer:
-        if self._clock.monotonic_s() - self._contact_s() > FRESH_S:
-            # Another instance may have become the owner and accepted it.
-            return JobAnswer(JobOutcome.UNDECIDED)
-        return JobAnswer(JobOutcome.UNKNOWN_JOB)
-
-    def waiting(self, queue_id: QueueId) -> JobAnswer:
-        """Tell how many jobs of a queue have not begun."""
-        if not self.ready:
-            return JobAnswer(JobOutcome.NOT_OWNER)
-        return JobAnswer(JobOutcome.OK, count=self.scheduler.waiting(queue_id))
--- a/pistachiolift/node/ownership.py
+++ b/pistachiolift/node/ownership.py
@@ -2,10 +2,9 @@
 
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 
 import msgspec
-from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall, deferLater
 
@@ -19,6 +18,7 @@
     encode_json,
     log_event,
 )
+from .background import run_in_background
 from .interfaces import (
     CoordinationStore,
     HistoryLostError,
@@ -117,19 +117,8 @@
         """Begin to watch."""
         self._spawn(self._watch_forever())
 
-    def _spawn(self, coroutine) -> Deferred:
-        task = ensureDeferred(coroutine)
-        task.addErrback(self._failed)
-        return task
-
-    def _failed(self, failure) -> None:
-        log_event(
-            logger,
-            "ownership_failed",
-            level=logging.ERROR,
-            error=f"{failure.type.__name__}: {failure.value}",
-            traceback=failure.getTraceback(elideFrameworkCode=True),
-        )
+    def _spawn(self, coroutine: Coroutine) -> None:
+        run_in_background(coroutine, logger=logger, event="ownership_failed")
 
     def heard(self, sent_s: float) -> None:
         """Note that a call to the store sent at a time was answered."""
--- /dev/null
+++ b/pistachiolift/node/tests/test_job_calls.py
@@ -0,0 +1,82 @@
+"""Submissions while the ledger takes no writes."""
+
+from twisted.internet.defer import ensureDeferred
+
+from pistachiolift.common import JobId, Metrics
+from pistachiolift.node.job_calls import JobCalls
+from pistachiolift.node.peer_messages import JobOutcome
+from pistachiolift.workflows import GraphScheduler, JobStatus
+from pistachiolift.workflows.tests.virtual_cell import make_graph, make_queue
+
+from .test_ledger import Bench
+
+JOB = JobId("0123456789abcdef")
+
+
+class CallsBench(Bench):
+    """Calls over a scheduler and a ledger."""
+
+    def __init__(self):
+        super().__init__()
+        self.scheduler = GraphScheduler(fence=1, keep_final_s=60.0)
+        self.contact_s = self.clock.monotonic_s()
+        self.calls = JobCalls(
+            self.scheduler,
+            self.ledger,
+            clock=self.clock,
+            metrics=Metrics(),
+            is_ready=lambda: True,
+            contact_s=lambda: self.contact_s,
+            on_changed=self._append,
+        )
+
+    def _append(self):
+        self.scheduler.take_decisions()
+        self.ledger.append(self.scheduler.take_records())
+
+    def _durable(self, count):
+        super()._durable(count)
+        self.scheduler.committed(count)
+
+    def submit(self, job_id=JOB):
+        answers = []
+        call = self.calls.submit(job_id, make_queue(), make_graph(), 0.0)
+        ensureDeferred(call).addCallback(lambda a: answers.append(a.outcome))
+        return answers
+
+
+class TestSubmissions:
+    def test_a_job_is_accepted_once_it_is_durable(self):
+        bench = CallsBench()
+        assert bench.submit() == [JobOutcome.OK]
+        assert bench.calls.status(JOB).status is JobStatus.PENDING
+
+    def test_all_calls_for_an_unsent_job_are_refused_together(self):
+        bench = CallsBench()
+        bench.store.down = True
+        first = bench.submit(JobId("0" * 16))
+        second, again = bench.submit(), bench.submit()
+        bench.advance(1.0)
+        bench.calls.refuse_unsent()
+        assert second == again == [JobOutcome.REFUSED]
+        assert first == []
+        bench.store.down = False
+        bench.advance(1.0)
+        assert first == [JobOutcome.OK]
+        assert bench.calls.status(JOB).outcome is JobOutcome.UNDECIDED
+        bench.contact_s = bench.clock.monotonic_s()
+        assert bench.calls.status(JOB).outcome is JobOutcome.UNKNOWN_JOB
+
+    def test_a_new_job_is_refused_at_once_in_an_outage(self):
+        bench = CallsBench()
+        bench.store.down = True
+        bench.submit(JobId("0" * 16))
+        bench.advance(1.0)
+        assert bench.submit() == [JobOutcome.REFUSED]
+
+    def test_a_call_to_an_owner_that_is_replaced_is_undecided(self):
+        bench = CallsBench()
+        bench.store.down = True
+        answers = bench.submit()
+        bench.ledger.close()
+        assert answers == [JobOutcome.UNDECIDED]
--- a/pistachiolift/node/watching.py
+++ b/pistachiolift/node/watching.py
@@ -3,7 +3,6 @@
 import logging
 from abc import ABC, abstractmethod
 
-from twisted.internet.defer import ensureDeferred
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import deferLater
 
@@ -17,6 +16,7 @@
     log_event,
 )
 from ..workflows import Worker
+from .background import run_in_background
 from .interfaces import CoordinationStore, HistoryLostError, QueueTable, Translation
 
 __all__ = ["ConfigurationWatch", "DirectoryWatch", "PrefixWatch"]
@@ -61,22 +61,19 @@
 
     def start(self) -> None:
         """Begin to follow."""
-        task = ensureDeferred(self._follow())
-        task.addErrback(self._failed)
+        run_in_background(
+            self._follow(),
+            logger=logger,
+            event="watch_failed",
+            on_failure=self._start_again,
+            prefix=self.prefix,
+        )
 
     def stop(self) -> None:
         """Take no more changes."""
         self._stopped = True
 
-    def _failed(self, failure) -> None:
-        log_event(
-            logger,
-            "watch_failed",
-            level=logging.ERROR,
-            prefix=self.prefix,
-            error=f"{failure.type.__name__}: {failure.value}",
-            traceback=failure.getTraceback(elideFrameworkCode=True),
-        )
+    def _start_again(self) -> None:
         if not self._stopped:
             self._reactor.callLater(RETRY_INTERVAL_S, self.start)
 
--- a/pistachiolift/node/worker_driver.py
+++ b/pistachiolift/node/worker_driver.py
@@ -2,14 +2,16 @@
 
 import logging
 from abc import ABC, abstractmethod
+from collections.abc import Coroutine
 
 import msgspec
-from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import deferLater
 
 from ..common import Clock, Metrics, log_event
 from ..workflows import StartAnswer, StartRun, StopRun, TaskKey, Worker
+from .background import run_in_background
 from .interfaces import (
     RunListing,
     StaleOwnerError,
@@ -134,20 +136,14 @@
         """Start to list the worker's runs."""
         self._spawn(self._list_forever())
 
-    def _spawn(self, coroutine) -> None:
-        task = ensureDeferred(coroutine)
-        task.addErrback(self._failed)
-
-    def _failed(self, failure) -> None:
-        log_event(
-            logger,
-            "worker_driver_failed",
-            level=logging.ERROR,
+    def _spawn(self, coroutine: Coroutine) -> None:
+        run_in_background(
+            coroutine,
+            logger=logger,
+            event="worker_driver_failed",
+            on_failure=lambda: self._events.superseded("driver_failed"),
             worker=self.worker.worker_id,
-            error=f"{failure.type.__name__}: {failure.value}",
-            traceback=failure.getTraceback(elideFrameworkCode=True),
         )
-        self._events.superseded("driver_failed")
 
     def close(self) -> None:
         """Give no more orders."""
--- a/pistachiolift/workflows/__init__.py
+++ b/pistachiolift/workflows/__init__.py
@@ -29,7 +29,8 @@
     decode_batch,
     encode_batch,
 )
-from .scheduler import GraphScheduler, StartAnswer, validate_graph
+from .scheduler import GraphScheduler, StartAnswer
+from .validation import validate_graph
 
 __all__ = [
     "AdvicePolicy",
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -1,17 +1,16 @@
 """The scheduler of one cell, as its owner calls it."""
 
-import logging
 from collections.abc import Iterable
 
 import msgspec
 
-from ..common import InvalidInputError, JobId, WorkerId
+from ..common import JobId, WorkerId
 from .advice import AdvicePlanner
 from .book import Book
 from .decisions import Decision, StartRun
 from .dispatch import Dispatcher
+from .fleet import Fleet
 from .lifecycle import Lifecycle
-from .listing import ListedEnd, ListedRun, ListingReader
 from .model import (
     EndKind,
     JobGraph,
@@ -21,7 +20,6 @@
     StepKey,
     TaskKey,
     TaskRunStatus,
-    Worker,
 )
 from .progress import ProgressMonitor
 from .records import (
@@ -29,33 +27,15 @@
     JobCancelled,
     JobForgotten,
     LedgerRecord,
-    WorkerInUse,
-    WorkerReleased,
 )
 from .replay import Replay, compact_records
 from .sharing import SharingController
-from .state import TaskRun, WorkerEntry
 
-__all__ = ["GraphScheduler", "StartAnswer", "validate_graph"]
-
-logger = logging.getLogger(__name__)
+__all__ = ["GraphScheduler", "StartAnswer"]
 
 # Time that a refused start keeps a worker from getting more.
 REFUSED_PAUSE_S = 0.5
 
-# A worker that has not been listed for so long counts as unreachable, whatever its
-# driver says; listings follow each other within 1.5 s.
-SILENT_S = 4.0
-
-# A process that has taken the place of another is in the directory by then, or its
-# runs have lost their lease.
-ASTRAY_S = 12.0
-
-# Largest numbers accepted in a job.
-MAX_TASKS = 10_000
-MAX_STEPS = 256
-MAX_OCCURRENCES = 10_000
-
 
 class StartAnswer(msgspec.Struct, frozen=True, kw_only=True):
     """What a worker answered to a start.
@@ -71,34 +51,6 @@
     repeated: bool = False
 
 
-def validate_graph(graph: JobGraph) -> None:
-    """Check a job before it is accepted.
-
-    :raises InvalidInputError: if a figure is out of range or a step waits for a step
-        that does not precede it.
-    """
-    if not 1 <= len(graph.steps) <= MAX_STEPS:
-        raise InvalidInputError(f"job has {len(graph.steps)} steps; 1 to {MAX_STEPS}")
-    if not 0 <= graph.occurrences <= MAX_OCCURRENCES:
-        raise InvalidInputError(
-            f"job has {graph.occurrences} occurrences; 0 to {MAX_OCCURRENCES}"
-        )
-    if graph.interval_ms < 0:
-        raise InvalidInputError(f"interval is {graph.interval_ms} ms; 0 or more")
-    for index, step in enumerate(graph.steps):
-        if not 1 <= step.count <= MAX_TASKS:
-            raise InvalidInputError(
-                f"step {index} has {step.count} tasks; 1 to {MAX_TASKS}"
-            )
-        size = step.size
-        if min(size.cpu_milli, size.memory_mb, size.accelerators) < 0:
-            raise InvalidInputError(f"step {index} asks for a negative size")
-        if any(not 0 <= before < index for before in step.after):
-            raise InvalidInputError(
-                f"step {index} waits for steps {step.after}; 0 to {index - 1}"
-            )
-
-
 class GraphScheduler:
     """Decides which task runs where; it does no input or output.
 
@@ -116,12 +68,9 @@
         self._lifecycle = Lifecycle(self.book)
         self.advice = AdvicePlanner(self.book)
         self._dispatcher = Dispatcher(self.book, self._lifecycle, self.advice)
-        self._listings = ListingReader(self.book, self._lifecycle)
         self._progress = ProgressMonitor(self.book, self._lifecycle)
         self._sharing = SharingController(self.book)
-        # Starts that a worker's next process may have taken, until it is listed,
-        # with the time at which they are given up.
-        self._astray: dict[WorkerId, tuple[float, list[TaskRun]]] = {}
+        self.workers = Fleet(self.book, self._lifecycle, self.advice)
 
     # Replay of the ledger.
 
@@ -237,111 +186,6 @@
             if job.queue.queue_id == queue_id and job.status is JobStatus.PENDING
         )
 
-    # Workers.
-
-    def worker_seen(self, worker: Worker, *, now_s: float, wall_ms: int) -> None:
-        """Take a directory entry; a new incarnation ends all runs of the old one."""
-        entry = self.book.workers_by_id.get(worker.worker_id)
-        if entry is not None and entry.worker.incarnation != worker.incarnation:
-            self.worker_dead(
-                worker.worker_id, now_s=now_s, wall_ms=wall_ms, replaced=True
-            )
-            entry = None
-        if entry is None:
-            entry = self.book.workers_by_id[worker.worker_id] = WorkerEntry(worker)
-            self.advice.worker_replaced(worker.worker_id)
-            for run in self._astray.pop(worker.worker_id, (0.0, []))[1]:
-                self._lifecycle.block_astray(run, entry)
-            return
-        entry.worker = worker
-        entry.registered = True
-
-    def worker_unregistered(self, worker_id: WorkerId) -> None:
-        """Note that the directory no longer names a worker."""
-        entry = self.book.workers_by_id.get(worker_id)
-        if entry is not None:
-            entry.registered = False
-
-    def worker_dead(
-        self,
-        worker_id: WorkerId,
-        *,
-        now_s: float,
-        wall_ms: int,
-        replaced: bool = False,
-    ) -> None:
-        """Forget a worker whose process has certainly ended.
-
-        :param replaced: whether another process answers in its place, which may have
-            taken the newest starts.
-        """
-        entry = self.book.workers_by_id.pop(worker_id, None)
-        if entry is None:
-            return
-        if replaced:
-            astray = self._lifecycle.take_astray(entry)
-            if astray:
-                self._astray[worker_id] = (now_s + ASTRAY_S, astray)
-        self._lifecycle.worker_lost(entry, now_s=now_s, wall_ms=wall_ms)
-        self.book.health.forget_worker(worker_id)
-        if entry.recorded:
-            self.book.record(WorkerReleased(worker_id, entry.worker.incarnation))
-
-    def worker_unreachable(self, worker_id: WorkerId) -> None:
-        """Note that a worker does not answer; its runs may go on."""
-        entry = self.book.workers_by_id.get(worker_id)
-        if entry is not None:
-            entry.reachable = False
-
-    def lease_granted(self, worker_id: WorkerId, lease_end_s: float) -> None:
-        """Note the latest time until which a worker's runs may go on."""
-        entry = self.book.workers_by_id.get(worker_id)
-        if entry is not None:
-            entry.lease_end_s = max(entry.lease_end_s, lease_end_s)
-
-    def worker_listed(
-        self,
-        worker_id: WorkerId,
-        running: list[ListedRun],
-        ended: list[ListedEnd],
-        *,
-        complete: bool,
-        sent_s: float,
-        now_s: float,
-        wall_ms: int,
-    ) -> None:
-        """Take a worker's list of runs.
-
-        :param complete: whether no end was left out of the list.
-        :param sent_s: time at which the list was requested.
-        """
-        entry = self.book.workers_by_id.get(worker_id)
-        if entry is None:
-            return
-        entry.reachable = True
-        self._listings.apply(
-            entry,
-            running,
-            ended,
-            complete=complete,
-            sent_s=sent_s,
-            now_s=now_s,
-            wall_ms=wall_ms,
-        )
-        if complete and not entry.listed:
-            entry.listed = True
-            self._record_use(entry)
-
-    def _record_use(self, entry: WorkerEntry) -> None:
-        """See that later owners know of the worker before a run is placed there."""
-        if entry.recorded:
-            return
-        entry.recorded = True
-        worker = entry.worker
-        entry.use_record = self.book.record(
-            WorkerInUse(worker.worker_id, worker.address, worker.incarnation)
-        )
-
     # Orders.
 
     def start_sent(self, order: StartRun) -> bool:
@@ -427,34 +271,12 @@
         self.advice.expire(now_s)
         self._progress.check(now_s)
         self._sharing.check(now_s)
-        for worker_id, (end_s, runs) in list(self._astray.items()):
-            if now_s > end_s:
-                del self._astray[worker_id]
-                for run in runs:
-                    self._lifecycle.astray_ended(run, now_s)
-        for worker_id, entry in list(self.book.workers_by_id.items()):
-            self._check_worker(worker_id, entry, now_s, wall_ms)
+        self.workers.check(now_s=now_s, wall_ms=wall_ms)
         for job_id, job in list(self.book.jobs_by_id.items()):
             if job.final_s is not None and now_s > job.final_s + self._keep_final_s:
                 self.book.drop_job(job_id)
                 self.book.record(JobForgotten(job_id))
 
-    def _check_worker(
-        self, worker_id: WorkerId, entry: WorkerEntry, now_s: float, wall_ms: int
-    ) -> None:
-        if entry.listed and now_s - entry.listed_s > SILENT_S:
-            entry.reachable = False
-        if entry.reachable and entry.listed:
-            return
-        if now_s < entry.lease_end_s:
-            return
-        if not entry.registered:
-            self.worker_dead(worker_id, now_s=now_s, wall_ms=wall_ms)
-        elif entry.listed:
-            # Its later listings are taken like those of a worker not seen before.
-            entry.listed = False
-            self._lifecycle.worker_lost(entry, now_s=now_s, wall_ms=wall_ms)
-
     def dispatch(self, *, now_s: float, wall_ms: int) -> None:
         """Place what waits."""
         self._dispatcher.run(now_s, wall_ms)
--- a/pistachiolift/workflows/tests/test_scheduler.py
+++ b/pistachiolift/workflows/tests/test_scheduler.py
@@ -360,7 +360,7 @@
         fake = cell.workers_by_id[worker_id]
         reborn = msgspec.structs.replace(fake.worker, incarnation=2)
         fake.worker = reborn
-        cell.scheduler.worker_seen(reborn, now_s=cell.now_s, wall_ms=cell.wall_ms)
+        cell.scheduler.workers.seen(reborn, now_s=cell.now_s, wall_ms=cell.wall_ms)
         cell.run(0.05)
         assert len(cell.runs_by_job[job]) == 1
         cell.run(7.0)
@@ -374,6 +374,6 @@
         fake = cell.workers_by_id[worker_id]
         fake.running.clear()
         fake.worker = msgspec.structs.replace(fake.worker, incarnation=2)
-        cell.scheduler.worker_seen(fake.worker, now_s=cell.now_s, wall_ms=cell.wall_ms)
+        cell.scheduler.workers.seen(fake.worker, now_s=cell.now_s, wall_ms=cell.wall_ms)
         cell.run(0.3)
         assert len(cell.runs_by_job[job]) == 2
--- a/pistachiolift/workflows/tests/test_sharing.py
+++ b/pistachiolift/workflows/tests/test_sharing.py
@@ -51,7 +51,7 @@
         self.over_target_s[worker_id] = (since or self.now_s) if over else None
         if over and since is not None:
             assert self.now_s - since < 4.0, "over the target for too long"
-        self.scheduler.worker_listed(
+        self.scheduler.workers.listed(
             worker_id,
             running,
             ended,
--- a/pistachiolift/workflows/tests/virtual_cell.py
+++ b/pistachiolift/workflows/tests/virtual_cell.py
@@ -130,7 +130,7 @@
         )
         fake = FakeWorker(worker)
         self.workers_by_id[worker.worker_id] = fake
-        self.scheduler.worker_seen(worker, now_s=self.now_s, wall_ms=self.wall_ms)
+        self.scheduler.workers.seen(worker, now_s=self.now_s, wall_ms=self.wall_ms)
         self._list(fake)
         return fake
 
@@ -332,15 +332,15 @@
     def _list(self, fake: FakeWorker) -> None:
         worker_id = fake.worker.worker_id
         if not fake.alive or fake.cut:
-            self.scheduler.worker_unreachable(worker_id)
+            self.scheduler.workers.unreachable(worker_id)
             return
         ended, fake.unseen = fake.unseen, []
         running = [
             ListedRun(task, number, percent=self._percent(fake, (task, number)))
             for task, number in fake.running
         ]
-        self.scheduler.lease_granted(worker_id, self.now_s + LEASE_S)
-        self.scheduler.worker_listed(
+        self.scheduler.workers.lease_granted(worker_id, self.now_s + LEASE_S)
+        self.scheduler.workers.listed(
             worker_id,
             running,
             ended,
@@ -365,7 +365,7 @@
         """End a worker's process; the owner sees that its connections are refused."""
         fake = self.workers_by_id.pop(WorkerId(worker_id))
         fake.alive = False
-        self.scheduler.worker_dead(
+        self.scheduler.workers.dead(
             WorkerId(worker_id), now_s=self.now_s, wall_ms=self.wall_ms
         )
         self._decide()
@@ -378,7 +378,7 @@
         self.scheduler.set_queues(queues)
         self._held.clear()
         for fake in self.workers_by_id.values():
-            self.scheduler.worker_seen(
+            self.scheduler.workers.seen(
                 fake.worker, now_s=self.now_s, wall_ms=self.wall_ms
             )
         self.scheduler.replay(
