--- a/pistachiolift/workflows/dispatch.py
+++ b/pistachiolift/workflows/dispatch.py
@@ -124,7 +124,9 @@
         )
         self._lifecycle.begin_run(step, run, worker)
         self._book.health.task_placed(worker.worker_id)
-        record = self._book.record(RunPlaced(run.task, number, worker.worker_id))
+        record = self._book.record(
+            RunPlaced(run.task, number, worker.worker_id, worker.worker.incarnation)
+        )
         self._book.emit(
             StartRun(
                 task=run.task,
--- a/pistachiolift/workflows/records.py
+++ b/pistachiolift/workflows/records.py
@@ -60,11 +60,15 @@
 
     A later owner takes it to be on the worker until the worker's list or the end of
     its lease tells otherwise.
+
+    :param incarnation: the worker's process; an earlier one than the directory names
+        has ended.
     """
 
     task: TaskKey
     run: int
     worker_id: WorkerId
+    incarnation: int
 
 
 class JobSettled(msgspec.Struct, frozen=True, tag="settled", array_like=True):
--- a/pistachiolift/workflows/replay.py
+++ b/pistachiolift/workflows/replay.py
@@ -45,7 +45,6 @@
         self._wall_ms = wall_ms
         self._in_use: dict[WorkerId, WorkerInUse] = {}
         self._placed: dict[TaskKey, RunPlaced] = {}
-        self._incarnation_by_task: dict[TaskKey, int] = {}
 
     def _at_s(self, unix_ms: int) -> float:
         """Return the monotonic time of a moment in the past."""
@@ -67,10 +66,10 @@
             case TaskFinished():
                 self._finished(record)
             case RunPlaced():
-                use = self._in_use.get(record.worker_id)
-                if use is not None:
+                # Compaction may move the worker's own record behind this one.
+                known = self._placed.get(record.task)
+                if known is None or known.run <= record.run:
                     self._placed[record.task] = record
-                    self._incarnation_by_task[record.task] = use.incarnation
             case JobForgotten():
                 self._book.drop_job(record.job_id)
             case WorkerInUse():
@@ -158,7 +157,7 @@
         last = step.last_run_by_index.get(task.index, 0)
         if task.index in step.finished or last >= placed.run:
             return
-        if worker.worker.incarnation != self._incarnation_by_task[task]:
+        if worker.worker.incarnation != placed.incarnation:
             step.last_run_by_index[task.index] = placed.run
             return
         run = TaskRun(
@@ -212,11 +211,11 @@
                 JobSettled(job_id, job.queue, job.status, job.received_ms, at_ms)
             )
         else:
-            kept += _snapshot(job)
+            kept += _snapshot(book, job)
     return kept
 
 
-def _snapshot(job: JobEntry) -> list[LedgerRecord]:
+def _snapshot(book: Book, job: JobEntry) -> list[LedgerRecord]:
     """Return records that stand for all that the ledger must hold of a job."""
     job_id = job.job_id
     received_ms = job.received_ms
@@ -237,8 +236,14 @@
                 for number in sorted(numbers)
             ]
         records += [
-            RunPlaced(run.task, run.number, run.worker_id)
+            RunPlaced(
+                run.task,
+                run.number,
+                run.worker_id,
+                book.workers_by_id[run.worker_id].worker.incarnation,
+            )
             for run in step.runs_by_index.values()
+            if run.worker_id in book.workers_by_id
         ]
     if job.status is JobStatus.CANCELLED:
         records.append(JobCancelled(job_id, received_ms))
--- a/pistachiolift/workflows/tests/test_scheduler.py
+++ b/pistachiolift/workflows/tests/test_scheduler.py
@@ -305,6 +305,27 @@
         assert len(cell.runs_by_job[job]) == 5
         assert cell.status(done) is JobStatus.COMPLETED
 
+    def test_runs_placed_between_compacted_values_are_still_known(self):
+        cell = VirtualCell(workers=2)
+        early = cell.submit("early", make_queue(), make_graph())
+        cell.run(2.0)
+        old = len(cell.committed)
+        job = cell.submit("a", make_queue(), make_graph(make_step(2, estimate_s=8.0)))
+        cell.run(0.5)
+        # The oldest values are condensed into one that follows the newest.
+        condensed = cell.scheduler.compact(
+            cell.committed[:old], now_s=cell.now_s, wall_ms=cell.wall_ms
+        )
+        cell.committed[:] = cell.committed[old:] + condensed
+        for fake in cell.workers_by_id.values():
+            fake.cut = True
+        cell.replace_owner()
+        cell.run(2.0)
+        assert cell.status(early) is JobStatus.COMPLETED
+        assert len(cell.runs_by_job[job]) == 2
+        runs = [r for e in cell.scheduler.book.workers_by_id.values() for r in e.runs]
+        assert len(runs) == 2
+
 
 class TestUncertainStarts:
     def _placed(self, cell):
