--- a/pistachiolift/node/interfaces.py
+++ b/pistachiolift/node/interfaces.py
@@ -11,7 +11,6 @@
 from ..workflows import (
     ListedEnd,
     ListedRun,
-    PoolId,
     Queue,
     StartAnswer,
     StepKey,
@@ -269,17 +268,10 @@
 
 
 class QueueTable(msgspec.Struct, frozen=True, kw_only=True):
-    """One version of the operators' configuration.
-
-    :param enforcing_pools: pools whose workers refuse what does not fit.
-    :param spare_pools: pools whose machines are off until they are needed.
-    """
+    """One version of the operators' configuration."""
 
     version: int = 0
     queues: tuple[Queue, ...] = ()
-    pools: tuple[PoolId, ...] = ()
-    enforcing_pools: frozenset[PoolId] = frozenset()
-    spare_pools: frozenset[PoolId] = frozenset()
     max_body_bytes: int = 262_144
 
     def find(self, host: str, path: str) -> Queue | None:
--- a/pistachiolift/node/settings.py
+++ b/pistachiolift/node/settings.py
@@ -24,7 +24,6 @@
     :param grace_s: time between SIGTERM and SIGKILL, in seconds.
     :param lease_limit_ms: longest lease of the runs of a worker, in milliseconds.
     :param keep_final_s: time for which the state of a finished job is told.
-    :param early_ms: time by which a scheduled task may start early.
     """
 
     instance_id: str
@@ -35,13 +34,11 @@
     peer_ports: tuple[int, int]
     store_address: str
     adviser_address: str | None = ""
-    machines_address: str | None = ""
     cpu_share: float = 1.0
     core_speed: float = 1.0
     grace_s: float = 6.0
     lease_limit_ms: float = 6_000.0
     keep_final_s: float = 120.0
-    early_ms: float = 250.0
 
     def __post_init__(self) -> None:
         if not 0 < self.peer_ports[0] <= self.peer_ports[1] < 65_536:
--- a/pistachiolift/platform/configuration.py
+++ b/pistachiolift/platform/configuration.py
@@ -56,12 +56,6 @@
         )
 
 
-class _Service(msgspec.Struct, rename="pascal"):
-    name: str
-    enforces_capacity: bool = False
-    spare: bool = False
-
-
 class _Limits(msgspec.Struct, rename="pascal", frozen=True):
     max_body_bytes: int = 262_144
 
@@ -69,7 +63,6 @@
 class _Configuration(msgspec.Struct, rename="pascal"):
     version: int
     routes: list[_Route] = []
-    services: list[_Service] = []
     limits: _Limits = _Limits()
 
 
@@ -82,10 +75,5 @@
     return QueueTable(
         version=wire.version,
         queues=tuple(route.queue() for route in wire.routes),
-        pools=tuple(PoolId(service.name) for service in wire.services),
-        enforcing_pools=frozenset(
-            PoolId(s.name) for s in wire.services if s.enforces_capacity
-        ),
-        spare_pools=frozenset(PoolId(s.name) for s in wire.services if s.spare),
         max_body_bytes=wire.limits.max_body_bytes,
     )
--- a/pistachiolift/workflows/state.py
+++ b/pistachiolift/workflows/state.py
@@ -17,15 +17,17 @@
     WorkerState,
 )
 
+__all__ = ["JobEntry", "OccurrenceEntry", "Pace", "StepEntry", "TaskRun", "WorkerEntry"]
+
 # A sample counts at most as a factor of 12 either way.
 LOG_LIMIT = 2.5
 # About the last 40 tasks of a worker, some ten seconds under load.
 LEAST_WEIGHT = 0.025
+# Weight of the assumption that an unknown worker takes the declared time, in tasks.
 PRIOR_SAMPLES = 3
+# Speeds are compared in steps of a sixth of a natural logarithm.
 BUCKETS_PER_E = 6
 
-__all__ = ["JobEntry", "OccurrenceEntry", "Pace", "StepEntry", "TaskRun", "WorkerEntry"]
-
 
 @dataclass(slots=True)
 class Pace:
@@ -96,7 +98,7 @@
     :param finished: indices of tasks that succeeded.
     :param failed_runs_by_index: numbers of the runs that failed; those of a gang,
         which fails as a whole, stand under 0.
-    :param ticket_by_worker: ticket and the time at which it expires.
+    :param tickets_by_worker: ticket and the time at which it expires.
     :param approved: workers that the adviser named; ``None`` before its answer.
     :param asked_s: time of the advice call in flight, or ``None``.
     """
