Write a task's position for log lines in one place

Cause: three modules formatted it alike, and the owner repeated its own _apply. Change: TaskKey.position; the owner calls _apply after a listing.

--- a/pistachiolift/node/decision_log.py
+++ b/pistachiolift/node/decision_log.py
@@ -4,7 +4,7 @@
 from math import exp
 
 from ..common import log_event
-from ..workflows import JobChanged, StartRun, StopRun, TaskKey
+from ..workflows import JobChanged, StartRun, StopRun
 from ..workflows.book import Book
 
 __all__ = ["log_job_changed", "log_start", "log_stop"]
@@ -12,10 +12,6 @@
 logger = logging.getLogger(__name__)
 
 
-def _task(task: TaskKey) -> str:
-    return f"{task.occurrence}.{task.step}.{task.index}"
-
-
 def log_start(order: StartRun, book: Book, config_version: int) -> None:
     """Log a start that is about to be sent.
 
@@ -27,7 +23,7 @@
         logger,
         "run_placed",
         job=order.task.job_id,
-        task=_task(order.task),
+        task=order.task.position,
         run=order.number,
         worker=order.worker_id,
         free_cpu_milli=worker.free_cpu_milli,
@@ -44,7 +40,7 @@
         logger,
         "run_stopped",
         job=order.task.job_id,
-        task=_task(order.task),
+        task=order.task.position,
         run=order.number,
         worker=order.worker_id,
         reason=order.reason,
--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -366,8 +366,7 @@
             wall_ms=wall_ms,
         )
         number = self.scheduler.book.recorded
-        self._carry_out()
-        self._changed()
+        self._apply()
         if not listing.ended:
             return succeed(True)
         return self.ledger.when_durable(number)
@@ -380,7 +379,7 @@
                 logger,
                 "start_refused",
                 job=order.task.job_id,
-                task=f"{order.task.occurrence}.{order.task.step}.{order.task.index}",
+                task=order.task.position,
                 run=order.number,
                 worker=order.worker_id,
                 reason=answer.reason,
--- a/pistachiolift/workflows/listing.py
+++ b/pistachiolift/workflows/listing.py
@@ -179,7 +179,7 @@
             logger,
             "run_ended",
             job=task.job_id,
-            task=f"{task.occurrence}.{task.step}.{task.index}",
+            task=task.position,
             run=end.number,
             worker=worker.worker_id,
             how=end.kind.value,
--- a/pistachiolift/workflows/model.py
+++ b/pistachiolift/workflows/model.py
@@ -203,6 +203,11 @@
         """The task's step."""
         return StepKey(self.job_id, self.occurrence, self.step)
 
+    @property
+    def position(self) -> str:
+        """The task's place in its job, for log lines."""
+        return f"{self.occurrence}.{self.step}.{self.index}"
+
 
 class Worker(msgspec.Struct, frozen=True, kw_only=True):
     """A worker's directory entry.
