Judge the validity of a start by its request's head

Cause: the upstream's stand-in compared Start-Before-Ms with the time at which the whole body had arrived. The product is unchanged.

--- a/pistachiolift/cli/standin.py
+++ b/pistachiolift/cli/standin.py
@@ -16,8 +16,7 @@
 __all__ = ["standin"]
 
 
-def _listen(app_resource, host: str, port: int) -> None:
-    site = Site(app_resource)
+def _listen(site: Site, host: str, port: int) -> None:
     site.displayTracebacks = False
     reactor.listenTCP(port, site, interface=host, backlog=512)
     reactor.run()
@@ -33,7 +32,7 @@
 @option("--port", type=int, required=True, help="Port.")
 def store(host: str, port: int) -> None:
     """Run a key-value service in memory."""
-    _listen(StoreStandin(reactor).app.resource(), host, port)
+    _listen(Site(StoreStandin(reactor).app.resource()), host, port)
 
 
 @standin.command(epilog=example("pistachiolift standin directory --port 8500"))
@@ -42,7 +41,7 @@
 @option("--lag", "lag_s", type=float, default=0.5, help="Seconds of lag.")
 def directory(host: str, port: int, lag_s: float) -> None:
     """Run an instance list."""
-    _listen(DirectoryStandin(lag_s=lag_s).app.resource(), host, port)
+    _listen(Site(DirectoryStandin(lag_s=lag_s).app.resource()), host, port)
 
 
 @standin.command(epilog=example("pistachiolift standin upstream --port 9001 --slots 8"))
@@ -56,7 +55,7 @@
     server = UpstreamStandin(
         reactor, slots=slots, connections=connections, default_run_s=run_s
     )
-    _listen(server.app.resource(), host, port)
+    _listen(server.site(), host, port)
 
 
 @standin.command(
@@ -74,4 +73,5 @@
     capacity = Capacity(
         cpu_milli=cpu_milli, memory_mb=memory_mb, accelerators=accelerators
     )
-    _listen(WorkerStandin(reactor, capacity=capacity).app.resource(), host, port)
+    worker = WorkerStandin(reactor, capacity=capacity)
+    _listen(Site(worker.app.resource()), host, port)
--- a/pistachiolift/demo/cell.py
+++ b/pistachiolift/demo/cell.py
@@ -70,8 +70,7 @@
         self.instances: list[Instance] = []
         self._entries: list[DirectoryEntry] = []
 
-    def _listen(self, app) -> str:
-        site = Site(app.resource())
+    def _listen(self, site: Site) -> str:
         port: IListeningPort = self._reactor.listenTCP(0, site, interface=HOST)
         self._stack.push_async_callback(self._stop_listening, port)
         return f"{HOST}:{port.getHost().port}"
@@ -81,8 +80,8 @@
         await port.stopListening()
 
     async def __aenter__(self) -> "EmbeddedCell":
-        store_url = f"http://{self._listen(self.store.app)}"
-        directory_url = f"http://{self._listen(self.directory.app)}"
+        store_url = f"http://{self._listen(Site(self.store.app.resource()))}"
+        directory_url = f"http://{self._listen(Site(self.directory.app.resource()))}"
         self._announce_group(self.upstreams, "upstream", InstanceRole.UPSTREAM)
         self._announce_group(self.workers, "worker", InstanceRole.WORKER)
         for number in range(self._counts[0]):
@@ -100,13 +99,16 @@
             size = WORKER_SIZE
             if role is InstanceRole.UPSTREAM:
                 size = Capacity(slots=8, connections=64)
+                site = server.site()
+            else:
+                site = Site(server.app.resource())
             self._entries.append(
                 DirectoryEntry(
                     id=InstanceId(f"{name}-{number}"),
                     role=role,
                     data_centre=DataCentreId(DATA_CENTRES[number % 2]),
                     rack=RackId(f"rack-{number // 2 % 2}"),
-                    address=self._listen(server.app),
+                    address=self._listen(site),
                     capacity=size,
                 )
             )
--- a/pistachiolift/standins/upstream.py
+++ b/pistachiolift/standins/upstream.py
@@ -7,12 +7,13 @@
 import json
 from collections import deque
 from enum import Enum
+from functools import partial
 
 import msgspec
 from klein import Klein
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
-from twisted.web.http import Request
+from twisted.web.server import Request, Site
 
 from ..backends import AttemptState, AttemptStatus, RunningAttempt, RunningAttempts
 from ..common import AttemptId, Clock, SystemClock, decode_json, encode_json
@@ -69,6 +70,28 @@
     state: AttemptState = AttemptState.NOT_STARTED
 
 
+class _AttemptRequest(Request):
+    """A request that remembers when its head arrived.
+
+    :param clock: source of the time.
+    """
+
+    def __init__(self, *args: object, clock: Clock, **options: object):
+        super().__init__(*args, **options)
+        self._clock = clock
+        self._head_s = clock.monotonic_s()
+
+    def gotLength(self, length: int | None) -> None:  # noqa: N802
+        """Take the length of the body, which ends the head."""
+        self._head_s = self._clock.monotonic_s()
+        super().gotLength(length)
+
+    @property
+    def receiving_s(self) -> float:
+        """Seconds since the head arrived, which is when the attempt begins."""
+        return self._clock.monotonic_s() - self._head_s
+
+
 class _Running:
     """An attempt that holds a slot."""
 
@@ -111,8 +134,13 @@
         self.most_connections = 0
         self.slot_violations = 0
 
+    def site(self) -> Site:
+        """Return the site to listen with."""
+        make_request = partial(_AttemptRequest, clock=self._clock)
+        return Site(self.app.resource(), requestFactory=make_request)
+
     @app.route("/v1/attempts/<attempt_id>", methods=["POST"])
-    def start(self, request: Request, attempt_id: str):
+    def start(self, request: _AttemptRequest, attempt_id: str):
         """Run one attempt."""
         attempt = AttemptId(attempt_id)
         seen = self._register(request, attempt)
@@ -143,12 +171,18 @@
         self.seen.append(seen)
         return seen
 
-    def _too_late(self, request: Request, attempt_id: AttemptId) -> bool:
+    def _too_late(self, request: _AttemptRequest, attempt_id: AttemptId) -> bool:
         start_before_ms = int(self._header(request, "Start-Before-Ms") or "0")
-        late = self._clock.wall_s() * 1000 > start_before_ms
-        return late or attempt_id in self._blocked_ids
+        # A large body takes longer to arrive than an order is valid.
+        began_s = self._clock.wall_s() - request.receiving_s
+        late = began_s * 1000 > start_before_ms
+        overdue = self._run_limit_s(request) <= request.receiving_s
+        return late or overdue or attempt_id in self._blocked_ids
+
+    def _run_limit_s(self, request: Request) -> float:
+        return float(self._header(request, "Run-Limit-Ms") or "60000") / 1000
 
-    def _run(self, request: Request, seen: SeenAttempt) -> None:
+    def _run(self, request: _AttemptRequest, seen: SeenAttempt) -> None:
         body = request.content.read(BODY_LIMIT_BYTES)
         work = self._work_from(body)
         running = _Running(seen, request)
@@ -156,7 +190,7 @@
         seen.started_s = self._clock.wall_s()
         seen.state = AttemptState.RUNNING
         self._running_by_id[seen.attempt_id] = running
-        limit_s = float(self._header(request, "Run-Limit-Ms") or "60000") / 1000
+        limit_s = self._run_limit_s(request) - request.receiving_s
         run_s = min(work.run_s, limit_s)
         running.end_call = self._reactor.callLater(
             run_s, self._finish, running, work, body
