Load only the modules that a command needs

Cause: every command imported all others, and the HTTP server that the node uses lay in the package of entry instances, so `pistachiolift node` loaded the request path, the jobs, the demonstration and the client (889 modules). Change: commands are imported when asked for; entry/http is now the subpackage listener; the health of workers, which two cores share, is in common.

--- a/pistachiolift/bench/relay.py
+++ b/pistachiolift/bench/relay.py
@@ -26,7 +26,7 @@
 
 from ..backends import AttemptOrder, HttpUpstreamClient
 from ..common import AttemptId, Epoch, Metrics, RequestId
-from ..entry.http import CallerAnswer, StreamingSite, parse_head
+from ..listener import CallerAnswer, StreamingSite, parse_head
 
 __all__ = ["RelayCost", "RelayVariant", "bare_relay", "measure_relay"]
 
--- a/pistachiolift/cli/bench.py
+++ b/pistachiolift/cli/bench.py
@@ -4,7 +4,8 @@
 
 import click
 
-from .options import example, option, output_option
+from .documented import example, option
+from .options import output_option
 from .output import echo_document, echo_progress, format_table
 
 __all__ = ["bench"]
--- a/pistachiolift/cli/cancel.py
+++ b/pistachiolift/cli/cancel.py
@@ -6,9 +6,10 @@
 from ..common import Outcome
 from .answers import Answer
 from .client import ApiClient, Connection, run_with_client
+from .documented import example, option
 from .errors import CommandError
 from .exit_codes import ExitCode
-from .options import caller_options, example, operator_options, option, output_option
+from .options import caller_options, operator_options, output_option
 from .output import echo_document
 from .paths import path_of_url
 
--- a/pistachiolift/cli/completion.py
+++ b/pistachiolift/cli/completion.py
@@ -3,7 +3,7 @@
 import click
 from click.shell_completion import ShellComplete, get_completion_class
 
-from .options import example
+from .documented import example
 
 __all__ = ["completion"]
 
--- a/pistachiolift/cli/demo.py
+++ b/pistachiolift/cli/demo.py
@@ -5,7 +5,8 @@
 from twisted.internet.defer import ensureDeferred
 
 from ..demo import run_demo
-from .options import example, option, output_option
+from .documented import example, option
+from .options import output_option
 from .output import echo_document
 
 __all__ = ["demo"]
--- a/pistachiolift/cli/drain.py
+++ b/pistachiolift/cli/drain.py
@@ -4,10 +4,11 @@
 
 from ..common import platform_id
 from .client import ApiClient, Connection, run_with_client
+from .documented import example, option
 from .documents import InstanceStatus
 from .errors import CommandError
 from .exit_codes import ExitCode
-from .options import example, operator_options, option, output_option, wait_limit_option
+from .options import operator_options, output_option, wait_limit_option
 from .output import echo_document, echo_progress
 from .waiting import poll
 
--- a/pistachiolift/cli/explain.py
+++ b/pistachiolift/cli/explain.py
@@ -4,11 +4,12 @@
 
 from ..settings import GetAnswer, GetRequest
 from .client import ApiClient, Connection, run_with_client
+from .documented import example, option
 from .documents import JobStanding, PartitionStatus, RequestStanding
 from .errors import CommandError
 from .exit_codes import ExitCode
 from .explanations import explain_absent_request, explain_job, explain_request
-from .options import example, operator_options, option, output_option
+from .options import operator_options, output_option
 from .output import echo_document, printable
 from .paths import path_of_url
 
--- a/pistachiolift/cli/main.py
+++ b/pistachiolift/cli/main.py
@@ -4,25 +4,27 @@
 
 from .. import __version__
 from ..common import configure_logging
-from .bench import bench
-from .cancel import cancel
-from .completion import completion
-from .demo import demo
-from .drain import drain
+from .documented import example, option
 from .exit_codes import ExitCode
-from .explain import explain
-from .node import node
-from .options import example, option
-from .replay import replay
-from .serve import serve
-from .settings import settings
-from .settings_changes import import_, set_, unset
-from .standin import standin
-from .status import status
-from .submit import submit
+from .lazy import LazyGroup
 
 __all__ = ["main"]
 
+COMMANDS = (
+    "bench",
+    "cancel",
+    "completion",
+    "demo",
+    "drain",
+    "explain",
+    "node",
+    "replay",
+    "serve",
+    "settings",
+    "standin",
+    "status",
+    "submit",
+)
 LOG_LEVELS = ["DEBUG", "INFO", "WARNING", "ERROR"]
 
 _EXIT_CODES = "\n\n\b\nExit codes:\n" + "\n".join(
@@ -31,6 +33,8 @@
 
 
 @click.group(
+    cls=LazyGroup,
+    module_by_command={name: name for name in COMMANDS},
     context_settings={
         "auto_envvar_prefix": "PISTACHIOLIFT",
         "help_option_names": ["-h", "--help"],
@@ -52,23 +56,3 @@
     Each option can be set by a variable, which the help of its command names.
     """
     configure_logging(log_level.upper())
-
-
-for command in (
-    bench,
-    demo,
-    replay,
-    node,
-    serve,
-    standin,
-    submit,
-    cancel,
-    status,
-    explain,
-    settings,
-    drain,
-    completion,
-):
-    main.add_command(command)
-for command in (set_, unset, import_):
-    settings.add_command(command)
--- a/pistachiolift/cli/node.py
+++ b/pistachiolift/cli/node.py
@@ -16,7 +16,7 @@
 from ..platform.caller_api import make_caller_api
 from ..platform.store import PlatformStore
 from ..platform.translation import PlatformTranslation
-from .options import example, option
+from .documented import example, option
 
 __all__ = ["node"]
 
--- a/pistachiolift/cli/options.py
+++ b/pistachiolift/cli/options.py
@@ -1,39 +1,30 @@
-"""Options that several commands share."""
+"""Options of the commands that call an instance."""
 
 import re
 import uuid
 from collections.abc import Callable
-from functools import partial, wraps
+from functools import wraps
 from pathlib import Path
 from urllib.parse import urlsplit
 
 import click
 
 from .client import Connection
+from .documented import option
 from .output import OUTPUT_FORMATS
 
 __all__ = [
     "caller_options",
-    "example",
     "new_identifier",
     "operator_options",
-    "option",
     "output_option",
     "wait_limit_option",
 ]
 
-# Every option shows its variable in the help.
-option = partial(click.option, show_envvar=True)
-
 _TOKEN = re.compile(r"[A-Za-z0-9._~+/-]{1,512}=*")
 _AUTHOR = re.compile(r"[!-~][ -~]{0,63}")
 
 
-def example(*lines: str) -> str:
-    """Return an epilog of a command's help that shows an example as it is."""
-    return "\b\nExample:\n" + "\n".join(f"  {line}" for line in lines)
-
-
 def new_identifier() -> str:
     """Return a new identifier of a change, a request or a job."""
     return uuid.uuid4().hex
--- a/pistachiolift/cli/replay.py
+++ b/pistachiolift/cli/replay.py
@@ -14,7 +14,8 @@
     read_outcomes,
     replay_file,
 )
-from .options import example, option, output_option
+from .documented import example, option
+from .options import output_option
 from .output import echo_document, format_table
 
 __all__ = ["replay"]
--- a/pistachiolift/cli/serve.py
+++ b/pistachiolift/cli/serve.py
@@ -10,7 +10,7 @@
 from ..common import DataCentreId, InstanceId
 from ..entry import Instance, InstanceConfig
 from ..home import record_trace
-from .options import example, option
+from .documented import example, option
 
 __all__ = ["serve"]
 
--- a/pistachiolift/cli/settings.py
+++ b/pistachiolift/cli/settings.py
@@ -18,13 +18,9 @@
     ValueChange,
 )
 from .client import ApiClient, Connection, run_with_client
-from .options import (
-    example,
-    operator_options,
-    option,
-    output_option,
-    wait_limit_option,
-)
+from .documented import example, option
+from .lazy import LazyGroup
+from .options import operator_options, output_option, wait_limit_option
 from .output import echo_document, echo_progress, format_table, format_value
 from .paths import settings_path
 from .waiting import poll
@@ -43,7 +39,11 @@
     ]
 
 
-@click.group(epilog=example("pistachiolift settings get lekki/velocity"))
+@click.group(
+    cls=LazyGroup,
+    module_by_command=dict.fromkeys(("set", "unset", "import"), "settings_changes"),
+    epilog=example("pistachiolift settings get lekki/velocity"),
+)
 def settings() -> None:
     """Read and change the settings tree.
 
--- a/pistachiolift/cli/settings_changes.py
+++ b/pistachiolift/cli/settings_changes.py
@@ -12,14 +12,8 @@
     UnsetRequest,
 )
 from .client import ApiClient, Connection, run_with_client
-from .options import (
-    example,
-    new_identifier,
-    operator_options,
-    option,
-    output_option,
-    wait_limit_option,
-)
+from .documented import example, option
+from .options import new_identifier, operator_options, output_option, wait_limit_option
 from .output import echo_document
 from .paths import settings_path
 from .settings import changes_table, complete_key, wait_in_force
--- a/pistachiolift/cli/standin.py
+++ b/pistachiolift/cli/standin.py
@@ -11,7 +11,7 @@
     UpstreamStandin,
     WorkerStandin,
 )
-from .options import example, option
+from .documented import example, option
 
 __all__ = ["standin"]
 
--- a/pistachiolift/cli/status.py
+++ b/pistachiolift/cli/status.py
@@ -10,11 +10,12 @@
 from ..common import Urgency
 from ..settings import GetAnswer, GetRequest
 from .client import ApiClient, Connection, run_with_client
+from .documented import example, option
 from .documents import InstanceStatus, PartitionOwner, PartitionStatus
 from .errors import CommandError
 from .exit_codes import ExitCode
 from .loop import sleep
-from .options import example, operator_options, option, output_option
+from .options import operator_options, output_option
 from .output import echo_document, format_table, printable
 from .paths import path_of_url
 
--- a/pistachiolift/cli/submit.py
+++ b/pistachiolift/cli/submit.py
@@ -10,16 +10,10 @@
 from ..jobs import JobSpec, PolicyName, Resources, validate_spec
 from .answers import Answer
 from .client import ApiClient, Connection, run_with_client
+from .documented import example, option
 from .errors import ClientErrorCode, CommandError
 from .exit_codes import ExitCode
-from .options import (
-    caller_options,
-    example,
-    new_identifier,
-    operator_options,
-    option,
-    output_option,
-)
+from .options import caller_options, new_identifier, operator_options, output_option
 from .output import echo_document, echo_progress
 from .paths import path_of_url
 
--- a/pistachiolift/cli/tests/test_completeness.py
+++ b/pistachiolift/cli/tests/test_completeness.py
@@ -19,8 +19,11 @@
 
 def commands(command=main, path="pistachiolift"):
     yield path, command
-    for name, each in getattr(command, "commands", {}).items():
-        yield from commands(each, f"{path} {name}")
+    if not isinstance(command, click.Group):
+        return
+    context = click.Context(command)
+    for name in command.list_commands(context):
+        yield from commands(command.get_command(context, name), f"{path} {name}")
 
 
 ALL = dict(commands())
@@ -51,7 +54,9 @@
 
 
 class TestOperationsPage:
-    @pytest.mark.parametrize("path", [p for p in ALL if "commands" not in dir(ALL[p])])
+    @pytest.mark.parametrize(
+        "path", [p for p, c in ALL.items() if not isinstance(c, click.Group)]
+    )
     def test_names_every_command(self, path):
         assert path in PAGE
 
--- a/pistachiolift/common/__init__.py
+++ b/pistachiolift/common/__init__.py
@@ -11,6 +11,7 @@
 from .metrics import Metrics
 from .rendezvous import rendezvous_ranking, stable_hash
 from .urgency import Urgency
+from .worker_health import WorkerHealth
 
 __all__ = [
     "Clock",
@@ -19,6 +20,7 @@
     "Metrics",
     "SystemClock",
     "Urgency",
+    "WorkerHealth",
     "configure_logging",
     "decode_json",
     "encode_json",
--- a/pistachiolift/jobs/health.py
+++ b/pistachiolift/common/worker_health.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from ..common import JobId, WorkerId
+from .ids import JobId, WorkerId
 
 __all__ = ["WorkerHealth"]
 
--- a/pistachiolift/entry/caller_api.py
+++ b/pistachiolift/entry/caller_api.py
@@ -21,9 +21,7 @@
     encode_json,
 )
 from ..home import PartitionMap
-from ..peers import HomeCallKind
-from ..settings import KindSettings, SettingsView
-from .http import (
+from ..listener import (
     BodySource,
     CallerAnswer,
     CallerHead,
@@ -32,6 +30,8 @@
     parse_request_key,
     parse_token,
 )
+from ..peers import HomeCallKind
+from ..settings import KindSettings, SettingsView
 from .operator_calls import OperatorCalls
 from .request_service import RequestService
 from .session import Caller, RequestSession
--- a/pistachiolift/entry/instance.py
+++ b/pistachiolift/entry/instance.py
@@ -41,6 +41,7 @@
     StoreListener,
     StoreSession,
 )
+from ..listener import Listener, StreamingSite
 from ..ownership import (
     DirectorySeen,
     InstancesLeaving,
@@ -62,7 +63,6 @@
 from .config import InstanceConfig
 from .directory_poller import DirectoryListener, DirectoryPoller
 from .dispatcher import Dispatcher
-from .http import Listener, StreamingSite
 from .liveness import HEARTBEAT_FANOUT, LivenessTracker
 from .operator_api import OperatorApi
 from .operator_calls import OperatorCalls
--- a/pistachiolift/entry/operator_api.py
+++ b/pistachiolift/entry/operator_api.py
@@ -18,6 +18,7 @@
     encode_json,
 )
 from ..jobs import JobSpec, validate_spec
+from ..listener import StreamingRequest, parse_token
 from ..peers import HomeCallKind
 from ..settings import (
     ChangeRequest,
@@ -28,7 +29,6 @@
     SetRequest,
     UnsetRequest,
 )
-from .http import StreamingRequest, parse_token
 
 if TYPE_CHECKING:
     from .instance import Instance
--- a/pistachiolift/entry/session.py
+++ b/pistachiolift/entry/session.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass, field
 
 from ..common import CustomerId, Epoch, KindId, PartitionId, RequestId
+from ..listener import BodySource, CallerAnswer
 from ..peers import HeldAttempt, RequestDescription
-from .http import BodySource, CallerAnswer
 
 __all__ = ["Caller", "RequestSession", "SessionTable"]
 
--- a/pistachiolift/jobs/__init__.py
+++ b/pistachiolift/jobs/__init__.py
@@ -17,7 +17,6 @@
     ThrottleTask,
     WaitingEntry,
 )
-from .health import WorkerHealth
 from .index import WorkerIndex
 from .lifecycle import TaskLifecycle
 from .model import (
@@ -100,7 +99,6 @@
     "ThrottleTask",
     "WaitReason",
     "WaitingEntry",
-    "WorkerHealth",
     "WorkerIndex",
     "WorkerSpec",
     "WorkerState",
--- a/pistachiolift/jobs/state.py
+++ b/pistachiolift/jobs/state.py
@@ -3,9 +3,8 @@
 import random
 from collections import Counter, OrderedDict
 
-from ..common import Epoch, JobId, Metrics, PartitionId, WorkerId
+from ..common import Epoch, JobId, Metrics, PartitionId, WorkerHealth, WorkerId
 from .decisions import JobDecision
-from .health import WorkerHealth
 from .index import WorkerIndex
 from .ledger import LedgerBuffer
 from .model import Resources, WorkerStatus
--- a/pistachiolift/jobs/tests/test_health.py
+++ b/pistachiolift/jobs/tests/test_health.py
@@ -2,14 +2,13 @@
 
 import pytest
 
-from pistachiolift.common import InvalidInputError
+from pistachiolift.common import InvalidInputError, WorkerHealth
 from pistachiolift.jobs import (
     NoPlacementReason,
     PolicyName,
     QuotaTable,
     ReportedState,
     Resources,
-    WorkerHealth,
     validate_spec,
 )
 
--- a/pistachiolift/entry/http/answer.py
+++ b/pistachiolift/listener/answer.py
@@ -6,8 +6,8 @@
 from twisted.internet.interfaces import IPushProducer
 from zope.interface import implementer
 
-from ...backends import AnswerSink
-from ...common import (
+from ..backends import AnswerSink
+from ..common import (
     Outcome,
     OutcomeUnknownError,
     PistachioliftError,
--- a/pistachiolift/entry/http/body.py
+++ b/pistachiolift/listener/body.py
@@ -8,7 +8,7 @@
 from twisted.web.iweb import UNKNOWN_LENGTH, IBodyProducer
 from zope.interface import implementer
 
-from ...common import BodyTooLargeError, PistachioliftError
+from ..common import BodyTooLargeError, PistachioliftError
 from .errors import BodyConsumedError
 from .limits import HttpLimits
 
--- a/pistachiolift/entry/http/channel.py
+++ b/pistachiolift/listener/channel.py
@@ -3,7 +3,7 @@
 from twisted.internet import interfaces
 from twisted.web.http import HTTPChannel, _MalformedChunkedDataError
 
-from ...common import PistachioliftError
+from ..common import PistachioliftError
 from .body import BodySource
 from .errors import (
     BuffersFullError,
--- a/pistachiolift/entry/http/errors.py
+++ b/pistachiolift/listener/errors.py
@@ -1,6 +1,6 @@
 """Typed errors of the caller-facing HTTP layer."""
 
-from ...common import (
+from ..common import (
     CancelledError,
     ErrorCode,
     InvalidInputError,
--- a/pistachiolift/entry/http/head.py
+++ b/pistachiolift/listener/head.py
@@ -5,7 +5,7 @@
 import msgspec
 from twisted.web.iweb import IRequest
 
-from ...common import AuthenticationError, InvalidInputError, KindId
+from ..common import AuthenticationError, InvalidInputError, KindId
 
 __all__ = [
     "DEADLINE_LIMIT_MS",
--- a/pistachiolift/entry/http/listener.py
+++ b/pistachiolift/listener/listener.py
@@ -8,7 +8,7 @@
 from twisted.internet.interfaces import IListeningPort, IReactorCore
 from twisted.internet.ssl import CertificateOptions
 
-from ...common import InvalidInputError
+from ..common import InvalidInputError
 from .site import StreamingSite
 
 __all__ = ["Listener", "load_certificate"]
--- a/pistachiolift/entry/http/request.py
+++ b/pistachiolift/listener/request.py
@@ -9,7 +9,7 @@
 from twisted.web.server import Request
 from werkzeug.exceptions import HTTPException
 
-from ...common import (
+from ..common import (
     ErrorCode,
     InvalidInputError,
     NotFoundError,
--- a/pistachiolift/entry/http/site.py
+++ b/pistachiolift/listener/site.py
@@ -12,7 +12,7 @@
 from twisted.web.server import Site
 from werkzeug.exceptions import HTTPException
 
-from ...common import Metrics, PistachioliftError, log_event
+from ..common import Metrics, PistachioliftError, log_event
 from .budget import BufferBudget
 from .channel import StreamingChannel
 from .errors import TooManyConnectionsError
--- a/pistachiolift/entry/http/tests/listener_server.py
+++ b/pistachiolift/listener/tests/listener_server.py
@@ -14,7 +14,7 @@
 from twisted.protocols.basic import LineReceiver
 
 from pistachiolift.common import Metrics
-from pistachiolift.entry.http import HttpLimits, Listener, StreamingSite
+from pistachiolift.listener import HttpLimits, Listener, StreamingSite
 
 app = Klein()
 orders = {b"stop": Deferred(), b"finish": Deferred()}
--- a/pistachiolift/entry/http/tests/support.py
+++ b/pistachiolift/listener/tests/support.py
@@ -9,7 +9,7 @@
 from twisted.python.failure import Failure
 
 from pistachiolift.common import Metrics
-from pistachiolift.entry.http import HttpLimits, StreamingSite
+from pistachiolift.listener import HttpLimits, StreamingSite
 
 
 class Sink:
--- a/pistachiolift/entry/http/tests/test_answer.py
+++ b/pistachiolift/listener/tests/test_answer.py
@@ -4,8 +4,8 @@
 from twisted.internet.testing import StringTransport
 
 from pistachiolift.common import InvalidInputError, Outcome, QueueFullError
-from pistachiolift.entry.http import CallerAnswer
-from pistachiolift.entry.http.tests.support import Setup
+from pistachiolift.listener import CallerAnswer
+from pistachiolift.listener.tests.support import Setup
 
 PART = b"p" * 65536
 MANY = 17  # parts that exceed the buffer of 1 MiB
--- a/pistachiolift/entry/http/tests/test_body.py
+++ b/pistachiolift/listener/tests/test_body.py
@@ -6,14 +6,14 @@
 from twisted.internet.defer import Deferred
 
 from pistachiolift.common import BodyTooLargeError, Outcome
-from pistachiolift.entry.http import (
+from pistachiolift.listener import (
     BodyConsumedError,
     BodySource,
     CallerDisconnectedError,
     HttpLimits,
     SlowCallerError,
 )
-from pistachiolift.entry.http.tests.support import Setup, Sink
+from pistachiolift.listener.tests.support import Setup, Sink
 
 LARGE = 1024 * 1024
 READ = b"r" * 65536
--- a/pistachiolift/entry/http/tests/test_channel.py
+++ b/pistachiolift/listener/tests/test_channel.py
@@ -8,8 +8,8 @@
 from twisted.internet.defer import Deferred
 from twisted.logger import LogLevel, globalLogPublisher
 
-from pistachiolift.entry.http import CallerAnswer, HttpLimits
-from pistachiolift.entry.http.tests.support import Setup
+from pistachiolift.listener import CallerAnswer, HttpLimits
+from pistachiolift.listener.tests.support import Setup
 
 HEAD = b"POST /echo HTTP/1.1\r\nHost: t\r\n"
 
--- a/pistachiolift/entry/http/tests/test_head.py
+++ b/pistachiolift/listener/tests/test_head.py
@@ -4,7 +4,7 @@
 from twisted.web.test.requesthelper import DummyRequest
 
 from pistachiolift.common import AuthenticationError, InvalidInputError, Outcome
-from pistachiolift.entry.http import CallerHead, parse_head
+from pistachiolift.listener import CallerHead, parse_head
 
 GOOD = {
     "Authorization": "Bearer abc123==",
--- a/pistachiolift/entry/http/tests/test_listener.py
+++ b/pistachiolift/listener/tests/test_listener.py
@@ -11,9 +11,9 @@
 from twisted.internet.ssl import KeyPair
 
 from pistachiolift.common import InvalidInputError
-from pistachiolift.entry.http import load_certificate
+from pistachiolift.listener import load_certificate
 
-MODULE = "pistachiolift.entry.http.tests.listener_server"
+MODULE = "pistachiolift.listener.tests.listener_server"
 
 
 @pytest.fixture(scope="module")
@@ -28,7 +28,7 @@
 
 class Server:
     def __init__(self, files):
-        pipe, root = subprocess.PIPE, Path(__file__).parents[4]
+        pipe, root = subprocess.PIPE, Path(__file__).parents[3]
         self.process = subprocess.Popen(
             [sys.executable, "-m", MODULE, *files],
             stdin=pipe,
--- a/pistachiolift/entry/http/tests/test_memory.py
+++ b/pistachiolift/listener/tests/test_memory.py
@@ -102,7 +102,7 @@
     threading.Thread(target=upstream.serve_forever, daemon=True).start()
     module = [sys.executable, "-m", "pistachiolift.bench.relay"]
     command = [*module, "serve", kind, str(upstream.server_port)]
-    root = Path(__file__).parents[4]
+    root = Path(__file__).parents[3]
     with subprocess.Popen(command, stdout=subprocess.PIPE, cwd=root) as process:
         try:
             yield Relay(process)
--- a/pistachiolift/node/instance.py
+++ b/pistachiolift/node/instance.py
@@ -11,7 +11,7 @@
 from twisted.web.server import Site
 
 from ..common import Clock, Metrics, StoreUnavailableError, log_event
-from ..entry.http import HttpLimits, Listener, StreamingSite
+from ..listener import HttpLimits, Listener, StreamingSite
 from .advice_desk import AdviceDesk
 from .background import run_in_background
 from .handover import HandoverMonitor
--- a/pistachiolift/platform/caller_api.py
+++ b/pistachiolift/platform/caller_api.py
@@ -15,7 +15,7 @@
     PistachioliftError,
     log_event,
 )
-from ..entry.http import StreamingRequest
+from ..listener import StreamingRequest
 from ..node.instance import NodeInstance
 from ..node.peer_messages import JobAnswer, JobOutcome
 from ..workflows import JobGraph, Queue, validate_graph
--- a/pistachiolift/workflows/book.py
+++ b/pistachiolift/workflows/book.py
@@ -3,8 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from ..common import JobId, WorkerId
-from ..jobs.health import WorkerHealth
+from ..common import JobId, WorkerHealth, WorkerId
 from .decisions import Decision, JobChanged
 from .model import JobStatus, PoolId, Queue, QueueId, StepKey
 from .records import LedgerRecord
