Claim from a dead owner when the store is back, and repeat lost writes sooner

Jobs without owner and store were held for 1.3 to 2.4 s and then refused. Each lost answer of the store held all writes for 0.9 s. Change: the claim is repeated until there is an owner; entry instances refuse at once while no instance owns and the store is away; the time limit of calls to the store follows its answers (RFC 6298, 0.15 to 0.8 s). A handover is asked for after four failed calls instead of three, since time limits are shorter.

--- a/pistachiolift/node/handover.py
+++ b/pistachiolift/node/handover.py
@@ -19,7 +19,7 @@
 CHECK_INTERVAL_S = 0.1
 
 # Calls that fail in a row, and the time that they span, before peers are asked.
-FAILED_CALLS = 3
+FAILED_CALLS = 4
 FAILING_S = 0.25
 
 # In an outage of the whole store all peers say no; they are asked again after this.
--- a/pistachiolift/node/instance.py
+++ b/pistachiolift/node/instance.py
@@ -111,7 +111,11 @@
             on_died=lambda record: self._ownership.owner_died(record),
         )
         self.jobs = JobService(
-            reactor, owner=self._current_owner, link=self._link, **common
+            reactor,
+            owner=self._current_owner,
+            link=self._link,
+            store_lost_s=lambda: self._ownership.store_lost_s,
+            **common,
         )
         self._configuration = ConfigurationWatch(
             reactor, store, translation, on_table=self._table_changed, **common
--- a/pistachiolift/node/job_service.py
+++ b/pistachiolift/node/job_service.py
@@ -34,12 +34,17 @@
 # A takeover takes about 2 s; beyond that a caller is better off coming back.
 OWNER_WAIT_S = 2.3
 
+# Without the store no instance can become the owner. The store's connections break
+# for shorter times than this when it drops a watch.
+STORE_LOST_S = 0.3
+
 
 class JobService:
     """Makes calls to whichever instance owns, until the caller's time is over.
 
     :param owner: returns the owner's side if it runs in this process.
     :param link: connection to the owner in another process.
+    :param store_lost_s: returns the seconds for which the store has not been reached.
     """
 
     def __init__(
@@ -50,12 +55,14 @@
         metrics: Metrics,
         owner: Callable[[], Owner | None],
         link: OwnerLink,
+        store_lost_s: Callable[[], float],
     ):
         self._reactor = reactor
         self._clock = clock
         self._metrics = metrics
         self._owner = owner
         self._link = link
+        self._store_lost_s = store_lost_s
 
     async def submit(
         self, job_id: JobId, queue: Queue, graph: JobGraph, *, until_s: float
@@ -113,13 +120,21 @@
                     # An earlier call may have been taken by another owner.
                     break
                 return answer
-            if self._clock.monotonic_s() >= give_up_s:
+            if self._clock.monotonic_s() >= give_up_s or self._is_hopeless(answer):
                 break
             await deferLater(self._reactor, RETRY_INTERVAL_S)
         if undecided:
             return JobAnswer(JobOutcome.UNDECIDED)
         return JobAnswer(JobOutcome.REFUSED)
 
+    def _is_hopeless(self, answer: JobAnswer | None) -> bool:
+        """Whether no instance owns and none can before the store is back."""
+        if answer is None:
+            unowned = self._owner() is None and self._link.connection is None
+        else:
+            unowned = answer.outcome is JobOutcome.NOT_OWNER
+        return unowned and self._store_lost_s() > STORE_LOST_S
+
     async def _call_once(
         self, message: Message, left_s: float
     ) -> tuple[bool, JobAnswer | None]:
--- a/pistachiolift/node/ledger.py
+++ b/pistachiolift/node/ledger.py
@@ -23,6 +23,7 @@
 # Shortest time between the beginnings of two writes: at most 67 a second, a sixth of
 # the smallest rate that the platform grants to all instances together.
 COMMIT_INTERVAL_S = 0.015
+# Shortest time between two tries of a write.
 RETRY_INTERVAL_S = 0.1
 
 # A batch is split so that its value, as base64 text, stays below the store's limit.
@@ -203,7 +204,8 @@
                 continue
             except StoreUnavailableError as error:
                 self._lost(error)
-                await deferLater(self._reactor, RETRY_INTERVAL_S)
+                waited_s = self._clock.monotonic_s() - sent_s
+                await deferLater(self._reactor, max(0.0, RETRY_INTERVAL_S - waited_s))
                 continue
             return self._heard(sent_s)
         return False
--- a/pistachiolift/node/ownership.py
+++ b/pistachiolift/node/ownership.py
@@ -105,6 +105,8 @@
         self._owner_version = 0
         self.failed_calls = 0
         self.failing_since_s = 0.0
+        self._watch_lost_s: float | None = None
+        self._dead: OwnerRecord | None = None
         self._renewing = LoopingCall(self._renew)
         self._renewing.clock = reactor
 
@@ -113,6 +115,13 @@
         """Seconds since a call to the store that was answered was sent."""
         return min(999.0, self._clock.monotonic_s() - self.contact_s)
 
+    @property
+    def store_lost_s(self) -> float:
+        """Seconds for which the store has not told who owns; 0 while it does."""
+        if self._watch_lost_s is None:
+            return 0.0
+        return self._clock.monotonic_s() - self._watch_lost_s
+
     def start(self) -> None:
         """Begin to watch."""
         self._spawn(self._watch_forever())
@@ -149,7 +158,10 @@
                         if event.key == OWNER_KEY:
                             self._take(event.entry)
                 self.heard(sent_s)
+                self._watch_lost_s = None
             except (StoreUnavailableError, HistoryLostError):
+                if self._watch_lost_s is None:
+                    self._watch_lost_s = self._clock.monotonic_s()
                 self._metrics.count("ownership.watch_failed")
                 revision = None
                 await deferLater(self._reactor, RETRY_INTERVAL_S)
@@ -200,22 +212,19 @@
 
     def owner_died(self, record: OwnerRecord) -> None:
         """Claim at once from an owner whose process has ended."""
-        if record == self.owner and self.fence is None and not self._stopped:
-            log_event(logger, "owner_died", owner=record.instance_id)
-            self._spawn(self._replace(record))
+        if record != self.owner or record == self._dead or self.fence is not None:
+            return
+        self._dead = record
+        log_event(logger, "owner_died", owner=record.instance_id)
+        self._spawn(self._replace(record))
 
     async def _replace(self, record: OwnerRecord) -> None:
-        if not self._may_claim() or self._claiming:
-            return
-        self._claiming = True
-        try:
-            await deferLater(self._reactor, self._claim_delay_s())
-            if self.owner == record and self.fence is None and not self._stopped:
-                await self._claim_from(self._owner_version)
-        except StoreUnavailableError:
-            self._metrics.count("ownership.claim_failed")
-        finally:
-            self._claiming = False
+        await deferLater(self._reactor, self._claim_delay_s())
+        # The store may be away while the owner dies.
+        while self.owner == record and self.fence is None and not self._stopped:
+            if self._may_claim() and not self._claiming:
+                await self._claim_once(self._owner_version)
+            await deferLater(self._reactor, RETRY_INTERVAL_S)
 
     async def take_over(self, fence: int) -> bool:
         """Claim from an owner that has stopped and asks for it.
@@ -224,6 +233,9 @@
         """
         if not self._may_claim() or self._claiming or self.fence is not None:
             return self.fence is not None
+        return await self._claim_once(fence)
+
+    async def _claim_once(self, fence: int) -> bool:
         self._claiming = True
         try:
             return await self._claim_from(fence)
--- a/pistachiolift/node/tests/test_ownership.py
+++ b/pistachiolift/node/tests/test_ownership.py
@@ -117,6 +117,24 @@
         assert len(claims) == 2
         assert claims[-1][3] is True
 
+    def test_an_owner_that_dies_in_an_outage_is_replaced_when_the_store_is_back(self):
+        cell = Cell(instances=3)
+        cell.advance(1.0)
+        old = cell.owner()
+        record = cell.ownerships[old].owner
+        cell.ownerships[old].fence = None
+        cell.ownerships[old]._stopped = True
+        cell.store.down = True
+        cell.store.wake()
+        for index in {0, 1, 2} - {old}:
+            cell.ownerships[index].owner_died(record)
+        cell.advance(4.0)
+        assert cell.owners() == []
+        cell.store.down = False
+        # The lease of the dead owner was paused in the outage and has not ended.
+        cell.advance(0.5)
+        assert len(cell.owners()) == 1
+
     def test_news_of_an_earlier_owner_s_death_changes_nothing(self):
         cell = Cell(instances=2)
         cell.advance(1.0)
--- a/pistachiolift/platform/store.py
+++ b/pistachiolift/platform/store.py
@@ -7,6 +7,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from ..backends import Entry, LeaseId, Listing, WatchEvent
+from ..backends.answer_timer import AnswerTimer
 from ..backends.http import JsonHttpClient
 from ..common import MalformedMessageError, StoreUnavailableError, encode_json
 from ..node.interfaces import (
@@ -25,6 +26,16 @@
 # is slow.
 CALL_TIMEOUT_S = 0.8
 
+# Shortest time limit: an answer takes about 15 ms between zones, and a busy process
+# on half a core may look at it 100 ms late.
+SHORTEST_WAIT_S = 0.15
+
+# The smallest links carry 5 Mbit/s, and several calls may share one.
+SLOW_LINK_BYTES_S = 250_000
+
+# A page of a listing has up to 1 MB.
+LIST_TIMEOUT_S = 2.0
+
 # What a waiting call may take beyond the time that it asks for.
 WATCH_SLACK_S = 0.6
 
@@ -89,6 +100,8 @@
             unavailable=lambda reason: StoreUnavailableError(f"store: {reason}"),
             connections=CONNECTIONS,
         )
+        self._reactor = reactor
+        self._timer = AnswerTimer(shortest_s=SHORTEST_WAIT_S, longest_s=CALL_TIMEOUT_S)
 
     async def _call(
         self,
@@ -101,13 +114,32 @@
     ) -> tuple[int, bytes]:
         data = None if body is None else encode_json(body)
         headers = {} if body is None else {"Content-Type": "application/json"}
-        status, answer = await self._client.call(
-            method, path, body=data, headers=headers, timeout_s=timeout_s
-        )
+        if timeout_s is not None:
+            status, answer = await self._client.call(
+                method, path, body=data, headers=headers, timeout_s=timeout_s
+            )
+        else:
+            status, answer = await self._timed_call(method, path, data, headers)
         if status not in accept:
             raise StoreUnavailableError(f"store answered {status} to {path[:60]}")
         return status, answer
 
+    async def _timed_call(
+        self, method: str, path: str, data: bytes | None, headers: dict[str, str]
+    ) -> tuple[int, bytes]:
+        sent_s = self._reactor.seconds()
+        limit_s = self._timer.limit_s + len(data or b"") / SLOW_LINK_BYTES_S
+        try:
+            result = await self._client.call(
+                method, path, body=data, headers=headers, timeout_s=limit_s
+            )
+        except StoreUnavailableError:
+            if self._reactor.seconds() - sent_s >= limit_s:
+                self._timer.timed_out()
+            raise
+        self._timer.answered(self._reactor.seconds() - sent_s)
+        return result
+
     async def get(self, key: str) -> Entry | None:
         """Return the entry of a key, or ``None``."""
         path = "/api/kv-key?" + urlencode({"Key": key})
@@ -129,7 +161,9 @@
             query = {"Prefix": prefix}
             if after:
                 query["After"] = after
-            _, answer = await self._call("GET", "/api/kv-range?" + urlencode(query))
+            _, answer = await self._call(
+                "GET", "/api/kv-range?" + urlencode(query), timeout_s=LIST_TIMEOUT_S
+            )
             page = _decode(answer, _Range)
             revision = page.store_revision if revision is None else revision
             entries.update((item.key, item.entry()) for item in page.items)
