Swallow the cancellation of a call whose caller has left

Cause: a caller that leaves cancels its call at the owner, and with it the two Deferreds that the call waits for; one of them reported an unhandled error. Result: the new test fails without the change and passes with it.

--- a/pistachiolift/node/job_calls.py
+++ b/pistachiolift/node/job_calls.py
@@ -110,7 +110,10 @@
             return False, await durable
         withdrawal: Deferred = Deferred()
         self._withdrawals_by_id.setdefault(job_id, []).append(withdrawal)
-        result, _ = await DeferredList([durable, withdrawal], fireOnOneCallback=True)
+        # The call is cancelled, and both with it, when its caller leaves.
+        result, _ = await DeferredList(
+            [durable, withdrawal], fireOnOneCallback=True, consumeErrors=True
+        )
         if withdrawal.called:
             return True, False
         self._withdrawals_by_id.pop(job_id, None)
--- a/pistachiolift/node/tests/test_job_calls.py
+++ b/pistachiolift/node/tests/test_job_calls.py
@@ -1,6 +1,9 @@
 """Submissions while the ledger takes no writes."""
 
-from twisted.internet.defer import ensureDeferred
+import gc
+
+from twisted.internet.defer import CancelledError, ensureDeferred
+from twisted.logger import globalLogPublisher
 
 from pistachiolift.common import JobId, Metrics
 from pistachiolift.node.job_calls import JobCalls
@@ -80,3 +83,25 @@
         answers = bench.submit()
         bench.ledger.close()
         assert answers == [JobOutcome.UNDECIDED]
+
+
+class TestCallersThatLeave:
+    def test_a_cancelled_call_leaves_no_unhandled_error(self):
+        """Pattern: callers give up while the store takes no writes."""
+        bench = CallsBench()
+        bench.store.down = True
+        bench.submit(JobId("0" * 16))
+        call = ensureDeferred(bench.calls.submit(JOB, make_queue(), make_graph(), 0.0))
+        call.addErrback(lambda failure: failure.trap(CancelledError) and None)
+        events = []
+        globalLogPublisher.addObserver(events.append)
+        try:
+            call.cancel()
+            bench.calls.refuse_unsent()
+            bench.store.down = False
+            bench.advance(1.0)
+            del call
+            gc.collect()
+        finally:
+            globalLogPublisher.removeObserver(events.append)
+        assert not [event for event in events if "log_failure" in event]
