Keep as many connections to a worker as it has slots

Change: eight are kept; after a call without an answer the idle connections are closed, since all open ones may be silent.

--- a/pistachiolift/backends/http.py
+++ b/pistachiolift/backends/http.py
@@ -100,6 +100,8 @@
         def expire() -> None:
             result.errback(self._unavailable("timeout"))
             call.cancel()
+            # Idle connections may be as silent as the one without an answer.
+            self._pool.closeCachedConnections()
 
         timer = self._reactor.callLater(timeout_s or self._timeout_s, expire)
 
--- a/pistachiolift/backends/tests/test_http.py
+++ b/pistachiolift/backends/tests/test_http.py
@@ -54,6 +54,27 @@
         assert failures[0].check(StoreUnavailableError)
 
 
+class TestSilentConnections:
+    def test_a_call_without_an_answer_closes_the_idle_connections(self, monkeypatch):
+        """Pattern: all open connections go silent at once."""
+        reactor = MemoryReactorClock()
+        client = JsonHttpClient(
+            reactor,
+            "http://192.0.2.1:80",
+            timeout_s=0.3,
+            unavailable=StoreUnavailableError,
+        )
+        closed = []
+        monkeypatch.setattr(
+            client._pool, "closeCachedConnections", lambda: closed.append(True)
+        )
+        ensureDeferred(client.call("GET", "/")).addErrback(lambda failure: None)
+        reactor.advance(0.2)
+        assert not closed
+        reactor.advance(0.2)
+        assert closed
+
+
 class TestLostConnections:
     @pytest.mark.parametrize("error", [RequestNotSent(), RequestTransmissionFailed([])])
     def test_a_request_that_was_not_sent_counts_as_no_answer(self, error, monkeypatch):
--- a/pistachiolift/platform/workers.py
+++ b/pistachiolift/platform/workers.py
@@ -35,7 +35,8 @@
 # A worker lists at most so many ends at once.
 ENDS_PER_LISTING = 500
 
-CONNECTIONS = 3
+# The tasks of a step are started side by side; a worker has about eight slots.
+CONNECTIONS = 8
 
 _END_KINDS = {
     "done": EndKind.DONE,
