Let finished members of a gang wait for slower ones

Change: a member at 100% is stalled only if all members are. Result: both new tests; the first fails without the change.

--- a/pistachiolift/workflows/progress.py
+++ b/pistachiolift/workflows/progress.py
@@ -22,6 +22,8 @@
 
 CHECK_INTERVAL_S = 0.5
 
+DONE_PERCENT = 100
+
 
 class ProgressMonitor:
     """Stops runs whose progress has not changed over several listings.
@@ -69,5 +71,10 @@
         spec = step.step
         if run.status is not TaskRunStatus.RUNNING or spec.long_running or spec.fills:
             return False
+        if spec.gang and run.percent >= DONE_PERCENT:
+            # It waits for members on slower workers.
+            others = step.runs_by_index.values()
+            if any(other.percent < DONE_PERCENT for other in others):
+                return False
         limit_s = STALL_BASE_S + STALL_SHARE * spec.estimate_s
         return worker.listed_s - run.progressed_s > limit_s
--- a/pistachiolift/workflows/tests/test_sick_workers.py
+++ b/pistachiolift/workflows/tests/test_sick_workers.py
@@ -31,6 +31,29 @@
         assert cell.status(job) is JobStatus.COMPLETED
         assert len(cell.runs_by_job[job]) == 3
 
+    def test_members_of_a_gang_wait_for_those_on_slow_workers(self):
+        """Pattern: large gangs over unlike workers."""
+        cell = VirtualCell(workers=6)
+        cell.workers_by_id["w0"].slowness = 8.0
+        job = cell.submit("a", make_queue(), make_graph(make_step(48, gang=True)))
+        cell.run(10.0)
+        assert cell.status(job) is JobStatus.COMPLETED
+        assert len(cell.runs_by_job[job]) == 48
+
+    def test_a_gang_that_does_not_end_although_all_is_done_is_started_again(self):
+        cell = VirtualCell(workers=2)
+        cell.duration_of = lambda task, step: 1.0
+        job = cell.submit("a", make_queue(), make_graph(make_step(4, gang=True)))
+        cell.run(0.5)
+        for fake in cell.workers_by_id.values():
+            fake.lose_ends = True
+        cell.run(8.0)
+        for fake in cell.workers_by_id.values():
+            fake.lose_ends = False
+        cell.run(8.0)
+        assert cell.status(job) is JobStatus.COMPLETED
+        assert len(cell.runs_by_job[job]) > 4
+
 
 class TestFailingWorkers:
     def test_a_worker_that_fails_everything_gets_little_work(self):
