Split long questions to the adviser, and send no expired tickets

Starts that waited for the store were sent with expired tickets and refused. Change: a question whose workers take over 0.3 s is split over idle instances; a start is sent with the newest ticket, or withdrawn if that has expired.

--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -245,7 +245,10 @@
         while held and held[0].after_record <= self.scheduler.book.committed:
             order = held.popleft()
             driver = self._drivers_by_id.get(order.worker_id)
-            if driver is not None and self.scheduler.start_sent(order):
+            if driver is None:
+                continue
+            order = self.scheduler.send_start(order, self._clock.monotonic_s())
+            if order is not None:
                 log_start(order, self.scheduler.book, self._table.version)
                 driver.start(order)
 
--- a/pistachiolift/workflows/advice.py
+++ b/pistachiolift/workflows/advice.py
@@ -1,9 +1,11 @@
 """Decides when to ask the placement adviser, and for which steps."""
 
+import math
+
 from ..common import WorkerId
 from .book import Book
 from .decisions import AskAdvice
-from .model import PoolId, StepKey
+from .model import AdvicePolicy, PoolId, StepKey
 from .state import StepEntry, WorkerEntry
 
 __all__ = ["AdvicePlanner"]
@@ -21,6 +23,11 @@
 # Calls whose answers are outstanding, for each instance that can ask.
 CALLS_PER_INSTANCE = 3
 
+# A question whose workers take longer than this is split over idle instances, into
+# parts of which the workers take half as long as the fixed part of a call.
+SPLIT_ABOVE_S = 0.3
+SPLIT_SHARE = 0.5
+
 
 class AdvicePlanner:
     """Keeps the tickets of the most urgent steps fresh.
@@ -30,7 +37,8 @@
 
     def __init__(self, book: Book):
         self._book = book
-        self._asked: dict[StepKey, float] = {}
+        # Calls without an answer, and when they are given up.
+        self._end_by_call: dict[tuple[StepKey, tuple[WorkerId, ...]], float] = {}
         self.instances = 1
 
     def approved(
@@ -53,7 +61,7 @@
         :param waiting: steps with tasks that could not be placed, in order.
         """
         for step in waiting:
-            if len(self._asked) >= CALLS_PER_INSTANCE * self.instances:
+            if len(self._end_by_call) >= CALLS_PER_INSTANCE * self.instances:
                 return
             workers = workers_by_pool[step.job.queue.pool_id]
             if step.asked_s is None and self._stale(step, workers, now_s):
@@ -96,11 +104,24 @@
         if not ids:
             return
         policy = step.job.queue.advice
-        cost_s = policy.decide_s + policy.each_s * len(ids)
         step.asked_s = now_s
         step.asked_workers.update(ids)
-        self._asked[step.key] = now_s + PATIENCE_BASE_S + PATIENCE_FACTOR * cost_s
-        self._book.emit(AskAdvice(step=step.key, worker_ids=ids, cost_s=cost_s))
+        for part in self._split(policy, ids):
+            cost_s = policy.decide_s + policy.each_s * len(part)
+            end_s = now_s + PATIENCE_BASE_S + PATIENCE_FACTOR * cost_s
+            self._end_by_call[step.key, part] = end_s
+            self._book.emit(AskAdvice(step=step.key, worker_ids=part, cost_s=cost_s))
+
+    def _split(
+        self, policy: AdvicePolicy, ids: tuple[WorkerId, ...]
+    ) -> list[tuple[WorkerId, ...]]:
+        """Return the workers to name in each call."""
+        idle = self.instances - len(self._end_by_call)
+        if policy.each_s * len(ids) <= SPLIT_ABOVE_S or idle < 2:
+            return [ids]
+        wanted = math.ceil(policy.each_s * len(ids) / (SPLIT_SHARE * policy.decide_s))
+        size = math.ceil(len(ids) / min(wanted, idle))
+        return [ids[first : first + size] for first in range(0, len(ids), size)]
 
     def answered(
         self,
@@ -116,22 +137,28 @@
         :param tickets_by_worker: the approved workers among those asked, or ``None``
             if the call failed.
         """
-        self._asked.pop(key, None)
+        self._end_by_call.pop((key, asked), None)
         step = self._book.step(key)
         if step is None:
             return
-        step.asked_s = None
+        if not any(other == key for other, _ in self._end_by_call):
+            step.asked_s = None
         if tickets_by_worker is None:
             step.asked_workers.difference_update(asked)
             return
         end_s = now_s + valid_s
         others = (step.approved or frozenset()).difference(asked)
         step.approved = others | frozenset(tickets_by_worker)
-        step.tickets_end_s = end_s
         for worker_id in asked:
             step.tickets_by_worker.pop(worker_id, None)
         for worker_id, ticket in tickets_by_worker.items():
             step.tickets_by_worker[worker_id] = (ticket, end_s)
+        ends_s = [
+            step.tickets_by_worker[worker_id][1]
+            for worker_id in step.approved
+            if worker_id in step.tickets_by_worker
+        ]
+        step.tickets_end_s = min(ends_s, default=end_s)
 
     def worker_replaced(self, worker_id: WorkerId) -> None:
         """Forget what was approved for an earlier life of a worker."""
@@ -143,8 +170,6 @@
 
     def expire(self, now_s: float) -> None:
         """Give up calls that have not been answered."""
-        for key, end_s in list(self._asked.items()):
+        for (key, asked), end_s in list(self._end_by_call.items()):
             if now_s >= end_s:
-                step = self._book.step(key)
-                asked = tuple(step.asked_workers) if step is not None else ()
                 self.answered(key, asked, None, valid_s=0.0, now_s=now_s)
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -188,16 +188,24 @@
 
     # Orders.
 
-    def start_sent(self, order: StartRun) -> bool:
+    def send_start(self, order: StartRun, now_s: float) -> StartRun | None:
         """Note that a start is about to be sent.
 
-        :returns: whether it is still wanted.
+        :returns: the start with the newest ticket, or ``None`` if it is no longer
+            wanted or its ticket has expired.
         """
         run = self.book.run(order.worker_id, (order.task, order.number))
         if run is None or run.status is TaskRunStatus.STOPPING:
-            return False
+            return None
+        step = self.book.step(order.task.step_key)
+        if step is not None and step.job.queue.advice is not None:
+            ticket, end_s = step.tickets_by_worker.get(order.worker_id, ("", 0.0))
+            if end_s <= now_s:
+                self._lifecycle.stop(run, "ticket_expired")
+                return None
+            order = msgspec.structs.replace(order, ticket=ticket)
         run.sent = True
-        return True
+        return order
 
     def start_answered(
         self,
--- a/pistachiolift/workflows/tests/test_scheduler.py
+++ b/pistachiolift/workflows/tests/test_scheduler.py
@@ -139,6 +139,33 @@
         cell.run(8.0)
         assert cell.status(job) is JobStatus.COMPLETED
 
+    def test_starts_that_wait_for_the_store_are_not_sent_with_expired_tickets(self):
+        """Pattern: the store is away for longer than tickets are valid."""
+        cell = VirtualCell()
+        job = cell.submit("a", self.QUEUE, make_graph(make_step(6)))
+        cell.run(0.1)
+        cell.store_up = False
+        cell.run(4.0)
+        assert not cell.runs_by_job[job]
+        cell.store_up = True
+        cell.run(3.0)
+        assert cell.status(job) is JobStatus.COMPLETED
+
+    @pytest.mark.parametrize(("instances", "longest_s"), [(1, 2.0), (8, 1.2)])
+    def test_a_long_question_is_split_over_idle_instances(self, instances, longest_s):
+        """Pattern: a gang that few of many workers may run."""
+        cell = VirtualCell(workers=8)
+        cell.scheduler.advice.instances = instances
+        cell.approve = lambda step, worker_id: worker_id in ("w2", "w7")
+        queue = make_queue(
+            advice=AdvicePolicy(decide_s=0.7, each_s=0.1, valid_s=1.5),
+        )
+        job = cell.submit("a", queue, make_graph(make_step(16, gang=True)))
+        cell.run(4.0)
+        assert cell.status(job) is JobStatus.COMPLETED
+        assert cell.wait_s(job) < longest_s
+        assert (cell.wait_s(job) > 1.4) is (instances == 1)
+
 
 class TestFailures:
     def test_a_job_fails_after_as_many_failures_as_allowed(self):
