Read the settings file again at SIGHUP and every few seconds

Cause: SIGHUP was ignored, and a changed file took effect at the next start only. Change: times apply while the process runs; a file that is not valid is logged and changes nothing; other fields are named as waiting for a restart.

--- a/pistachiolift/cli/node.py
+++ b/pistachiolift/cli/node.py
@@ -12,6 +12,7 @@
 from ..node.instance import NodeInstance
 from ..node.log_output import configure_node_logging
 from ..node.settings import read_settings
+from ..node.settings_file import SettingsFile
 from ..platform.adviser import PlatformAdviser
 from ..platform.caller_api import make_caller_api
 from ..platform.store import PlatformStore
@@ -38,7 +39,8 @@
 def node(settings_file: Path, log_level: str) -> None:
     """Run one instance that accepts jobs and can own the scheduler.
 
-    SIGTERM drains it, within the grace time of its settings.
+    SIGTERM drains it, within the grace time of its settings. SIGHUP reads the
+    settings again.
     """
     settings = read_settings(settings_file)
     metrics = Metrics()
@@ -55,20 +57,28 @@
     )
     # Most objects live as long as their jobs; frequent collections only cost time.
     gc.set_threshold(GC_ALLOCATIONS, 20, 50)
-    reactor.callWhenRunning(lambda: _start(instance))
+    file = SettingsFile(
+        reactor,
+        settings_file,
+        settings,
+        metrics=metrics,
+        on_changed=instance.apply_settings,
+    )
+    reactor.callWhenRunning(lambda: _start(instance, file))
     reactor.run()
     handler.flush()
 
 
-def _start(instance: NodeInstance) -> None:
+def _start(instance: NodeInstance, file: SettingsFile) -> None:
     instance.start()
+    file.start()
 
     def drain(_signal: int, _frame: object) -> None:
         reactor.callFromThread(instance.start_drain)
 
     signal.signal(signal.SIGTERM, drain)
     signal.signal(signal.SIGINT, drain)
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(file.check))
     running = ensureDeferred(_wait(instance))
     running.addErrback(lambda failure: reactor.stop())
 
--- a/pistachiolift/listener/listener.py
+++ b/pistachiolift/listener/listener.py
@@ -77,7 +77,7 @@
         self._reactor = reactor
         self._address = host, port
         self._files = (key_file, certificate_file) if key_file else None
-        self._finish_s = finish_s
+        self.finish_s = finish_s
         self._port: IListeningPort | None = None
 
     @property
@@ -109,8 +109,8 @@
     async def finish(self) -> None:
         """Wait for the requests in flight, then close their connections."""
         closed: Deferred = self._site.when_closed()
-        if self._finish_s is not None:
-            closed.addTimeout(self._finish_s, self._reactor)
+        if self.finish_s is not None:
+            closed.addTimeout(self.finish_s, self._reactor)
         try:
             await closed
         except TimeoutError:
--- a/pistachiolift/node/instance.py
+++ b/pistachiolift/node/instance.py
@@ -62,6 +62,11 @@
 )
 
 
+def _finish_s(settings: NodeSettings) -> float:
+    """Return the time that requests in flight have at the end of a drain."""
+    return max(0.5, settings.grace_s * (1 - SERVE_SHARE) - EXIT_MARGIN_S)
+
+
 class NodeInstance:
     """Runs all parts of an instance on one loop.
 
@@ -148,7 +153,7 @@
             reactor=reactor,
             host=host,
             port=int(port),
-            finish_s=max(0.5, settings.grace_s * (1 - SERVE_SHARE) - EXIT_MARGIN_S),
+            finish_s=_finish_s(settings),
         )
 
     @property
@@ -181,6 +186,11 @@
             incarnation=self._incarnation,
         )
 
+    def apply_settings(self, settings: NodeSettings) -> None:
+        """Use changed times: those of a drain now, others when it owns next."""
+        self.settings = settings
+        self._listener.finish_s = _finish_s(settings)
+
     def start_drain(self) -> None:
         """Hand the ownership over, finish what is in flight, and stop."""
         if self.draining:
