Send the head and the body of a call in one packet

Cause: the client's producer wrote the body a turn of the loop after the head. The second small packet then waited for the acknowledgement of the first: a round trip on each call to the store, the adviser and the workers. Change: the producer that writes at once, which two modules had, is one in backends/body.

--- a/pistachiolift/backends/http.py
+++ b/pistachiolift/backends/http.py
@@ -14,6 +14,7 @@
 )
 
 from ..common import PistachioliftError
+from .body import BytesProducer
 
 __all__ = ["JsonHttpClient"]
 
@@ -120,7 +121,7 @@
         response = await treq.request(
             method,
             self._base_url + path,
-            data=body,
+            data=None if body is None else BytesProducer(body),
             headers=headers,
             agent=self._agent,
             reactor=self._reactor,
--- a/pistachiolift/backends/tests/test_http.py
+++ b/pistachiolift/backends/tests/test_http.py
@@ -2,7 +2,7 @@
 
 import pytest
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
-from twisted.internet.testing import MemoryReactorClock
+from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.web.client import RequestNotSent, RequestTransmissionFailed
 
 from pistachiolift.backends.http import JsonHttpClient
@@ -54,6 +54,23 @@
         assert failures[0].check(StoreUnavailableError)
 
 
+class TestRequests:
+    def test_head_and_body_are_written_in_one_turn(self):
+        """Covers the round trip that a second small packet costs."""
+        reactor = MemoryReactorClock()
+        client = JsonHttpClient(
+            reactor,
+            "http://192.0.2.1:80",
+            timeout_s=0.3,
+            unavailable=StoreUnavailableError,
+        )
+        ensureDeferred(client.call("POST", "/x", body=b'{"a":1}'))
+        _, _, factory, _, _ = reactor.tcpClients[0]
+        transport = StringTransport()
+        factory.buildProtocol(None).makeConnection(transport)
+        assert transport.value().endswith(b'\r\n\r\n{"a":1}')
+
+
 class TestSilentConnections:
     def test_a_call_without_an_answer_closes_the_idle_connections(self, monkeypatch):
         """Pattern: all open connections go silent at once."""
--- a/pistachiolift/backends/upstream.py
+++ b/pistachiolift/backends/upstream.py
@@ -17,7 +17,6 @@
 )
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IBodyProducer
-from zope.interface import implementer
 
 from ..common import (
     AttemptId,
@@ -30,6 +29,7 @@
     UpstreamUnreachableError,
     decode_json,
 )
+from .body import BytesProducer
 from .http import CONNECT_TIMEOUT_S, CONNECTION_ERRORS, JsonHttpClient
 
 __all__ = [
@@ -164,28 +164,6 @@
         self.done.callback(reason.value)
 
 
-@implementer(IBodyProducer)
-class _BytesProducer:
-    """Sends a small body in one write, without a cooperative task."""
-
-    def __init__(self, body: bytes):
-        self._body = body
-        self.length = len(body)
-
-    def startProducing(self, consumer) -> defer.Deferred[None]:  # noqa: N802
-        consumer.write(self._body)
-        return defer.succeed(None)
-
-    def pauseProducing(self) -> None:  # noqa: N802
-        """Do nothing: all has been written."""
-
-    def resumeProducing(self) -> None:  # noqa: N802
-        """Do nothing: all has been written."""
-
-    def stopProducing(self) -> None:  # noqa: N802
-        """Do nothing: all has been written."""
-
-
 class HttpUpstreamClient(UpstreamClient):
     """Talks HTTP to upstreams.
 
@@ -242,7 +220,7 @@
                     b"Content-Type": [b"application/octet-stream"],
                 }
             ),
-            _BytesProducer(body) if isinstance(body, bytes) else body,
+            BytesProducer(body) if isinstance(body, bytes) else body,
         )
         self._on_sent(order.attempt_id)
         limit_s = order.run_limit_ms / 1000 + CALL_TIMEOUT_S
--- a/pistachiolift/listener/__init__.py
+++ b/pistachiolift/listener/__init__.py
@@ -1,7 +1,7 @@
 """HTTP for callers: streamed bodies, bounded memory, typed refusals."""
 
 from .answer import PASSED_HEADERS, CallerAnswer
-from .body import BodySource, BytesProducer
+from .body import BodySource
 from .errors import (
     BodyConsumedError,
     BuffersFullError,
@@ -31,7 +31,6 @@
     "BodyConsumedError",
     "BodySource",
     "BuffersFullError",
-    "BytesProducer",
     "CallerAnswer",
     "CallerDisconnectedError",
     "CallerHead",
--- a/pistachiolift/listener/body.py
+++ b/pistachiolift/listener/body.py
@@ -8,35 +8,12 @@
 from twisted.web.iweb import UNKNOWN_LENGTH, IBodyProducer
 from zope.interface import implementer
 
+from ..backends.body import BytesProducer
 from ..common import BodyTooLargeError, PistachioliftError
 from .errors import BodyConsumedError
 from .limits import HttpLimits
 
-__all__ = ["BodySource", "BytesProducer"]
-
-
-@implementer(IBodyProducer)
-class BytesProducer:
-    """Produces a body that is in memory with a single write.
-
-    :param data: the body.
-    """
-
-    def __init__(self, data: bytes):
-        self.length = len(data)
-        self._data = data
-
-    def startProducing(self, consumer: IConsumer) -> Deferred:  # noqa: N802
-        """Write the body."""
-        consumer.write(self._data)
-        done = Deferred()
-        done.callback(None)
-        return done
-
-    def pauseProducing(self) -> None:  # noqa: N802
-        """Do nothing; the whole body was written at the start."""
-
-    resumeProducing = stopProducing = pauseProducing  # noqa: N815
+__all__ = ["BodySource"]
 
 
 @implementer(IBodyProducer)
