--- a/pistachiolift/bench/cell.py
+++ b/pistachiolift/bench/cell.py
@@ -7,10 +7,7 @@
 import hashlib
 import http.client
 import os
-import signal
 import socket
-import subprocess
-import sys
 import tempfile
 import time
 from collections.abc import Callable, Iterator
@@ -19,9 +16,9 @@
 import msgspec
 
 from ..common import encode_json
-from ..standins import free_ports
+from ..standins import ChildProcess, free_ports
 
-__all__ = ["Cell", "Node", "Process", "call", "read_cpu_s", "read_memory"]
+__all__ = ["Cell", "Node", "call", "read_cpu_s", "read_memory"]
 
 HOST = "127.0.0.1"
 CUSTOMER = "federation"
@@ -78,42 +75,10 @@
     return kilobytes["VmRSS"] / 1024, kilobytes["VmHWM"] / 1024
 
 
-class Process:
-    """A child process whose output goes to a file."""
-
-    def __init__(self, arguments: list[str], log_path: Path):
-        with log_path.open("ab") as log:
-            self._popen = subprocess.Popen(
-                [sys.executable, "-m", "pistachiolift", *arguments],
-                stdout=log,
-                stderr=log,
-            )
-
-    @property
-    def pid(self) -> int:
-        """Process identifier."""
-        return self._popen.pid
-
-    @property
-    def running(self) -> bool:
-        """Whether the process has not ended."""
-        return self._popen.poll() is None
-
-    def send(self, number: signal.Signals) -> None:
-        """Send a signal if the process runs."""
-        if self.running:
-            self._popen.send_signal(number)
-
-    def kill(self) -> None:
-        """End the process at once."""
-        self.send(signal.SIGKILL)
-        self._popen.wait()
-
-
 class Node(msgspec.Struct, kw_only=True):
     """A process with its ports and its entry in the directory."""
 
-    process: Process
+    process: ChildProcess
     port: int
     entry: dict
     operator_port: int = 0
@@ -189,8 +154,8 @@
         self._configure()
         self.wait_for(self.settled, "all partitions have owners")
 
-    def _spawn(self, name: str, *arguments: str) -> Process:
-        process = Process(list(arguments), self._folder / f"{name}.log")
+    def _spawn(self, name: str, *arguments: str) -> ChildProcess:
+        process = ChildProcess(list(arguments), self._folder / f"{name}.log")
         self._stack.callback(process.kill)
         return process
 
--- a/pistachiolift/platform/tests/platform_cell.py
+++ b/pistachiolift/platform/tests/platform_cell.py
@@ -2,16 +2,12 @@
 
 import http.client
 import json
-import os
 import signal
-import subprocess
-import sys
 import time
 from pathlib import Path
 
-from pistachiolift.standins import free_ports
+from pistachiolift.standins import ChildProcess, free_ports
 
-ROOT = Path(__file__).resolve().parents[3]
 START_LIMIT_S = 40.0
 START_TRIES = 4
 HOST = "jobs.example"
@@ -31,7 +27,7 @@
         self.directory = directory
         self._instances = instances
         self._workers = workers
-        self.processes: dict[str, subprocess.Popen] = {}
+        self.processes: dict[str, ChildProcess] = {}
 
     def assign_ports(self, ports: list[int]) -> None:
         """Take ports that are free now; another process may still bind one first."""
@@ -79,7 +75,7 @@
 
     def _wait_for_start(self, condition, name: str) -> None:
         def started() -> bool:
-            if self.processes[name].poll() is not None:
+            if not self.processes[name].running:
                 log = (self.directory / f"{name}.log").read_text()
                 if "Address already in use" in log:
                     raise PortTakenError(f"a port of {name} was taken")
@@ -91,8 +87,6 @@
     def __exit__(self, *exc_info: object) -> None:
         for process in self.processes.values():
             process.kill()
-        for process in self.processes.values():
-            process.wait()
         for name in self.processes:
             log = self.directory / f"{name}.log"
             if "Address already in use" in log.read_text():
@@ -100,16 +94,9 @@
         self.processes.clear()
 
     def _start(self, name: str, module: str, *arguments: str) -> None:
-        log = open(self.directory / f"{name}.log", "ab")
-        with log:
-            self.processes[name] = subprocess.Popen(
-                [sys.executable, "-m", module, *arguments],
-                cwd=ROOT,
-                stdout=log,
-                stderr=log,
-                stdin=subprocess.DEVNULL,
-                env={**os.environ, "PYTHONUNBUFFERED": "1"},
-            )
+        self.processes[name] = ChildProcess(
+            list(arguments), self.directory / f"{name}.log", module=module
+        )
 
     def start_instance(self, index: int) -> None:
         """Start an instance, or start it again."""
@@ -140,13 +127,11 @@
 
     def kill(self, index: int) -> None:
         """Kill an instance's process."""
-        process = self.processes[f"instance-{index}"]
-        process.kill()
-        process.wait()
+        self.processes[f"instance-{index}"].kill()
 
     def terminate(self, index: int) -> None:
         """Ask an instance to stop."""
-        self.processes[f"instance-{index}"].send_signal(signal.SIGTERM)
+        self.processes[f"instance-{index}"].send(signal.SIGTERM)
 
     @staticmethod
     def wait_until(condition, what: str, limit_s: float = START_LIMIT_S) -> None:
--- a/pistachiolift/platform/tests/soak/run.py
+++ b/pistachiolift/platform/tests/soak/run.py
@@ -138,9 +138,9 @@
                 return
             self._note(f"pause {index} {share * 3:.2f} s")
             process = self._cell.processes[f"instance-{index}"]
-            process.send_signal(signal.SIGSTOP)
+            process.send(signal.SIGSTOP)
             time.sleep(share * 3)
-            process.send_signal(signal.SIGCONT)
+            process.send(signal.SIGCONT)
 
     def _terminate(self, share: float, number: int) -> None:
         with self._instance(number) as index:
@@ -148,8 +148,8 @@
                 return
             self._note(f"stop {index}")
             process = self._cell.processes[f"instance-{index}"]
-            process.terminate()
-            process.wait(timeout=15)
+            process.send(signal.SIGTERM)
+            process.wait(15)
             self._cell.start_instance(index)
             time.sleep(2.0)
 
--- a/pistachiolift/platform/tests/test_path.py
+++ b/pistachiolift/platform/tests/test_path.py
@@ -150,5 +150,4 @@
         cell.wait_until(
             lambda: cell.state(others[1], job) == "completed", "completion", 10
         )
-        cell.processes[f"instance-{owner}"].wait(timeout=10)
-        assert cell.processes[f"instance-{owner}"].returncode == 0
+        assert cell.processes[f"instance-{owner}"].wait(10) == 0
--- a/pistachiolift/standins/__init__.py
+++ b/pistachiolift/standins/__init__.py
@@ -2,6 +2,7 @@
 
 from .directory import DirectoryChange, DirectoryStandin
 from .ports import free_ports
+from .processes import ChildProcess
 from .store import MemoryStore, StoreFaultMode, StoreFaults, StoreStandin
 from .upstream import (
     Behaviour,
@@ -14,6 +15,7 @@
 
 __all__ = [
     "Behaviour",
+    "ChildProcess",
     "DirectoryChange",
     "DirectoryStandin",
     "MemoryStore",
--- a/pistachiolift/tests/cell.py
+++ b/pistachiolift/tests/cell.py
@@ -4,21 +4,16 @@
 import hashlib
 import http.client
 import json
-import os
 import random
-import signal
 import socket
-import subprocess
-import sys
 import time
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from pistachiolift.standins import free_ports
+from pistachiolift.standins import ChildProcess, free_ports
 
-ROOT = Path(__file__).resolve().parents[2]
 START_LIMIT_S = 60.0
 TOKEN = "caller-token"
 CUSTOMER = "federation"
@@ -74,50 +69,11 @@
         connection.close()
 
 
-class Process:
-    """One process of the cell."""
-
-    def __init__(self, name: str, arguments: list[str], log_folder: Path):
-        self.name = name
-        self._log = (log_folder / f"{name}.log").open("ab")
-        self.log_path = Path(self._log.name)
-        self._popen = subprocess.Popen(
-            [sys.executable, "-m", "pistachiolift", *arguments],
-            cwd=ROOT,
-            env={**os.environ, "PYTHONPATH": str(ROOT)},
-            stdout=self._log,
-            stderr=self._log,
-        )
-
-    @property
-    def pid(self) -> int:
-        return self._popen.pid
-
-    @property
-    def running(self) -> bool:
-        return self._popen.poll() is None
-
-    def send(self, number: signal.Signals) -> None:
-        if self.running:
-            self._popen.send_signal(number)
-
-    def kill(self) -> None:
-        self.send(signal.SIGKILL)
-        self._popen.wait()
-        self._log.close()
-
-    def wait(self, limit_s: float) -> int:
-        return self._popen.wait(limit_s)
-
-    def log(self) -> str:
-        return self.log_path.read_text(errors="replace")
-
-
 @dataclass
 class Node:
     """A process with what the directory says about it."""
 
-    process: Process
+    process: ChildProcess
     port: int
     entry: dict
     operator_port: int = 0
@@ -152,7 +108,7 @@
         self.instances: dict[str, Node] = {}
         self.upstreams: dict[str, Node] = {}
         self.workers: dict[str, Node] = {}
-        self._retired: list[Process] = []
+        self._retired: list[ChildProcess] = []
         self._seen_by_killed: list[dict] = []
         self._pool = ThreadPoolExecutor(64)
         self._next_instance = 0
@@ -170,7 +126,7 @@
         for process in self.processes():
             process.kill()
 
-    def processes(self) -> list[Process]:
+    def processes(self) -> list[ChildProcess]:
         nodes = [*self.instances.values(), *self.upstreams.values()]
         nodes += self.workers.values()
         platform = [getattr(self, "store", None), getattr(self, "directory", None)]
@@ -194,9 +150,9 @@
         self._configure()
         self.wait_for(self.all_owned, "all partitions have owners")
 
-    def _standin(self, kind: str, port: int, *options: str, name="") -> Process:
+    def _standin(self, kind: str, port: int, *options: str, name="") -> ChildProcess:
         arguments = ["standin", kind, "--port", str(port), *options]
-        return Process(name or kind, arguments, self.folder)
+        return ChildProcess(arguments, self.folder / f"{name or kind}.log")
 
     def entries(self) -> list[dict]:
         groups = (self.instances, self.upstreams, self.workers)
@@ -254,8 +210,7 @@
         name = f"entry-{number}"
         caller_port, operator_port, peer_port = free_ports(3)
         data_centre = self._place(number)
-        process = Process(
-            name,
+        process = ChildProcess(
             [
                 "serve",
                 f"--instance-id={name}",
@@ -268,7 +223,7 @@
                 "--peer-secret=test",
                 f"--drain-grace={self._drain_grace_s}",
             ],
-            self.folder,
+            self.folder / f"{name}.log",
         )
         entry = {
             "id": name,
