--- a/pistachiolift/node/instance.py
+++ b/pistachiolift/node/instance.py
@@ -114,6 +114,7 @@
             self._make_connection,
             settings.instance_id,
             on_died=lambda record: self._ownership.owner_died(record),
+            on_unreachable=lambda: self._ownership.check_store(),
         )
         self.jobs = JobService(
             reactor,
--- a/pistachiolift/node/owner_link.py
+++ b/pistachiolift/node/owner_link.py
@@ -24,6 +24,7 @@
 
     :param make: returns a new connection with a callback for its opening and its end.
     :param on_died: called when the owner's process has certainly ended.
+    :param on_unreachable: called when the connection is lost or cannot be opened.
     """
 
     def __init__(
@@ -32,11 +33,13 @@
         make: Callable[..., PeerConnection],
         own_id: str,
         on_died: Callable[[OwnerRecord], None],
+        on_unreachable: Callable[[], None],
     ):
         self._reactor = reactor
         self._make = make
         self._own_id = own_id
         self._on_died = on_died
+        self._on_unreachable = on_unreachable
         self._refused = 0
         self._target: OwnerRecord | None = None
         self._current: PeerConnection | None = None
@@ -85,6 +88,7 @@
 
     def _failed(self, failure, target: OwnerRecord) -> None:
         self._connecting = False
+        self._on_unreachable()
         refused = failure.check(ConnectionRefusedError) is not None
         self._refused = self._refused + 1 if refused else 0
         if self._refused >= REFUSED_LIMIT and target == self._target:
@@ -114,6 +118,7 @@
     def _closed(self, connection: PeerConnection) -> None:
         if connection is self._current:
             self._current = None
+            self._on_unreachable()
             log_event(
                 logger,
                 "owner_link_lost",
--- a/pistachiolift/node/ownership.py
+++ b/pistachiolift/node/ownership.py
@@ -105,7 +105,8 @@
         self._owner_version = 0
         self.failed_calls = 0
         self.failing_since_s = 0.0
-        self._watch_lost_s: float | None = None
+        self._lost_since_s: float | None = None
+        self._checking_store = False
         self._dead: OwnerRecord | None = None
         self._renewing = LoopingCall(self._renew)
         self._renewing.clock = reactor
@@ -117,10 +118,10 @@
 
     @property
     def store_lost_s(self) -> float:
-        """Seconds for which the store has not told who owns; 0 while it does."""
-        if self._watch_lost_s is None:
+        """Seconds for which no call to the store was answered; 0 while it answers."""
+        if self._lost_since_s is None:
             return 0.0
-        return self._clock.monotonic_s() - self._watch_lost_s
+        return self._clock.monotonic_s() - self._lost_since_s
 
     def start(self) -> None:
         """Begin to watch."""
@@ -133,6 +134,7 @@
         """Note that a call to the store sent at a time was answered."""
         self.contact_s = max(self.contact_s, sent_s)
         self.failed_calls = 0
+        self._lost_since_s = None
 
     def call_failed(self) -> None:
         """Note that a call to the store had no answer, or was turned away."""
@@ -140,6 +142,26 @@
             self.failing_since_s = self._clock.monotonic_s()
         self.failed_calls += 1
 
+    def _note_lost(self, sent_s: float) -> None:
+        if self._lost_since_s is None and sent_s >= self.contact_s:
+            self._lost_since_s = sent_s
+
+    def check_store(self) -> None:
+        """Find out whether the store answers; a watch that waits does not tell."""
+        if not self._checking_store and not self._stopped:
+            self._checking_store = True
+            self._spawn(self._check_store())
+
+    async def _check_store(self) -> None:
+        sent_s = self._clock.monotonic_s()
+        try:
+            await self.store.get(OWNER_KEY)
+            self.heard(sent_s)
+        except StoreUnavailableError:
+            self._note_lost(sent_s)
+        finally:
+            self._checking_store = False
+
     async def _watch_forever(self) -> None:
         revision = None
         while not self._stopped:
@@ -158,10 +180,9 @@
                         if event.key == OWNER_KEY:
                             self._take(event.entry)
                 self.heard(sent_s)
-                self._watch_lost_s = None
             except (StoreUnavailableError, HistoryLostError):
-                if self._watch_lost_s is None:
-                    self._watch_lost_s = self._clock.monotonic_s()
+                # A waiting watch may have been cut by a store that answers.
+                self._note_lost(self._clock.monotonic_s())
                 self._metrics.count("ownership.watch_failed")
                 revision = None
                 await deferLater(self._reactor, RETRY_INTERVAL_S)
--- a/pistachiolift/node/tests/test_ownership.py
+++ b/pistachiolift/node/tests/test_ownership.py
@@ -135,6 +135,20 @@
         cell.advance(0.5)
         assert len(cell.owners()) == 1
 
+    def test_a_store_that_falls_silent_is_noticed_while_a_watch_waits(self):
+        cell = Cell(instances=2)
+        cell.advance(1.0)
+        other = cell.ownerships[1 - cell.owner()]
+        cell.store.down = True
+        cell.advance(0.3)
+        assert other.store_lost_s == 0.0
+        other.check_store()
+        cell.advance(0.5)
+        assert other.store_lost_s > 0.4
+        cell.store.down = False
+        other.check_store()
+        assert other.store_lost_s == 0.0
+
     def test_news_of_an_earlier_owner_s_death_changes_nothing(self):
         cell = Cell(instances=2)
         cell.advance(1.0)
