Keep the keys of the log for longer than a late write can take

Cause (reasoning): a write whose answer was lost is repeated, and the first try may be carried out up to 6 s later. It is refused because its key exists, unless compaction has removed the key by then; at the highest rate of commits 400 values were 6 s. Change: the log is compacted above 600 values (9 s).

--- a/pistachiolift/node/ledger.py
+++ b/pistachiolift/node/ledger.py
@@ -30,8 +30,10 @@
 BATCH_LIMIT_BYTES = 500_000
 BATCH_LIMIT_RECORDS = 2_000
 
-# The log is compacted above so many values: a new owner reads them page by page.
-COMPACT_ABOVE_VALUES = 400
+# The log is compacted above so many values: a new owner reads them page by page. At the
+# highest rate of commits the oldest is 9 s old by then; a write whose answer was lost
+# may be carried out up to 6 s late, and must still find its key in place.
+COMPACT_ABOVE_VALUES = 600
 # Values that are merged into one; a transaction takes 32 entries.
 COMPACT_VALUES = 24
 
