Look only at workers with tickets when a step is placed

Change: tables of usable workers by identifier; steps with advice look up the workers that have tickets.

--- a/pistachiolift/workflows/advice.py
+++ b/pistachiolift/workflows/advice.py
@@ -42,18 +42,18 @@
         self.instances = 1
 
     def approved(
-        self, step: StepEntry, workers: list[WorkerEntry]
+        self, step: StepEntry, usable_by_id: dict[WorkerId, WorkerEntry]
     ) -> list[WorkerEntry]:
         """Return the workers that may run the step once it has fresh tickets."""
         if step.job.queue.advice is None:
-            return workers
+            return list(usable_by_id.values())
         allowed = step.approved or frozenset()
-        return [entry for entry in workers if entry.worker_id in allowed]
+        return [usable_by_id[w] for w in sorted(allowed) if w in usable_by_id]
 
     def plan(
         self,
         waiting: list[StepEntry],
-        workers_by_pool: dict[PoolId, list[WorkerEntry]],
+        usable_by_pool: dict[PoolId, dict[WorkerId, WorkerEntry]],
         now_s: float,
     ) -> None:
         """Ask for the steps that need it, the most urgent first.
@@ -63,11 +63,15 @@
         for step in waiting:
             if len(self._end_by_call) >= CALLS_PER_INSTANCE * self.instances:
                 return
-            workers = workers_by_pool[step.job.queue.pool_id]
-            if step.asked_s is None and self._stale(step, workers, now_s):
-                self._ask(step, workers, now_s)
-
-    def _stale(self, step: StepEntry, workers: list[WorkerEntry], now_s: float) -> bool:
+            if step.asked_s is not None:
+                continue
+            usable_by_id = usable_by_pool[step.job.queue.pool_id]
+            if self._stale(step, usable_by_id, now_s):
+                self._ask(step, usable_by_id, now_s)
+
+    def _stale(
+        self, step: StepEntry, usable_by_id: dict[WorkerId, WorkerEntry], now_s: float
+    ) -> bool:
         if step.approved is None:
             return True
         policy = step.job.queue.advice
@@ -80,18 +84,19 @@
         # Without room, a renewed ticket would expire unused.
         return any(
             entry.room_for(size)
-            for entry in workers
-            if entry.worker_id in step.approved
-            or entry.worker_id not in step.asked_workers
+            for worker_id, entry in usable_by_id.items()
+            if worker_id in step.approved or worker_id not in step.asked_workers
         )
 
-    def _ask(self, step: StepEntry, workers: list[WorkerEntry], now_s: float) -> None:
+    def _ask(
+        self, step: StepEntry, usable_by_id: dict[WorkerId, WorkerEntry], now_s: float
+    ) -> None:
         named = [
             entry
-            for entry in workers
+            for worker_id, entry in usable_by_id.items()
             if step.approved is None
-            or entry.worker_id in step.approved
-            or entry.worker_id not in step.asked_workers
+            or worker_id in step.approved
+            or worker_id not in step.asked_workers
         ]
         label = step.step.required_label
         if label:
--- a/pistachiolift/workflows/book.py
+++ b/pistachiolift/workflows/book.py
@@ -1,6 +1,5 @@
 """The owner's tables of jobs and workers, and its outboxes."""
 
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from ..common import JobId, WorkerHealth, WorkerId
@@ -79,16 +78,18 @@
             self.open_steps.pop(step.key, None)
             self.timed_steps.pop(step.key, None)
 
-    def usable_workers(self, pool_id: PoolId, now_s: float) -> Iterator[WorkerEntry]:
-        """Return the workers of a pool that take new runs."""
-        for entry in self.workers_by_id.values():
-            if (
-                entry.worker.pool_id == pool_id
-                and entry.usable(now_s)
-                and entry.use_record <= self.committed
-                and self.health.accepts(entry.worker_id, now_s)
-            ):
-                yield entry
+    def usable_workers(
+        self, pool_id: PoolId, now_s: float
+    ) -> dict[WorkerId, WorkerEntry]:
+        """Return the workers of a pool that take new runs, by identifier."""
+        return {
+            worker_id: entry
+            for worker_id, entry in self.workers_by_id.items()
+            if entry.worker.pool_id == pool_id
+            and entry.usable(now_s)
+            and entry.use_record <= self.committed
+            and self.health.accepts(worker_id, now_s)
+        }
 
     def run(self, worker_id: WorkerId, key: tuple) -> TaskRun | None:
         """Return a run on record at a worker."""
--- a/pistachiolift/workflows/dispatch.py
+++ b/pistachiolift/workflows/dispatch.py
@@ -39,24 +39,24 @@
         steps = sorted(
             self._book.open_steps.values(), key=lambda s: rank(s, now_s, wall_ms)
         )
-        workers_by_pool: dict[PoolId, list[WorkerEntry]] = {}
+        usable_by_pool: dict[PoolId, dict[WorkerId, WorkerEntry]] = {}
         blocked: frozenset[WorkerId] = frozenset()
         waiting: list[StepEntry] = []
         for step in steps:
             if step.not_before_s > now_s:
                 continue
             pool_id = step.job.queue.pool_id
-            workers = workers_by_pool.get(pool_id)
-            if workers is None:
-                workers = list(self._book.usable_workers(pool_id, now_s))
-                workers_by_pool[pool_id] = workers
+            usable = usable_by_pool.get(pool_id)
+            if usable is None:
+                usable = self._book.usable_workers(pool_id, now_s)
+                usable_by_pool[pool_id] = usable
             if step.step.gang:
-                blocked |= self._place_gang(step, workers, blocked, now_s)
+                blocked |= self._place_gang(step, usable, blocked, now_s)
             else:
-                self._place_tasks(step, workers, blocked, now_s)
+                self._place_tasks(step, usable, blocked, now_s)
             if step.waiting and step.job.queue.advice is not None:
                 waiting.append(step)
-        self._advice.plan(waiting, workers_by_pool, now_s)
+        self._advice.plan(waiting, usable_by_pool, now_s)
 
     def _open_due_steps(self, wall_ms: float) -> None:
         for key, step in list(self._book.timed_steps.items()):
@@ -69,16 +69,16 @@
     def _place_gang(
         self,
         step: StepEntry,
-        workers: list[WorkerEntry],
+        usable_by_id: dict[WorkerId, WorkerEntry],
         blocked: frozenset[WorkerId],
         now_s: float,
     ) -> frozenset[WorkerId]:
         """Start a gang, or return the workers to keep free for it."""
         if len(step.waiting) != step.step.count:
             return frozenset()
-        plan = plan_gang(step, eligible_workers(step, workers, now_s), blocked)
+        plan = plan_gang(step, eligible_workers(step, usable_by_id, now_s), blocked)
         if not plan.worker_ids:
-            approved = self._advice.approved(step, workers)
+            approved = self._advice.approved(step, usable_by_id)
             return plan_gang(step, approved, blocked).wanted
         indices = list(range(step.step.count))
         number = step.next_number(indices, self._book.fence * RUNS_PER_FENCE)
@@ -90,13 +90,13 @@
     def _place_tasks(
         self,
         step: StepEntry,
-        workers: list[WorkerEntry],
+        usable_by_id: dict[WorkerId, WorkerEntry],
         blocked: frozenset[WorkerId],
         now_s: float,
     ) -> None:
         candidates = [
             entry
-            for entry in eligible_workers(step, workers, now_s)
+            for entry in eligible_workers(step, usable_by_id, now_s)
             if entry.worker_id not in blocked and room_for_step(step, entry)
         ]
         for index in sorted(step.waiting):
--- a/pistachiolift/workflows/placement.py
+++ b/pistachiolift/workflows/placement.py
@@ -1,6 +1,6 @@
 """Selects workers for tasks and for gangs."""
 
-from collections.abc import Iterable
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from ..common import RackId, WorkerId
@@ -25,23 +25,25 @@
 
 
 def eligible_workers(
-    step: StepEntry, workers: Iterable[WorkerEntry], now_s: float
+    step: StepEntry, usable_by_id: Mapping[WorkerId, WorkerEntry], now_s: float
 ) -> list[WorkerEntry]:
     """Return the workers on which the step's tasks may run at all.
 
-    :param workers: usable workers of the queue's pool.
+    :param usable_by_id: usable workers of the queue's pool.
     """
-    label = step.step.required_label
-    found = [entry for entry in workers if not label or label in entry.worker.labels]
     if step.job.queue.advice is None:
+        found = list(usable_by_id.values())
+    else:
+        # Few of many workers have a ticket.
+        found = [
+            usable_by_id[worker_id]
+            for worker_id, (_, end_s) in step.tickets_by_worker.items()
+            if end_s - TICKET_MARGIN_S > now_s and worker_id in usable_by_id
+        ]
+    label = step.step.required_label
+    if not label:
         return found
-    tickets = step.tickets_by_worker
-    return [
-        entry
-        for entry in found
-        if (ticket := tickets.get(entry.worker_id)) is not None
-        and ticket[1] - TICKET_MARGIN_S > now_s
-    ]
+    return [entry for entry in found if label in entry.worker.labels]
 
 
 def _tasks_there(step: StepEntry, entry: WorkerEntry) -> int:
--- a/pistachiolift/workflows/tests/test_scheduler.py
+++ b/pistachiolift/workflows/tests/test_scheduler.py
@@ -10,6 +10,7 @@
     StartAnswer,
     validate_graph,
 )
+from pistachiolift.workflows.placement import eligible_workers
 
 from .virtual_cell import VirtualCell, make_graph, make_queue, make_step
 
@@ -105,6 +106,15 @@
         assert len(cell.runs_by_job[job]) == 16
 
 
+class NoScan(dict):
+    """A table in which only look-ups are allowed."""
+
+    def values(self):
+        raise AssertionError("all entries are looked at")
+
+    items = __iter__ = keys = values
+
+
 class TestAdvice:
     QUEUE = make_queue(
         advice=AdvicePolicy(decide_s=0.4, each_s=0.005, valid_s=1.5),
@@ -151,6 +161,17 @@
         cell.run(3.0)
         assert cell.status(job) is JobStatus.COMPLETED
 
+    def test_workers_without_a_ticket_are_not_looked_at(self):
+        """Pattern: many workers, and many steps that few of them may run."""
+        cell = VirtualCell(workers=60)
+        cell.approve = lambda step, worker_id: worker_id in ("w2", "w5")
+        job = cell.submit("a", self.QUEUE, make_graph(make_step(2)))
+        cell.run(0.8)
+        usable_by_id = NoScan(cell.scheduler.book.usable_workers("pool", cell.now_s))
+        (occurrence,) = cell.scheduler.book.jobs_by_id[job].occurrences
+        found = eligible_workers(occurrence.steps[0], usable_by_id, cell.now_s)
+        assert {entry.worker_id for entry in found} == {"w2", "w5"}
+
     @pytest.mark.parametrize(("instances", "longest_s"), [(1, 2.0), (8, 1.2)])
     def test_a_long_question_is_split_over_idle_instances(self, instances, longest_s):
         """Pattern: a gang that few of many workers may run."""
