Give listings a time limit that grows with the need

Cause: listings had a fixed limit of 2 s since the other limits follow the answers; a store that falls silent would have held a watch for so long after its return.

--- a/pistachiolift/platform/store.py
+++ b/pistachiolift/platform/store.py
@@ -33,7 +33,7 @@
 # The smallest links carry 5 Mbit/s, and several calls may share one.
 SLOW_LINK_BYTES_S = 250_000
 
-# A page of a listing has up to 1 MB.
+# A page of a listing has up to 1 MB; it is given this long if shorter limits pass.
 LIST_TIMEOUT_S = 2.0
 
 # What a waiting call may take beyond the time that it asks for.
@@ -102,6 +102,9 @@
         )
         self._reactor = reactor
         self._timer = AnswerTimer(shortest_s=SHORTEST_WAIT_S, longest_s=CALL_TIMEOUT_S)
+        self._list_timer = AnswerTimer(
+            shortest_s=CALL_TIMEOUT_S, longest_s=LIST_TIMEOUT_S
+        )
 
     async def _call(
         self,
@@ -109,37 +112,42 @@
         path: str,
         body: object = None,
         *,
-        timeout_s: float | None = None,
+        timer: AnswerTimer | None = None,
         accept: tuple[int, ...] = (200,),
     ) -> tuple[int, bytes]:
-        data = None if body is None else encode_json(body)
-        headers = {} if body is None else {"Content-Type": "application/json"}
-        if timeout_s is not None:
-            status, answer = await self._client.call(
-                method, path, body=data, headers=headers, timeout_s=timeout_s
-            )
-        else:
-            status, answer = await self._timed_call(method, path, data, headers)
-        if status not in accept:
-            raise StoreUnavailableError(f"store answered {status} to {path[:60]}")
-        return status, answer
+        """Make a call whose time limit follows the answers.
 
-    async def _timed_call(
-        self, method: str, path: str, data: bytes | None, headers: dict[str, str]
-    ) -> tuple[int, bytes]:
+        :param timer: that of ordinary calls unless another one is given.
+        """
+        timer = timer or self._timer
+        data = None if body is None else encode_json(body)
         sent_s = self._reactor.seconds()
-        limit_s = self._timer.limit_s + len(data or b"") / SLOW_LINK_BYTES_S
+        limit_s = timer.limit_s + len(data or b"") / SLOW_LINK_BYTES_S
         try:
-            result = await self._client.call(
-                method, path, body=data, headers=headers, timeout_s=limit_s
-            )
+            result = await self._send(method, path, data, limit_s, accept)
         except StoreUnavailableError:
             if self._reactor.seconds() - sent_s >= limit_s:
-                self._timer.timed_out()
+                timer.timed_out()
             raise
-        self._timer.answered(self._reactor.seconds() - sent_s)
+        timer.answered(self._reactor.seconds() - sent_s)
         return result
 
+    async def _send(
+        self,
+        method: str,
+        path: str,
+        data: bytes | None,
+        timeout_s: float,
+        accept: tuple[int, ...],
+    ) -> tuple[int, bytes]:
+        headers = {} if data is None else {"Content-Type": "application/json"}
+        status, answer = await self._client.call(
+            method, path, body=data, headers=headers, timeout_s=timeout_s
+        )
+        if status not in accept:
+            raise StoreUnavailableError(f"store answered {status} to {path[:60]}")
+        return status, answer
+
     async def get(self, key: str) -> Entry | None:
         """Return the entry of a key, or ``None``."""
         path = "/api/kv-key?" + urlencode({"Key": key})
@@ -161,9 +169,8 @@
             query = {"Prefix": prefix}
             if after:
                 query["After"] = after
-            _, answer = await self._call(
-                "GET", "/api/kv-range?" + urlencode(query), timeout_s=LIST_TIMEOUT_S
-            )
+            path = "/api/kv-range?" + urlencode(query)
+            _, answer = await self._call("GET", path, timer=self._list_timer)
             page = _decode(answer, _Range)
             revision = page.store_revision if revision is None else revision
             entries.update((item.key, item.entry()) for item in page.items)
@@ -178,11 +185,8 @@
         query = urlencode(
             {"Prefix": prefix, "After": after_revision, "WaitMs": int(wait_s * 1000)}
         )
-        status, answer = await self._call(
-            "GET",
-            f"/api/kv-watch?{query}",
-            timeout_s=wait_s + WATCH_SLACK_S,
-            accept=(200, 410),
+        status, answer = await self._send(
+            "GET", f"/api/kv-watch?{query}", None, wait_s + WATCH_SLACK_S, (200, 410)
         )
         if status == 410:
             raise HistoryLostError(f"changes after {after_revision} are gone")
