Hand over to no instance that is about to stop

Cause (reading): a draining instance said that it could take over and then did not, so that the owner's lease had to end. Change: an instance that drains or has no configuration answers the probe with no. Result: tests of the path pass.

--- a/pistachiolift/node/instance.py
+++ b/pistachiolift/node/instance.py
@@ -346,7 +346,10 @@
             **callbacks,
         )
 
-    async def _probe_store(self) -> bool:
+    async def _can_own(self) -> bool:
+        """Whether this instance could take over: it reaches the store and stays."""
+        if self.draining or self.table is None:
+            return False
         try:
             await self._store.get(OWNER_KEY)
         except StoreUnavailableError:
@@ -368,7 +371,7 @@
                 self._ownership.announced(record, message.fence)
                 return Noted()
             case ProbeStore():
-                return Noted(await self._probe_store())
+                return Noted(await self._can_own())
             case TakeOver():
                 return Noted(await self._ownership.take_over(message.fence))
         owner = self._current_owner()
