List a limited number of workers at once

Cause: a new owner listed all workers in the same moment, each with a time limit of 0.3 s. Change: at most 96 listings that wait for nothing are in flight; the time that a listing waits for an end grows from 0.8 s with more than 200 workers to 2 s.

--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -31,6 +31,7 @@
 from .interfaces import CoordinationStore, QueueTable, RunListing, Translation
 from .job_calls import STALLED_LIMIT_S, JobCalls
 from .ledger import Ledger, read_ledger
+from .listing_pace import ListingPace
 from .worker_driver import LeaseTerms, WorkerDriver, WorkerEvents
 
 __all__ = ["AUTHORITY_S", "Owner"]
@@ -113,6 +114,7 @@
             on_changed=self._apply,
         )
         self._drivers_by_id: dict[WorkerId, WorkerDriver] = {}
+        self._listing_pace = ListingPace(lambda: len(self._drivers_by_id))
         self._table = QueueTable()
         self._pending: IDelayedCall | None = None
         self._ticking = LoopingCall(self._tick)
@@ -336,6 +338,7 @@
             metrics=self._metrics,
             terms=self._terms,
             events=self,
+            pace=self._listing_pace,
             fence=lambda: self.scheduler.book.fence,
         )
         self._drivers_by_id[worker.worker_id] = driver
--- a/pistachiolift/node/tests/test_worker_driver.py
+++ b/pistachiolift/node/tests/test_worker_driver.py
@@ -1,5 +1,6 @@
 """Orders and listings to a worker that answers, is silent, or is replaced."""
 
+import pytest
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import Clock as ReactorClock
 
@@ -11,6 +12,7 @@
     WorkerReplacedError,
     WorkerUnavailableError,
 )
+from pistachiolift.node.listing_pace import AT_ONCE, ListingPace
 from pistachiolift.node.worker_driver import LeaseTerms, WorkerDriver, WorkerEvents
 from pistachiolift.workflows import (
     EndKind,
@@ -140,6 +142,7 @@
             metrics=Metrics(),
             terms=LeaseTerms(lease_s=4.0),
             events=self.events,
+            pace=ListingPace(lambda: 1),
             fence=lambda: 3,
         )
 
@@ -242,3 +245,41 @@
         bench.events.runs.clear()
         bench.advance(2.0)
         assert len(bench.connection.stops) == 2
+
+
+class TestListingPace:
+    """Pattern: a new owner lists hundreds of workers."""
+
+    def test_not_all_workers_are_listed_at_once(self):
+        answers = []
+        pace = ListingPace(lambda: 500)
+
+        async def list_worker():
+            answer = Deferred()
+            answers.append(answer)
+            return await answer
+
+        listed = [pace.run(list_worker) for _ in range(500)]
+        most = 0
+        while answers:
+            most = max(most, len(answers))
+            answers.pop(0).callback(None)
+        assert most == AT_ONCE
+        assert all(each.called for each in listed)
+
+    def test_a_failed_call_gives_its_turn_on(self):
+        pace = ListingPace(lambda: 500)
+
+        async def fail():
+            raise WorkerUnavailableError("no answer")
+
+        failures = []
+        for _ in range(2 * AT_ONCE):
+            pace.run(fail).addErrback(failures.append)
+        assert len(failures) == 2 * AT_ONCE
+
+    @pytest.mark.parametrize(
+        ("workers", "wait_s"), [(24, 0.8), (176, 0.8), (400, 1.6), (2000, 2.0)]
+    )
+    def test_many_workers_are_listed_less_often(self, workers, wait_s):
+        assert ListingPace(lambda: workers).wait_s == pytest.approx(wait_s)
--- a/pistachiolift/node/worker_driver.py
+++ b/pistachiolift/node/worker_driver.py
@@ -19,13 +19,12 @@
     WorkerReplacedError,
     WorkerUnavailableError,
 )
+from .listing_pace import ListingPace
 
 __all__ = ["LeaseTerms", "WorkerDriver", "WorkerEvents"]
 
 logger = logging.getLogger(__name__)
 
-# Longest time that a listing waits for an end; the lease is renewed with each.
-LISTING_WAIT_S = 0.8
 # Pause between two listings while ends cannot be made durable.
 STALLED_PAUSE_S = 0.5
 # Pause after a listing without an answer.
@@ -102,6 +101,7 @@
 class WorkerDriver:
     """Talks to one incarnation of a worker.
 
+    :param pace: shared by all drivers of the owner.
     :param fence: returns the owner's fence, which may rise.
     """
 
@@ -115,6 +115,7 @@
         metrics: Metrics,
         terms: LeaseTerms,
         events: WorkerEvents,
+        pace: ListingPace,
         fence,
     ):
         self._reactor = reactor
@@ -124,6 +125,7 @@
         self._metrics = metrics
         self._terms = terms
         self._events = events
+        self._pace = pace
         self._fence = fence
         self._clock_offset_ms: float | None = None
         self._clock_read_s = 0.0
@@ -159,18 +161,27 @@
             if not self._events.may_order():
                 await self._sleep(STALLED_PAUSE_S)
                 continue
-            listing = await self._list_once(wait_s)
+            if wait_s:
+                listing = await self._list_once(wait_s)
+            else:
+                listing = await self._pace.run(self._list_now)
             if self._closed:
                 return
             if listing is None:
                 await self._sleep(RETRY_PAUSE_S)
                 wait_s = 0.0
                 continue
-            wait_s = LISTING_WAIT_S
+            wait_s = self._pace.wait_s
             if not await self._finish_listing(listing):
                 wait_s = 0.0
                 await self._sleep(STALLED_PAUSE_S)
 
+    async def _list_now(self) -> "tuple[RunListing, float] | None":
+        """List when the turn has come, if orders may still be given."""
+        if self._closed or not self._events.may_order():
+            return None
+        return await self._list_once(0.0)
+
     async def _list_once(self, wait_s: float) -> "tuple[RunListing, float] | None":
         sent_s = self._clock.monotonic_s()
         until_ms = None
