Acknowledge no ends of a worker that has been dropped

Change: such a list is not taken and its ends are not acknowledged. Five idle connections to a worker instead of eight: with 500 workers the owner came to its limit of sockets.

--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -362,7 +362,7 @@
     def listed(self, worker: Worker, listing: RunListing, sent_s: float) -> Deferred:
         """Take a listing; fires when its ends are durable."""
         now_s, wall_ms = self._now()
-        self.scheduler.workers.listed(
+        taken = self.scheduler.workers.listed(
             worker.worker_id,
             listing.running,
             listing.ended,
@@ -371,6 +371,8 @@
             now_s=now_s,
             wall_ms=wall_ms,
         )
+        if not taken:
+            return succeed(False)
         number = self.scheduler.book.recorded
         self._apply()
         if not listing.ended:
--- a/pistachiolift/platform/workers.py
+++ b/pistachiolift/platform/workers.py
@@ -35,8 +35,9 @@
 # A worker lists at most so many ends at once.
 ENDS_PER_LISTING = 500
 
-# The tasks of a step are started side by side; a worker has about eight slots.
-CONNECTIONS = 8
+# The tasks of a step are started side by side. An instance has 3,900 descriptors for
+# sockets, which is enough for this many idle connections to 700 workers.
+CONNECTIONS = 5
 
 _END_KINDS = {
     "done": EndKind.DONE,
--- a/pistachiolift/workflows/fleet.py
+++ b/pistachiolift/workflows/fleet.py
@@ -105,15 +105,17 @@
         sent_s: float,
         now_s: float,
         wall_ms: int,
-    ) -> None:
+    ) -> bool:
         """Take a worker's list of runs.
 
         :param complete: whether no end was left out of the list.
         :param sent_s: time at which the list was requested.
+        :returns: whether the list was taken; that of a worker which has been dropped
+            is not, and its ends must not be acknowledged.
         """
         entry = self._book.workers_by_id.get(worker_id)
         if entry is None:
-            return
+            return False
         entry.reachable = True
         self._listings.apply(
             entry,
@@ -127,6 +129,7 @@
         if complete and not entry.listed:
             entry.listed = True
             self._record_use(entry)
+        return True
 
     def _record_use(self, entry: WorkerEntry) -> None:
         """See that later owners know of the worker before a run is placed there."""
--- a/pistachiolift/workflows/tests/test_sick_workers.py
+++ b/pistachiolift/workflows/tests/test_sick_workers.py
@@ -101,3 +101,22 @@
         fake.running.clear()
         cell.run(3.0)
         assert len(cell.runs_by_job[job]) == 2
+
+
+class TestDroppedWorkers:
+    def test_the_list_of_a_dropped_worker_is_not_taken(self):
+        """Covers ends that were acknowledged to a worker without being applied."""
+        cell = VirtualCell(workers=2)
+        fake = cell.workers_by_id["w0"]
+        cell.run(0.2)
+        cell.scheduler.workers.dead("w0", now_s=cell.now_s, wall_ms=cell.wall_ms)
+        taken = cell.scheduler.workers.listed(
+            fake.worker.worker_id,
+            [],
+            [],
+            complete=True,
+            sent_s=cell.now_s,
+            now_s=cell.now_s,
+            wall_ms=cell.wall_ms,
+        )
+        assert taken is False
