--- a/pistachiolift/backends/http.py
+++ b/pistachiolift/backends/http.py
@@ -16,7 +16,7 @@
 from ..common import PistachioliftError
 from .body import BytesProducer
 
-__all__ = ["JsonHttpClient"]
+__all__ = ["ClientsByAddress", "JsonHttpClient"]
 
 CONNECT_TIMEOUT_S = 0.5
 
@@ -132,3 +132,44 @@
     async def close(self) -> None:
         """Close the idle connections."""
         await self._pool.closeCachedConnections()
+
+
+class ClientsByAddress:
+    """One client for each server, with one idle connection each.
+
+    :param timeout_s: seconds until a call without an answer fails.
+    :param unavailable: makes the error to raise from a reason.
+    """
+
+    def __init__(
+        self,
+        reactor: IReactorTime,
+        *,
+        timeout_s: float,
+        unavailable: Callable[[str], PistachioliftError],
+    ):
+        self._reactor = reactor
+        self._timeout_s = timeout_s
+        self._unavailable = unavailable
+        self._clients_by_address: dict[str, JsonHttpClient] = {}
+
+    def get(self, address: str) -> JsonHttpClient:
+        """Return the client of a server.
+
+        :param address: IP address and port.
+        """
+        client = self._clients_by_address.get(address)
+        if client is None:
+            client = self._clients_by_address[address] = JsonHttpClient(
+                self._reactor,
+                f"http://{address}",
+                timeout_s=self._timeout_s,
+                unavailable=self._unavailable,
+                connections=1,
+            )
+        return client
+
+    async def close(self) -> None:
+        """Close all idle connections."""
+        for client in self._clients_by_address.values():
+            await client.close()
--- a/pistachiolift/backends/tests/test_http.py
+++ b/pistachiolift/backends/tests/test_http.py
@@ -9,6 +9,15 @@
 from pistachiolift.common import StoreUnavailableError
 
 
+def make_client(reactor, *, timeout_s=0.3):
+    return JsonHttpClient(
+        reactor,
+        "http://192.0.2.1:80",
+        timeout_s=timeout_s,
+        unavailable=StoreUnavailableError,
+    )
+
+
 class TestTimeLimits:
     @pytest.mark.parametrize("timeout_s", [0.3, 0.9])
     def test_a_connection_that_does_not_open_in_time_counts_as_no_answer(
@@ -16,12 +25,7 @@
     ):
         """Covers a call's limit before and after that of the connection."""
         reactor = MemoryReactorClock()
-        client = JsonHttpClient(
-            reactor,
-            "http://192.0.2.1:80",
-            timeout_s=timeout_s,
-            unavailable=StoreUnavailableError,
-        )
+        client = make_client(reactor, timeout_s=timeout_s)
         result = ensureDeferred(client.call("GET", "/"))
         failures = []
         result.addErrback(failures.append)
@@ -32,12 +36,7 @@
 
     def test_a_call_that_ignores_its_cancellation_ends_in_time(self, monkeypatch):
         reactor = MemoryReactorClock()
-        client = JsonHttpClient(
-            reactor,
-            "http://192.0.2.1:80",
-            timeout_s=0.3,
-            unavailable=StoreUnavailableError,
-        )
+        client = make_client(reactor)
 
         async def exchange(*arguments):
             while True:
@@ -58,12 +57,7 @@
     def test_head_and_body_are_written_in_one_turn(self):
         """Covers the round trip that a second small packet costs."""
         reactor = MemoryReactorClock()
-        client = JsonHttpClient(
-            reactor,
-            "http://192.0.2.1:80",
-            timeout_s=0.3,
-            unavailable=StoreUnavailableError,
-        )
+        client = make_client(reactor)
         ensureDeferred(client.call("POST", "/x", body=b'{"a":1}'))
         _, _, factory, _, _ = reactor.tcpClients[0]
         transport = StringTransport()
@@ -75,12 +69,7 @@
     def test_a_call_without_an_answer_closes_the_idle_connections(self, monkeypatch):
         """Pattern: all open connections go silent at once."""
         reactor = MemoryReactorClock()
-        client = JsonHttpClient(
-            reactor,
-            "http://192.0.2.1:80",
-            timeout_s=0.3,
-            unavailable=StoreUnavailableError,
-        )
+        client = make_client(reactor)
         closed = []
         monkeypatch.setattr(
             client._pool, "closeCachedConnections", lambda: closed.append(True)
@@ -95,12 +84,7 @@
 class TestLostConnections:
     @pytest.mark.parametrize("error", [RequestNotSent(), RequestTransmissionFailed([])])
     def test_a_request_that_was_not_sent_counts_as_no_answer(self, error, monkeypatch):
-        client = JsonHttpClient(
-            MemoryReactorClock(),
-            "http://192.0.2.1:80",
-            timeout_s=0.3,
-            unavailable=StoreUnavailableError,
-        )
+        client = make_client(MemoryReactorClock())
 
         async def exchange(*arguments):
             raise error
--- a/pistachiolift/backends/upstream.py
+++ b/pistachiolift/backends/upstream.py
@@ -30,7 +30,7 @@
     decode_json,
 )
 from .body import BytesProducer
-from .http import CONNECT_TIMEOUT_S, CONNECTION_ERRORS, JsonHttpClient
+from .http import CONNECT_TIMEOUT_S, CONNECTION_ERRORS, ClientsByAddress
 
 __all__ = [
     "AnswerSink",
@@ -183,7 +183,9 @@
         self._pool.retryAutomatically = False
         self._agent = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool)
         self._on_sent = on_sent
-        self._clients_by_address: dict[str, JsonHttpClient] = {}
+        self._clients = ClientsByAddress(
+            reactor, timeout_s=CALL_TIMEOUT_S, unavailable=UpstreamUnreachableError
+        )
 
     async def start(
         self, order: AttemptOrder, body: bytes | IBodyProducer, sink: AnswerSink
@@ -244,28 +246,16 @@
                 f"answer broke off: {type(end).__name__}"
             ) from end
 
-    def _client(self, address: str) -> JsonHttpClient:
-        client = self._clients_by_address.get(address)
-        if client is None:
-            client = self._clients_by_address[address] = JsonHttpClient(
-                self._reactor,
-                f"http://{address}",
-                timeout_s=CALL_TIMEOUT_S,
-                unavailable=UpstreamUnreachableError,
-                connections=1,
-            )
-        return client
-
     async def stop(self, address: str, attempt_id: AttemptId) -> AttemptState:
         """See :meth:`UpstreamClient.stop`."""
-        status, body = await self._client(address).call(
+        status, body = await self._clients.get(address).call(
             "DELETE", f"/v1/attempts/{attempt_id}"
         )
         return self._decode(status, body, AttemptStatus).state
 
     async def running(self, address: str) -> list[RunningAttempt]:
         """See :meth:`UpstreamClient.running`."""
-        status, body = await self._client(address).call("GET", "/v1/attempts")
+        status, body = await self._clients.get(address).call("GET", "/v1/attempts")
         return self._decode(status, body, RunningAttempts).attempts
 
     @staticmethod
@@ -280,5 +270,4 @@
     async def close(self) -> None:
         """Close all idle connections."""
         await self._pool.closeCachedConnections()
-        for client in self._clients_by_address.values():
-            await client.close()
+        await self._clients.close()
--- a/pistachiolift/backends/worker.py
+++ b/pistachiolift/backends/worker.py
@@ -18,7 +18,7 @@
     encode_json,
 )
 from .directory import Capacity
-from .http import JsonHttpClient
+from .http import ClientsByAddress
 
 __all__ = [
     "CommandAction",
@@ -146,21 +146,13 @@
     """Talks HTTP to workers."""
 
     def __init__(self, reactor: IReactorTime):
-        self._reactor = reactor
-        self._clients_by_address: dict[str, JsonHttpClient] = {}
+        self._clients = ClientsByAddress(
+            reactor, timeout_s=CALL_TIMEOUT_S, unavailable=UpstreamUnreachableError
+        )
 
     async def send(self, address: str, batch: CommandBatch) -> WorkerAnswer:
         """See :meth:`WorkerClient.send`."""
-        client = self._clients_by_address.get(address)
-        if client is None:
-            client = self._clients_by_address[address] = JsonHttpClient(
-                self._reactor,
-                f"http://{address}",
-                timeout_s=CALL_TIMEOUT_S,
-                unavailable=UpstreamUnreachableError,
-                connections=1,
-            )
-        status, body = await client.call(
+        status, body = await self._clients.get(address).call(
             "POST", "/v1/commands", body=encode_json(batch)
         )
         if status != 200:
@@ -172,5 +164,4 @@
 
     async def close(self) -> None:
         """Close all idle connections."""
-        for client in self._clients_by_address.values():
-            await client.close()
+        await self._clients.close()
--- a/pistachiolift/node/members.py
+++ b/pistachiolift/node/members.py
@@ -13,13 +13,12 @@
     Metrics,
     NoOwnerError,
     StoreUnavailableError,
-    decode_json,
     encode_json,
     log_event,
 )
 from .background import run_in_background
 from .interfaces import CoordinationStore, Put, TransactionConflictError
-from .ownership import OwnerRecord
+from .ownership import OwnerRecord, decode_owner_record
 from .peer_link import PeerConnection, connect_peer
 from .peer_messages import Announce
 
@@ -28,7 +27,6 @@
 logger = logging.getLogger(__name__)
 
 MEMBER_PREFIX = "pistachiolift/members/"
-RECORD_LIMIT_BYTES = 4_096
 RETRY_INTERVAL_S = 0.3
 
 # Announcements to one instance; one that never answers is taken off the list and
@@ -98,9 +96,7 @@
             return
         for key, entry in listing.entries_by_key.items():
             try:
-                member = decode_json(
-                    entry.value, OwnerRecord, limit_bytes=RECORD_LIMIT_BYTES
-                )
+                member = decode_owner_record(entry.value)
             except MalformedMessageError as error:
                 log_event(logger, "member_malformed", key=key, reason=error.message)
                 continue
--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -4,10 +4,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from twisted.internet.defer import (
-    Deferred,
-    succeed,
-)
+from twisted.internet.defer import Deferred, succeed
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 from twisted.internet.task import LoopingCall
 
@@ -136,7 +133,7 @@
         now_s, wall_ms = self._now()
         self.set_table(table)
         for worker in workers.values():
-            self.scheduler.workers.seen(worker, now_s=now_s, wall_ms=wall_ms)
+            self.scheduler.workers.seen(worker, now_s=now_s)
         records = [record for batch in log.values() for record in batch]
         self.scheduler.replay(
             records,
@@ -195,7 +192,10 @@
             self._pending = self._reactor.callLater(DECISION_INTERVAL_S, self._decide)
 
     def _decide(self) -> None:
-        self._pending = None
+        pending, self._pending = self._pending, None
+        if pending is not None and pending.active():
+            # The tick decides on what the call was waiting to decide on.
+            pending.cancel()
         if self._closed or not self.ready:
             return
         if self.may_order():
@@ -268,10 +268,9 @@
         self._changed()
 
     def _tick(self) -> None:
-        now_s, wall_ms = self._now()
         if self.ledger.stalled_s > STALLED_LIMIT_S:
             self.calls.refuse_unsent()
-        self.scheduler.tick(now_s=now_s, wall_ms=wall_ms)
+        self.scheduler.tick(self._clock.monotonic_s())
         self._drop_drivers()
         self._see_again()
         self._decide()
@@ -298,8 +297,7 @@
 
     def worker_seen(self, worker: Worker) -> None:
         """Take a directory entry."""
-        now_s, wall_ms = self._now()
-        self.scheduler.workers.seen(worker, now_s=now_s, wall_ms=wall_ms)
+        self.scheduler.workers.seen(worker, now_s=self._clock.monotonic_s())
         self._drive(worker)
         self._changed()
 
@@ -426,14 +424,11 @@
 
     def ended(self, worker: Worker, reason: str) -> None:
         """Note that a worker's process has ended."""
-        now_s, wall_ms = self._now()
+        now_s = self._clock.monotonic_s()
         entry = self.scheduler.book.workers_by_id.get(worker.worker_id)
         if entry is not None and entry.worker.incarnation == worker.incarnation:
             self.scheduler.workers.dead(
-                worker.worker_id,
-                now_s=now_s,
-                wall_ms=wall_ms,
-                replaced=reason == "replaced",
+                worker.worker_id, now_s=now_s, replaced=reason == "replaced"
             )
             self._dead_s_by_id[worker.worker_id] = now_s
         self._changed()
--- a/pistachiolift/node/ownership.py
+++ b/pistachiolift/node/ownership.py
@@ -28,7 +28,7 @@
 )
 from .ledger import CLAIM_KEY
 
-__all__ = ["OWNER_KEY", "OwnerRecord", "Ownership"]
+__all__ = ["OWNER_KEY", "OwnerRecord", "Ownership", "decode_owner_record"]
 
 logger = logging.getLogger(__name__)
 
@@ -58,6 +58,14 @@
     address: str
 
 
+def decode_owner_record(value: bytes) -> OwnerRecord:
+    """Return the instance that a value in the store names.
+
+    :raises MalformedMessageError: if it names none.
+    """
+    return decode_json(value, OwnerRecord, limit_bytes=RECORD_LIMIT_BYTES)
+
+
 class Ownership:
     """Watches the owner's key, claims it when it is free, and keeps it.
 
@@ -195,9 +203,7 @@
         record = None
         if entry is not None:
             try:
-                record = decode_json(
-                    entry.value, OwnerRecord, limit_bytes=RECORD_LIMIT_BYTES
-                )
+                record = decode_owner_record(entry.value)
             except MalformedMessageError as error:
                 log_event(logger, "owner_record_malformed", reason=error.message)
         if entry is not None:
@@ -344,7 +350,7 @@
         entry = await self.store.get(CLAIM_KEY)
         if entry is None or entry.version == claim_version:
             return None
-        record = decode_json(entry.value, OwnerRecord, limit_bytes=RECORD_LIMIT_BYTES)
+        record = decode_owner_record(entry.value)
         return entry.version if record == self._me else None
 
     # Renewal.
--- a/pistachiolift/node/worker_driver.py
+++ b/pistachiolift/node/worker_driver.py
@@ -2,7 +2,8 @@
 
 import logging
 from abc import ABC, abstractmethod
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterator
+from contextlib import contextmanager
 
 import msgspec
 from twisted.internet.defer import Deferred
@@ -147,6 +148,16 @@
             worker=self.worker.worker_id,
         )
 
+    @contextmanager
+    def _ending_if_replaced(self) -> Iterator[None]:
+        """End the driver if the worker is another process or obeys a later owner."""
+        try:
+            yield
+        except WorkerReplacedError:
+            self._end("replaced")
+        except StaleOwnerError:
+            self._events.superseded("fence_at_worker")
+
     def close(self) -> None:
         """Give no more orders."""
         if not self._closed:
@@ -192,21 +203,18 @@
         if until_ms is not None:
             self._events.lease_granted(self.worker, self._terms.end_s(sent_s))
         self._metrics.count("workers.listings")
-        try:
-            listing = await self._connection.list_runs(
-                fence=self._fence(),
-                last_end=self._last_end,
-                lease_until_ms=until_ms,
-                wait_s=wait_s,
-            )
-        except WorkerUnavailableError as error:
-            self._no_answer(error, sent_s)
-            return None
-        except WorkerReplacedError:
-            self._end("replaced")
-            return None
-        except StaleOwnerError:
-            self._events.superseded("fence_at_worker")
+        listing = None
+        with self._ending_if_replaced():
+            try:
+                listing = await self._connection.list_runs(
+                    fence=self._fence(),
+                    last_end=self._last_end,
+                    lease_until_ms=until_ms,
+                    wait_s=wait_s,
+                )
+            except WorkerUnavailableError as error:
+                self._no_answer(error, sent_s)
+        if listing is None:
             return None
         self._refused = 0
         self._note_clock(listing.clock_ms)
@@ -298,23 +306,21 @@
             return StartAnswer(started=False, reason="clock_unknown")
         self._events.lease_granted(self.worker, self._terms.end_s(sent_s))
         self._metrics.count("workers.starts")
-        try:
-            answer, clock_ms = await self._connection.start(
-                order.task,
-                order.number,
-                payload=order.payload,
-                lease_until_ms=until_ms,
-                fence=self._fence(),
-                ticket=order.ticket,
-                checkpoint=order.checkpoint,
-            )
-        except WorkerUnavailableError:
-            return None
-        except WorkerReplacedError:
-            self._end("replaced")
-            return None
-        except StaleOwnerError:
-            self._events.superseded("fence_at_worker")
+        answer = None
+        with self._ending_if_replaced():
+            try:
+                answer, clock_ms = await self._connection.start(
+                    order.task,
+                    order.number,
+                    payload=order.payload,
+                    lease_until_ms=until_ms,
+                    fence=self._fence(),
+                    ticket=order.ticket,
+                    checkpoint=order.checkpoint,
+                )
+            except WorkerUnavailableError:
+                return None
+        if answer is None:
             return None
         self._note_clock(clock_ms)
         self._metrics.timing_ms(
@@ -332,27 +338,24 @@
     async def _stop(self, order: StopRun) -> None:
         while not self._closed and self._still_wanted(order):
             if self._events.may_order():
-                try:
-                    await self._connection.stop(
-                        order.task, order.number, fence=self._fence()
-                    )
-                    self._events.stop_answered(order)
-                except WorkerUnavailableError as error:
-                    self._metrics.count("workers.stop_unanswered")
-                    log_event(
-                        logger,
-                        "stop_unanswered",
-                        level=logging.DEBUG,
-                        worker=self.worker.worker_id,
-                        reason=error.message,
-                    )
-                except WorkerReplacedError:
-                    self._end("replaced")
-                except StaleOwnerError:
-                    self._events.superseded("fence_at_worker")
-                    return
+                with self._ending_if_replaced():
+                    await self._stop_once(order)
             await self._sleep(STOP_RETRY_S)
 
+    async def _stop_once(self, order: StopRun) -> None:
+        try:
+            await self._connection.stop(order.task, order.number, fence=self._fence())
+            self._events.stop_answered(order)
+        except WorkerUnavailableError as error:
+            self._metrics.count("workers.stop_unanswered")
+            log_event(
+                logger,
+                "stop_unanswered",
+                level=logging.DEBUG,
+                worker=self.worker.worker_id,
+                reason=error.message,
+            )
+
     def pace(self, task: TaskKey, number: int, percent: int) -> None:
         """Limit what a run may use; a lost order is repeated by the controller."""
         self._spawn(self._pace(task, number, percent))
@@ -360,16 +363,13 @@
     async def _pace(self, task: TaskKey, number: int, percent: int) -> None:
         if self._closed or not self._events.may_order():
             return
-        try:
-            await self._connection.pace(
-                task, number, percent=percent, fence=self._fence()
-            )
-        except WorkerUnavailableError:
-            self._metrics.count("workers.pace_unanswered")
-        except WorkerReplacedError:
-            self._end("replaced")
-        except StaleOwnerError:
-            self._events.superseded("fence_at_worker")
+        with self._ending_if_replaced():
+            try:
+                await self._connection.pace(
+                    task, number, percent=percent, fence=self._fence()
+                )
+            except WorkerUnavailableError:
+                self._metrics.count("workers.pace_unanswered")
 
     async def _sleep(self, interval_s: float) -> None:
         await deferLater(self._reactor, interval_s)
--- a/pistachiolift/workflows/fleet.py
+++ b/pistachiolift/workflows/fleet.py
@@ -5,7 +5,7 @@
 from .book import Book
 from .lifecycle import Lifecycle
 from .listing import ListedEnd, ListedRun, ListingReader
-from .model import Worker
+from .model import EndKind, Worker
 from .records import WorkerInUse, WorkerReleased
 from .state import TaskRun, WorkerEntry
 
@@ -37,11 +37,11 @@
         # with the time at which they are given up.
         self._astray: dict[WorkerId, tuple[float, list[TaskRun]]] = {}
 
-    def seen(self, worker: Worker, *, now_s: float, wall_ms: int) -> None:
+    def seen(self, worker: Worker, *, now_s: float) -> None:
         """Take a directory entry; a new incarnation ends all runs of the old one."""
         entry = self._book.workers_by_id.get(worker.worker_id)
         if entry is not None and entry.worker.incarnation != worker.incarnation:
-            self.dead(worker.worker_id, now_s=now_s, wall_ms=wall_ms, replaced=True)
+            self.dead(worker.worker_id, now_s=now_s, replaced=True)
             entry = None
         if entry is None:
             entry = self._book.workers_by_id[worker.worker_id] = WorkerEntry(worker)
@@ -59,12 +59,7 @@
             entry.registered = False
 
     def dead(
-        self,
-        worker_id: WorkerId,
-        *,
-        now_s: float,
-        wall_ms: int,
-        replaced: bool = False,
+        self, worker_id: WorkerId, *, now_s: float, replaced: bool = False
     ) -> None:
         """Forget a worker whose process has certainly ended.
 
@@ -78,7 +73,7 @@
             astray = self._lifecycle.take_astray(entry)
             if astray:
                 self._astray[worker_id] = (now_s + ASTRAY_S, astray)
-        self._lifecycle.worker_lost(entry, now_s=now_s, wall_ms=wall_ms)
+        self._lifecycle.worker_lost(entry, now_s=now_s)
         self._book.health.forget_worker(worker_id)
         if entry.recorded:
             self._book.record(WorkerReleased(worker_id, entry.worker.incarnation))
@@ -141,18 +136,18 @@
             WorkerInUse(worker.worker_id, worker.address, worker.incarnation)
         )
 
-    def check(self, *, now_s: float, wall_ms: int) -> None:
+    def check(self, now_s: float) -> None:
         """Apply what follows from the passing of time."""
         for worker_id, (end_s, runs) in list(self._astray.items()):
             if now_s > end_s:
                 del self._astray[worker_id]
                 for run in runs:
-                    self._lifecycle.astray_ended(run, now_s)
+                    self._lifecycle.end_unlisted(run, EndKind.LEASE_EXPIRED, now_s)
         for worker_id, entry in list(self._book.workers_by_id.items()):
-            self._check_worker(worker_id, entry, now_s, wall_ms)
+            self._check_worker(worker_id, entry, now_s)
 
     def _check_worker(
-        self, worker_id: WorkerId, entry: WorkerEntry, now_s: float, wall_ms: int
+        self, worker_id: WorkerId, entry: WorkerEntry, now_s: float
     ) -> None:
         if entry.listed and now_s - entry.listed_s > SILENT_S:
             entry.reachable = False
@@ -161,8 +156,8 @@
         if now_s < entry.lease_end_s:
             return
         if not entry.registered:
-            self.dead(worker_id, now_s=now_s, wall_ms=wall_ms)
+            self.dead(worker_id, now_s=now_s)
         elif entry.listed:
             # Its later listings are taken like those of a worker not seen before.
             entry.listed = False
-            self._lifecycle.worker_lost(entry, now_s=now_s, wall_ms=wall_ms)
+            self._lifecycle.worker_lost(entry, now_s=now_s)
--- a/pistachiolift/workflows/lifecycle.py
+++ b/pistachiolift/workflows/lifecycle.py
@@ -118,11 +118,13 @@
         worker = self._book.workers_by_id.get(run.worker_id)
         if worker is not None:
             worker.release(run)
+        self.end_unlisted(run, EndKind.STOPPED, run.placed_s)
+
+    def end_unlisted(self, run: TaskRun, kind: EndKind, now_s: float) -> None:
+        """Apply the end of a run that no worker lists and that has no result."""
         step = self._book.step(run.task.step_key)
         if step is not None:
-            self.apply_end(
-                step, run.task.index, run.number, EndKind.STOPPED, "", run.placed_s
-            )
+            self.apply_end(step, run.task.index, run.number, kind, "", now_s)
 
     def run_ended(
         self,
@@ -270,7 +272,7 @@
         if kind is EndKind.DONE and not step.step.gang and run.confirmed_s is not None:
             worker.pace.add(now_s - run.confirmed_s, step.step.estimate_s)
 
-    def worker_lost(self, worker: WorkerEntry, *, now_s: float, wall_ms: int) -> None:
+    def worker_lost(self, worker: WorkerEntry, *, now_s: float) -> None:
         """End all runs of a worker on which nothing can be running any more."""
         worker_id: WorkerId = worker.worker_id
         if worker.runs:
@@ -281,13 +283,9 @@
                 runs=len(worker.runs),
                 lease_end_s=worker.lease_end_s,
             )
-        for (task, number), run in list(worker.runs.items()):
+        for run in list(worker.runs.values()):
             worker.release(run)
-            step = self._book.step(task.step_key)
-            if step is not None:
-                self.apply_end(
-                    step, task.index, number, EndKind.LEASE_EXPIRED, "", now_s
-                )
+            self.end_unlisted(run, EndKind.LEASE_EXPIRED, now_s)
 
     def take_astray(self, worker: WorkerEntry) -> list[TaskRun]:
         """Take out the runs whose start the worker's next process may have taken.
@@ -309,11 +307,3 @@
         run.answered_s = None
         worker.reserve(run)
         self.stop(run, "worker_replaced")
-
-    def astray_ended(self, run: TaskRun, now_s: float) -> None:
-        """End a run whose worker has not come back."""
-        step = self._book.step(run.task.step_key)
-        if step is not None:
-            self.apply_end(
-                step, run.task.index, run.number, EndKind.LEASE_EXPIRED, "", now_s
-            )
--- a/pistachiolift/workflows/listing.py
+++ b/pistachiolift/workflows/listing.py
@@ -166,11 +166,7 @@
                 run=run.number,
                 status=run.status.value,
             )
-            step = self._book.step(run.task.step_key)
-            if step is not None:
-                self._lifecycle.apply_end(
-                    step, run.task.index, run.number, EndKind.STOPPED, "", now_s
-                )
+            self._lifecycle.end_unlisted(run, EndKind.STOPPED, now_s)
 
     @staticmethod
     def _log_end(worker: WorkerEntry, end: ListedEnd) -> None:
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -239,10 +239,7 @@
             worker.refused_until_s = now_s + REFUSED_PAUSE_S
         worker.release(run)
         self.book.health.task_inconclusive(worker_id)
-        if step is not None:
-            self._lifecycle.apply_end(
-                step, task.index, number, EndKind.STOPPED, "", now_s
-            )
+        self._lifecycle.end_unlisted(run, EndKind.STOPPED, now_s)
 
     def start_unanswered(self, worker_id: WorkerId, task: TaskKey, number: int) -> None:
         """Block a start that may or may not have been carried out."""
@@ -274,12 +271,12 @@
 
     # Time.
 
-    def tick(self, *, now_s: float, wall_ms: int) -> None:
+    def tick(self, now_s: float) -> None:
         """Apply what follows from the passing of time."""
         self.advice.expire(now_s)
         self._progress.check(now_s)
         self._sharing.check(now_s)
-        self.workers.check(now_s=now_s, wall_ms=wall_ms)
+        self.workers.check(now_s)
         for job_id, job in list(self.book.jobs_by_id.items()):
             if job.final_s is not None and now_s > job.final_s + self._keep_final_s:
                 self.book.drop_job(job_id)
--- a/pistachiolift/workflows/tests/test_scheduler.py
+++ b/pistachiolift/workflows/tests/test_scheduler.py
@@ -385,16 +385,14 @@
         entry.runs[run].sent = True
         return job, entry, run
 
+    def _refuse_repeated(self, cell, entry, run, reason):
+        answer = StartAnswer(started=False, reason=reason, repeated=True)
+        cell.scheduler.start_answered(entry.worker_id, *run, answer, now_s=cell.now_s)
+
     def test_a_repeated_start_of_a_run_that_has_ended_waits_for_its_end(self):
         cell = VirtualCell()
         job, entry, (task, number) = self._placed(cell)
-        cell.scheduler.start_answered(
-            entry.worker_id,
-            task,
-            number,
-            StartAnswer(started=False, reason="old", repeated=True),
-            now_s=cell.now_s,
-        )
+        self._refuse_repeated(cell, entry, (task, number), "old")
         assert (task, number) in entry.runs
         cell.run(3.0)
         assert cell.status(job) is JobStatus.COMPLETED
@@ -403,13 +401,7 @@
     def test_a_refusal_after_a_lost_answer_blocks_the_run_first(self):
         cell = VirtualCell()
         job, entry, (task, number) = self._placed(cell)
-        cell.scheduler.start_answered(
-            entry.worker_id,
-            task,
-            number,
-            StartAnswer(started=False, reason="room", repeated=True),
-            now_s=cell.now_s,
-        )
+        self._refuse_repeated(cell, entry, (task, number), "room")
         assert (task, number) in entry.runs
         cell.run(3.0)
         assert cell.status(job) is JobStatus.COMPLETED
@@ -429,7 +421,7 @@
         fake = cell.workers_by_id[worker_id]
         reborn = msgspec.structs.replace(fake.worker, incarnation=2)
         fake.worker = reborn
-        cell.scheduler.workers.seen(reborn, now_s=cell.now_s, wall_ms=cell.wall_ms)
+        cell.scheduler.workers.seen(reborn, now_s=cell.now_s)
         cell.run(0.05)
         assert len(cell.runs_by_job[job]) == 1
         cell.run(7.0)
@@ -443,6 +435,6 @@
         fake = cell.workers_by_id[worker_id]
         fake.running.clear()
         fake.worker = msgspec.structs.replace(fake.worker, incarnation=2)
-        cell.scheduler.workers.seen(fake.worker, now_s=cell.now_s, wall_ms=cell.wall_ms)
+        cell.scheduler.workers.seen(fake.worker, now_s=cell.now_s)
         cell.run(0.3)
         assert len(cell.runs_by_job[job]) == 2
--- a/pistachiolift/workflows/tests/test_sick_workers.py
+++ b/pistachiolift/workflows/tests/test_sick_workers.py
@@ -109,7 +109,7 @@
         cell = VirtualCell(workers=2)
         fake = cell.workers_by_id["w0"]
         cell.run(0.2)
-        cell.scheduler.workers.dead("w0", now_s=cell.now_s, wall_ms=cell.wall_ms)
+        cell.scheduler.workers.dead("w0", now_s=cell.now_s)
         taken = cell.scheduler.workers.listed(
             fake.worker.worker_id,
             [],
--- a/pistachiolift/workflows/tests/virtual_cell.py
+++ b/pistachiolift/workflows/tests/virtual_cell.py
@@ -136,7 +136,7 @@
         )
         fake = FakeWorker(worker)
         self.workers_by_id[worker.worker_id] = fake
-        self.scheduler.workers.seen(worker, now_s=self.now_s, wall_ms=self.wall_ms)
+        self.scheduler.workers.seen(worker, now_s=self.now_s)
         self._list(fake)
         return fake
 
@@ -180,7 +180,7 @@
         self.now_s = end_s
 
     def _tick(self) -> None:
-        self.scheduler.tick(now_s=self.now_s, wall_ms=self.wall_ms)
+        self.scheduler.tick(self.now_s)
         for fake in list(self.workers_by_id.values()):
             self._list(fake)
         self._decide()
@@ -393,9 +393,7 @@
         """End a worker's process; the owner sees that its connections are refused."""
         fake = self.workers_by_id.pop(WorkerId(worker_id))
         fake.alive = False
-        self.scheduler.workers.dead(
-            WorkerId(worker_id), now_s=self.now_s, wall_ms=self.wall_ms
-        )
+        self.scheduler.workers.dead(WorkerId(worker_id), now_s=self.now_s)
         self._decide()
 
     def replace_owner(self) -> None:
@@ -407,9 +405,7 @@
         self._held.clear()
         self._unwritten.clear()
         for fake in self.workers_by_id.values():
-            self.scheduler.workers.seen(
-                fake.worker, now_s=self.now_s, wall_ms=self.wall_ms
-            )
+            self.scheduler.workers.seen(fake.worker, now_s=self.now_s)
         self.scheduler.replay(
             self.committed,
             lease_end_s=self.now_s + LEASE_S,
