Divide large cells into partitions with an owner each

Change: the first owner writes a map of the partitions once, from the racks in the directory; whole racks belong to a partition, jobs to that of their identifier or of their data's rack. Each partition has its own owner's key, claim, ledger, link and handover. Instances prefer one partition, so that the owners are spread, and advise only for that one. Only the side that opened a peer connection sends pings. An owner that recovers takes the configuration and the directory after the ledger was read, not before, so that a change meanwhile is not lost. A cell of up to 264 workers has one partition and runs as before.

--- a/pistachiolift/node/handover.py
+++ b/pistachiolift/node/handover.py
@@ -43,7 +43,8 @@
     that is much less fit than a peer to that peer.
 
     :param peers: returns the open connections of other instances.
-    :param fitness: how well this instance can own, 0 to 1.
+    :param fitness: returns how well this instance can own the partition beside
+        others that it owns, 0 to 1.
     """
 
     def __init__(
@@ -54,7 +55,7 @@
         clock: Clock,
         metrics: Metrics,
         peers: Callable[[], list[PeerConnection]],
-        fitness: float = 1.0,
+        fitness: Callable[[], float],
     ):
         self._ownership = ownership
         self._clock = clock
@@ -99,17 +100,17 @@
         """Return the peers, those first that reach the store and are the fittest."""
 
         def rank(peer: PeerConnection) -> tuple[bool, float, float]:
-            age_s = peer.peer_store_age_s
-            age_s = float("inf") if age_s is None else age_s
-            return age_s > FRESH_S, -peer.peer.owner_fitness, age_s
+            state = peer.peer_state
+            age_s = float("inf") if state is None else state.store_age_s
+            return age_s > FRESH_S, -peer.peer_fitness, age_s
 
         return sorted((peer for peer in self._peers() if peer.peer), key=rank)
 
     def _is_much_fitter(self, peer: PeerConnection) -> bool:
-        age_s = peer.peer_store_age_s
-        if age_s is None or age_s > FRESH_S:
+        state = peer.peer_state
+        if state is None or state.store_age_s > FRESH_S:
             return False
-        return peer.peer.owner_fitness >= FITTER_RATIO * self._fitness
+        return peer.peer_fitness >= FITTER_RATIO * self._fitness()
 
     async def _ask(self, peers: list[PeerConnection], reason: str) -> None:
         for peer in peers:
@@ -129,8 +130,8 @@
                 fence=fence,
                 reason=reason,
                 failed_calls=self._ownership.failed_calls,
-                fitness=self._fitness,
-                peer_fitness=peer.peer.owner_fitness,
+                fitness=self._fitness(),
+                peer_fitness=peer.peer_fitness,
             )
             request = self._call(peer, TakeOver(fence), TAKE_OVER_TIMEOUT_S)
             self._ownership.superseded(reason)
--- /dev/null
+++ b/pistachiolift/node/job_router.py
@@ -0,0 +1,85 @@
+"""Sends calls about jobs to the partitions that know them."""
+
+from collections.abc import Awaitable, Callable, Iterable
+
+from twisted.internet.defer import ensureDeferred
+
+from ..common import JobId
+from ..workflows import JobGraph, Queue, QueueId
+from .job_service import JobService
+from .partition_map import PartitionMap, PartitionNumber
+from .peer_messages import JobAnswer, JobOutcome
+
+__all__ = ["JobRouter"]
+
+Call = Callable[[JobService], Awaitable[JobAnswer]]
+
+
+class JobRouter:
+    """Calls about jobs, of a cell with any number of partitions.
+
+    :param partition_map: returns the map, ``None`` until it is known.
+    :param service: returns the calls to the owner of a partition.
+    """
+
+    def __init__(
+        self,
+        *,
+        partition_map: Callable[[], PartitionMap | None],
+        service: Callable[[PartitionNumber], JobService],
+    ):
+        self._partition_map = partition_map
+        self._service = service
+
+    async def submit(
+        self, job_id: JobId, queue: Queue, graph: JobGraph, *, until_s: float
+    ) -> JobAnswer:
+        """Submit a job."""
+        partition_map = self._partition_map()
+        if partition_map is None:
+            return JobAnswer(JobOutcome.REFUSED)
+        service = self._service(partition_map.of_graph(job_id, graph))
+        return await service.submit(job_id, queue, graph, until_s=until_s)
+
+    async def cancel(self, job_id: JobId, *, until_s: float) -> JobAnswer:
+        """Cancel a job."""
+        return await self._find(job_id, lambda s: s.cancel(job_id, until_s=until_s))
+
+    async def status(self, job_id: JobId, *, until_s: float) -> JobAnswer:
+        """Ask for a job's state."""
+        return await self._find(job_id, lambda s: s.status(job_id, until_s=until_s))
+
+    async def waiting(self, queue_id: QueueId, *, until_s: float) -> JobAnswer:
+        """Ask how many jobs of a queue have not begun."""
+        partition_map = self._partition_map()
+        if partition_map is None:
+            return JobAnswer(JobOutcome.REFUSED)
+        answers = await self._ask(
+            partition_map.numbers(), lambda s: s.waiting(queue_id, until_s=until_s)
+        )
+        for answer in answers:
+            if answer.outcome is not JobOutcome.OK:
+                return answer
+        return JobAnswer(JobOutcome.OK, count=sum(each.count for each in answers))
+
+    async def _find(self, job_id: JobId, call: Call) -> JobAnswer:
+        """Ask the partition of an identifier, then those that data may have led to."""
+        partition_map = self._partition_map()
+        if partition_map is None:
+            return JobAnswer(JobOutcome.REFUSED)
+        home = partition_map.of_job(job_id)
+        answer = await call(self._service(home))
+        if answer.outcome is not JobOutcome.UNKNOWN_JOB:
+            return answer
+        others = [number for number in partition_map.numbers() if number != home]
+        answers = await self._ask(others, call)
+        known = [a for a in answers if a.outcome is not JobOutcome.UNKNOWN_JOB]
+        # One that knows the job goes before one that could not be asked.
+        known.sort(key=lambda each: each.outcome is not JobOutcome.OK)
+        return known[0] if known else answer
+
+    async def _ask(
+        self, numbers: Iterable[PartitionNumber], call: Call
+    ) -> list[JobAnswer]:
+        calls = [ensureDeferred(call(self._service(number))) for number in numbers]
+        return [await each for each in calls]
--- a/pistachiolift/node/ledger.py
+++ b/pistachiolift/node/ledger.py
@@ -12,14 +12,12 @@
 from ..workflows import LedgerRecord, decode_batch, encode_batch
 from .background import run_in_background
 from .interfaces import CoordinationStore, Put, TransactionConflictError
+from .partition_map import PartitionKeys
 
-__all__ = ["CLAIM_KEY", "LOG_PREFIX", "Ledger", "read_ledger"]
+__all__ = ["Ledger", "read_ledger"]
 
 logger = logging.getLogger(__name__)
 
-CLAIM_KEY = "pistachiolift/claim"
-LOG_PREFIX = "pistachiolift/log/"
-
 # Shortest time between the beginnings of two writes: at most 67 a second, a sixth of
 # the smallest rate that the platform grants to all instances together.
 COMMIT_INTERVAL_S = 0.015
@@ -41,6 +39,7 @@
 class Ledger:
     """Appends records in batches, one write at a time.
 
+    :param keys: keys of the partition.
     :param fence: version of the claim under which this owner writes.
     :param on_durable: called with the number of records that have become durable.
     :param on_superseded: called once when another owner has claimed the log.
@@ -54,6 +53,7 @@
         *,
         clock: Clock,
         metrics: Metrics,
+        keys: PartitionKeys,
         fence: int,
         on_durable: Callable[[int], None],
         on_superseded: Callable[[], None],
@@ -63,6 +63,7 @@
         self._store = store
         self._clock = clock
         self._metrics = metrics
+        self._partition_keys = keys
         self.fence = fence
         self._on_durable = on_durable
         self._on_superseded = on_superseded
@@ -153,7 +154,7 @@
         if kept:
             value = encode_batch(kept + batch)
         self._sequence += 1
-        key = f"{LOG_PREFIX}{self.fence:015d}-{self._sequence:09d}"
+        key = f"{self._partition_keys.log_prefix}{self.fence:015d}-{self._sequence:09d}"
         self._started_s = self._clock.monotonic_s()
         self._sent = len(batch)
         durable = await self._write(key, value, removes)
@@ -186,16 +187,17 @@
 
     async def _write(self, key: str, value: bytes, removes: tuple[str, ...]) -> bool:
         """Write one value, and repeat it until its fate is known."""
+        claim_key = self._partition_keys.claim
         while not self._closed:
             sent_s = self._clock.monotonic_s()
             try:
                 await self._store.transact(
-                    expected={CLAIM_KEY: self.fence, key: 0},
+                    expected={claim_key: self.fence, key: 0},
                     puts={key: Put(value)},
                     removes=removes,
                 )
             except TransactionConflictError as error:
-                if error.versions_by_key.get(CLAIM_KEY) != self.fence:
+                if error.versions_by_key.get(claim_key) != self.fence:
                     self._supersede()
                     return False
                 if error.versions_by_key.get(key):
@@ -246,12 +248,14 @@
             result.callback(False)
 
 
-async def read_ledger(store: CoordinationStore) -> dict[str, list[LedgerRecord]]:
+async def read_ledger(
+    store: CoordinationStore, keys: PartitionKeys
+) -> dict[str, list[LedgerRecord]]:
     """Return the records of the log by key, in order.
 
     A value that does not decode is passed over and logged.
     """
-    listing = await store.list_prefix(LOG_PREFIX)
+    listing = await store.list_prefix(keys.log_prefix)
     records: dict[str, list[LedgerRecord]] = {}
     for key in sorted(listing.entries_by_key):
         try:
--- a/pistachiolift/node/members.py
+++ b/pistachiolift/node/members.py
@@ -19,6 +19,7 @@
 from .background import run_in_background
 from .interfaces import CoordinationStore, Put, TransactionConflictError
 from .ownership import OwnerRecord, decode_owner_record
+from .partition_map import PartitionNumber
 from .peer_link import PeerConnection, connect_peer
 from .peer_messages import Announce
 
@@ -39,7 +40,7 @@
     """Enters this instance into the list, and announces an owner to the others.
 
     :param me: this instance's record.
-    :param make: returns a new connection.
+    :param make: returns a new connection about a partition.
     """
 
     def __init__(
@@ -84,11 +85,11 @@
         finally:
             self._entering = False
 
-    def announce(self, fence: int) -> None:
-        """Tell all instances that this one owns."""
-        self._spawn(self._announce(fence))
+    def announce(self, partition: PartitionNumber, fence: int) -> None:
+        """Tell all instances that this one owns a partition."""
+        self._spawn(self._announce(partition, fence))
 
-    async def _announce(self, fence: int) -> None:
+    async def _announce(self, partition: PartitionNumber, fence: int) -> None:
         try:
             listing = await self.store.list_prefix(MEMBER_PREFIX)
         except StoreUnavailableError as error:
@@ -101,14 +102,22 @@
                 log_event(logger, "member_malformed", key=key, reason=error.message)
                 continue
             if member.instance_id != self._me.instance_id:
-                self._spawn(self._announce_to(member, key, entry.version, fence))
+                announcing = self._announce_to(
+                    member, key, entry.version, partition, fence
+                )
+                self._spawn(announcing)
 
     async def _announce_to(
-        self, member: OwnerRecord, key: str, version: int, fence: int
+        self,
+        member: OwnerRecord,
+        key: str,
+        version: int,
+        partition: PartitionNumber,
+        fence: int,
     ) -> None:
         message = Announce(fence=fence, **msgspec.structs.asdict(self._me))
         for _ in range(ANNOUNCE_TRIES):
-            connection: PeerConnection = self._make()
+            connection: PeerConnection = self._make(partition)
             try:
                 await connect_peer(self._reactor, member.address, connection)
                 await connection.call(message, timeout_s=ANNOUNCE_TIMEOUT_S)
--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -29,6 +29,7 @@
 from .job_calls import STALLED_LIMIT_S, JobCalls
 from .ledger import Ledger, read_ledger
 from .listing_pace import ListingPace
+from .partition_map import PartitionKeys
 from .worker_driver import LeaseTerms, WorkerDriver, WorkerEvents
 
 __all__ = ["AUTHORITY_S", "Owner"]
@@ -49,13 +50,15 @@
 
 
 class Owner(WorkerEvents):
-    """Schedules while this instance owns.
+    """Schedules a partition while this instance owns it.
 
+    :param keys: keys of the partition.
     :param fence: version of the claim.
     :param contact_s: tells when the store was last heard.
     :param on_superseded: called with a reason when a later owner has been seen.
     :param on_failed_call: called when a call to the store had no answer.
-    :param directory: returns the workers that the directory names.
+    :param table: returns the configuration in force.
+    :param directory: returns the workers of the partition that the directory names.
     :param authority_s: time for which an earlier owner may still renew leases.
     """
 
@@ -67,6 +70,7 @@
         *,
         clock: Clock,
         metrics: Metrics,
+        keys: PartitionKeys,
         fence: int,
         terms: LeaseTerms,
         keep_final_s: float,
@@ -75,6 +79,7 @@
         heard: Callable[[float], None],
         on_superseded: Callable[[str], None],
         on_failed_call: Callable[[], None],
+        table: Callable[[], QueueTable],
         directory: Callable[[], dict[WorkerId, Worker]],
         authority_s: float = AUTHORITY_S,
     ):
@@ -83,12 +88,14 @@
         self._translation = translation
         self._clock = clock
         self._metrics = metrics
+        self._keys = keys
         self._terms = terms
         self._desk = desk
         self._contact_s = contact_s
         self._heard = heard
         self._on_superseded = on_superseded
         self._earlier_authority_s = authority_s
+        self._newest_table = table
         self._directory = directory
         self.scheduler = GraphScheduler(fence=fence, keep_final_s=keep_final_s)
         self.ledger = Ledger(
@@ -96,6 +103,7 @@
             store,
             clock=clock,
             metrics=metrics,
+            keys=keys,
             fence=fence,
             on_durable=self._durable,
             on_superseded=lambda: self.superseded("ledger"),
@@ -124,15 +132,16 @@
 
     # Beginning and end.
 
-    async def recover(self, table: QueueTable, workers: dict[WorkerId, Worker]) -> None:
+    async def recover(self) -> None:
         """Read the ledger and begin to list what runs."""
         begun_s = self._clock.monotonic_s()
-        log = await read_ledger(self._store)
+        log = await read_ledger(self._store, self._keys)
         if self._closed:
             return
         now_s, wall_ms = self._now()
-        self.set_table(table)
-        for worker in workers.values():
+        # Both may have changed while the ledger was read.
+        self.set_table(self._newest_table())
+        for worker in self._directory().values():
             self.scheduler.workers.seen(worker, now_s=now_s)
         records = [record for batch in log.values() for record in batch]
         self.scheduler.replay(
@@ -149,6 +158,7 @@
         log_event(
             logger,
             "owner_ready",
+            partition=self._keys.number,
             fence=self.scheduler.book.fence,
             jobs=len(self.scheduler.book.jobs_by_id),
             records=len(records),
@@ -275,9 +285,10 @@
         self._see_again()
         self._decide()
         book = self.scheduler.book
-        self._metrics.gauge("jobs.known", len(book.jobs_by_id))
-        self._metrics.gauge("steps.open", len(book.open_steps))
-        self._metrics.gauge("workers.known", len(book.workers_by_id))
+        name = f"partition.{self._keys.number}"
+        self._metrics.gauge(f"{name}.jobs_known", len(book.jobs_by_id))
+        self._metrics.gauge(f"{name}.steps_open", len(book.open_steps))
+        self._metrics.gauge(f"{name}.workers_known", len(book.workers_by_id))
 
     def _durable(self, count: int) -> None:
         self._heard(self.ledger.last_contact_s)
@@ -304,10 +315,13 @@
     def _see_again(self) -> None:
         """Enter workers that were taken for dead and still stand in the directory."""
         now_s = self._clock.monotonic_s()
-        workers = self._directory()
-        for worker_id, dead_s in list(self._dead_s_by_id.items()):
-            if now_s - dead_s < DEAD_IN_DIRECTORY_S:
-                continue
+        due = [
+            worker_id
+            for worker_id, dead_s in self._dead_s_by_id.items()
+            if now_s - dead_s >= DEAD_IN_DIRECTORY_S
+        ]
+        workers = self._directory() if due else {}
+        for worker_id in due:
             del self._dead_s_by_id[worker_id]
             worker = workers.get(worker_id)
             if worker is not None and worker_id not in self._drivers_by_id:
--- a/pistachiolift/node/ownership.py
+++ b/pistachiolift/node/ownership.py
@@ -1,4 +1,4 @@
-"""Which instance owns the scheduler: a leased key in the platform's store."""
+"""Which instance owns a partition: a leased key in the platform's store."""
 
 import logging
 import random
@@ -26,14 +26,12 @@
     Put,
     TransactionConflictError,
 )
-from .ledger import CLAIM_KEY
+from .partition_map import PartitionKeys
 
-__all__ = ["OWNER_KEY", "OwnerRecord", "Ownership", "decode_owner_record"]
+__all__ = ["OwnerRecord", "Ownership", "decode_owner_record"]
 
 logger = logging.getLogger(__name__)
 
-OWNER_KEY = "pistachiolift/owner"
-
 # A lost owner is noticed after this time; the store's shortest lease is 1 s.
 LEASE_TTL_S = 1.5
 RENEW_INTERVAL_S = 0.35
@@ -69,6 +67,7 @@
 class Ownership:
     """Watches the owner's key, claims it when it is free, and keeps it.
 
+    :param keys: keys of the partition.
     :param me: this instance's record.
     :param may_claim: whether this instance is able to own.
     :param on_owner: called with the owner that the store names, or ``None``.
@@ -77,6 +76,7 @@
         owner before is known to give no more orders.
     :param on_lost: called when another instance has become the owner.
     :param fitness: how well this instance can own, 0 to 1; the fittest claim first.
+    :param reluctance_s: time for which this instance leaves claims to others.
     """
 
     def __init__(
@@ -84,6 +84,7 @@
         reactor: IReactorTime,
         store: CoordinationStore,
         *,
+        keys: PartitionKeys,
         me: OwnerRecord,
         clock: Clock,
         metrics: Metrics,
@@ -92,9 +93,12 @@
         on_claimed: Callable[[int, bool], None],
         on_lost: Callable[[str], None],
         fitness: float = 1.0,
+        reluctance_s: Callable[[], float] = lambda: 0.0,
     ):
         self._reactor = reactor
         self.store = store
+        self._keys = keys
+        self._gauge = f"partition.{keys.number}.owner"
         self._me = me
         self._clock = clock
         self._metrics = metrics
@@ -103,6 +107,7 @@
         self._on_claimed = on_claimed
         self._on_lost = on_lost
         self._fitness = fitness
+        self._reluctance_s = reluctance_s
         self._lease_id: LeaseId | None = None
         self._stopped = False
         self._claiming = False
@@ -163,7 +168,7 @@
     async def _check_store(self) -> None:
         sent_s = self._clock.monotonic_s()
         try:
-            await self.store.get(OWNER_KEY)
+            await self.store.get(self._keys.owner)
             self.heard(sent_s)
         except StoreUnavailableError:
             self._note_lost(sent_s)
@@ -176,16 +181,18 @@
             sent_s = self._clock.monotonic_s()
             try:
                 if revision is None:
-                    listing = await self.store.list_prefix(OWNER_KEY)
+                    listing = await self.store.list_prefix(self._keys.owner)
                     revision = listing.revision
-                    self._take(listing.entries_by_key.get(OWNER_KEY))
+                    self._take(listing.entries_by_key.get(self._keys.owner))
                 else:
                     changes = await self.store.changes(
-                        OWNER_KEY, after_revision=revision, wait_s=WATCH_WAIT_S
+                        self._keys.owner,
+                        after_revision=revision,
+                        wait_s=WATCH_WAIT_S,
                     )
                     revision = max(revision, changes.revision)
                     for event in changes.events:
-                        if event.key == OWNER_KEY:
+                        if event.key == self._keys.owner:
                             self._take(event.entry)
                 self.heard(sent_s)
             except (StoreUnavailableError, HistoryLostError):
@@ -216,6 +223,7 @@
         log_event(
             logger,
             "owner_changed",
+            partition=self._keys.number,
             owner=record.instance_id if record else "",
             incarnation=record.incarnation if record else "",
             version=entry.version if entry else 0,
@@ -230,7 +238,13 @@
             return
         self._owner_version = fence
         self.owner = record
-        log_event(logger, "owner_announced", owner=record.instance_id, version=fence)
+        log_event(
+            logger,
+            "owner_announced",
+            partition=self._keys.number,
+            owner=record.instance_id,
+            version=fence,
+        )
         if self.fence is not None and fence > self.fence:
             self._lose("another_owner")
         self._on_owner(record)
@@ -242,7 +256,9 @@
         if record != self.owner or record == self._dead or self.fence is not None:
             return
         self._dead = record
-        log_event(logger, "owner_died", owner=record.instance_id)
+        log_event(
+            logger, "owner_died", partition=self._keys.number, owner=record.instance_id
+        )
         self._spawn(self._replace(record))
 
     async def _replace(self, record: OwnerRecord) -> None:
@@ -274,7 +290,7 @@
 
     async def _claim_from(self, fence: int) -> bool:
         """Replace the owner that made a claim, also while its lease goes on."""
-        entry = await self.store.get(OWNER_KEY)
+        entry = await self.store.get(self._keys.owner)
         if entry is not None and entry.version != fence:
             return False
         return await self._claim_over(
@@ -283,7 +299,8 @@
 
     def _claim_delay_s(self) -> float:
         """Return how long to leave the claim to fitter instances."""
-        return random.uniform(0, CLAIM_JITTER_S) + (1 - self._fitness) * CLAIM_DELAY_S
+        unfit_s = (1 - self._fitness) * CLAIM_DELAY_S
+        return random.uniform(0, CLAIM_JITTER_S) + unfit_s + self._reluctance_s()
 
     async def _claim(self) -> None:
         if not self._may_claim() or self._stopped or self._claiming:
@@ -292,7 +309,7 @@
         self._claiming = True
         try:
             await deferLater(self._reactor, self._claim_delay_s())
-            entry = await self.store.get(CLAIM_KEY)
+            entry = await self.store.get(self._keys.claim)
             await self._claim_over(entry.version if entry else 0)
         except StoreUnavailableError:
             self._metrics.count("ownership.claim_failed")
@@ -315,8 +332,14 @@
         value = encode_json(self._me)
         try:
             fence = await self.store.transact(
-                expected={OWNER_KEY: owner_version, CLAIM_KEY: claim_version},
-                puts={OWNER_KEY: Put(value, lease_id), CLAIM_KEY: Put(value)},
+                expected={
+                    self._keys.owner: owner_version,
+                    self._keys.claim: claim_version,
+                },
+                puts={
+                    self._keys.owner: Put(value, lease_id),
+                    self._keys.claim: Put(value),
+                },
             )
         except TransactionConflictError:
             self._metrics.count("ownership.claim_conflict")
@@ -333,8 +356,14 @@
         self.claimed_s = self._clock.monotonic_s()
         self.heard(sent_s)
         self._take_own()
-        self._metrics.gauge("ownership.owner", 1)
-        log_event(logger, "ownership_claimed", fence=fence, over=claim_version)
+        self._metrics.gauge(self._gauge, 1)
+        log_event(
+            logger,
+            "ownership_claimed",
+            partition=self._keys.number,
+            fence=fence,
+            over=claim_version,
+        )
         self._on_claimed(fence, stopped)
         if not self._renewing.running:
             self._renewing.start(RENEW_INTERVAL_S, now=False)
@@ -347,7 +376,7 @@
             self._on_owner(self._me)
 
     async def _find_claim(self, claim_version: int) -> int | None:
-        entry = await self.store.get(CLAIM_KEY)
+        entry = await self.store.get(self._keys.claim)
         if entry is None or entry.version == claim_version:
             return None
         record = decode_owner_record(entry.value)
@@ -374,14 +403,16 @@
     async def _claim_again(self) -> None:
         """Claim after the lease has lapsed, if no other instance has."""
         fence, self._lease_id = self.fence, None
-        log_event(logger, "ownership_lease_lapsed", fence=fence)
+        log_event(
+            logger, "ownership_lease_lapsed", partition=self._keys.number, fence=fence
+        )
         self._claiming = True
         try:
             while self.fence == fence and not self._stopped:
                 try:
                     if await self._claim_over(fence):
                         return
-                    entry = await self.store.get(CLAIM_KEY)
+                    entry = await self.store.get(self._keys.claim)
                     if entry is None or entry.version != fence:
                         self._lose("claimed_by_another")
                         return
@@ -397,9 +428,15 @@
             self._lose(reason)
 
     def _lose(self, reason: str) -> None:
-        log_event(logger, "ownership_lost", fence=self.fence, reason=reason)
+        log_event(
+            logger,
+            "ownership_lost",
+            partition=self._keys.number,
+            fence=self.fence,
+            reason=reason,
+        )
         self.fence = None
-        self._metrics.gauge("ownership.owner", 0)
+        self._metrics.gauge(self._gauge, 0)
         self._lease_id = None
         if self._renewing.running:
             self._renewing.stop()
--- a/pistachiolift/node/peer_link.py
+++ b/pistachiolift/node/peer_link.py
@@ -16,11 +16,13 @@
 from twisted.python.failure import Failure
 
 from ..common import Metrics, NoOwnerError, log_event
+from .partition_map import PartitionNumber
 from .peer_messages import (
     FRAME_LIMIT_BYTES,
     Frame,
     Hello,
     Message,
+    PeerState,
     Ping,
     Pong,
     decode_frame,
@@ -42,11 +44,14 @@
 class PeerConnection(Int32StringReceiver):
     """One connection; either side may call the other.
 
+    The instance that has opened it asks for signs of life; both watch for silence.
+
     :param hello: sent first.
+    :param outgoing: whether this instance opens the connection.
     :param handler: answers the other side's calls.
     :param on_open: called when the other side has said who it is.
     :param on_close: called once when the connection is lost.
-    :param store_age_s: tells how long ago this instance heard from the store.
+    :param state: returns what this instance tells of itself.
     """
 
     MAX_LENGTH = FRAME_LIMIT_BYTES
@@ -58,7 +63,8 @@
         hello: Hello,
         handler: Handler,
         metrics: Metrics,
-        store_age_s: Callable[[], float],
+        state: Callable[[], PeerState],
+        outgoing: bool,
         on_open: Callable[["PeerConnection"], None] = lambda connection: None,
         on_close: Callable[["PeerConnection"], None] = lambda connection: None,
     ):
@@ -66,7 +72,8 @@
         self._hello = hello
         self._handler = handler
         self._metrics = metrics
-        self._store_age_s = store_age_s
+        self._state = state
+        self._outgoing = outgoing
         self._on_open = on_open
         self._on_close = on_close
         self._calls: dict[int, Deferred] = {}
@@ -74,9 +81,20 @@
         self._heard_s = reactor.seconds()
         self._timer: IDelayedCall | None = None
         self.peer: Hello | None = None
-        self.peer_store_age_s: float | None = None
+        self.peer_state: PeerState | None = None
         self.open = False
 
+    @property
+    def partition(self) -> PartitionNumber:
+        """What calls on this connection are about."""
+        return (self._hello if self._outgoing else self.peer).partition
+
+    @property
+    def peer_fitness(self) -> float:
+        """How well the other side can own one more partition, 0 to 1."""
+        owned = 0 if self.peer_state is None else self.peer_state.owned
+        return self.peer.owner_fitness / (1 + owned)
+
     def connectionMade(self) -> None:  # noqa: N802
         """Say who this is, and start to watch for silence."""
         self.open = True
@@ -97,7 +115,8 @@
             )
             self.transport.abortConnection()
             return
-        self._send(Frame(0, False, Ping(round(self._store_age_s(), 3))))
+        if self._outgoing:
+            self._send(Frame(0, False, Ping(self._state())))
         self._timer = self._reactor.callLater(PING_INTERVAL_S, self._ping)
 
     def _send(self, frame: Frame) -> None:
@@ -153,10 +172,10 @@
             self.peer = message
             self._on_open(self)
         elif isinstance(message, Ping):
-            self.peer_store_age_s = message.store_age_s
-            self._send(Frame(0, False, Pong(round(self._store_age_s(), 3))))
+            self.peer_state = message.state
+            self._send(Frame(0, False, Pong(self._state())))
         elif isinstance(message, Pong):
-            self.peer_store_age_s = message.store_age_s
+            self.peer_state = message.state
         else:
             answer = ensureDeferred(self._answer(frame.call, message))
             answer.addErrback(self._failed, message)
--- a/pistachiolift/node/peer_messages.py
+++ b/pistachiolift/node/peer_messages.py
@@ -6,6 +6,7 @@
 
 from ..common import JobId, WorkerId
 from ..workflows import JobGraph, JobStatus, Queue, QueueId, StepKey
+from .partition_map import PartitionNumber
 
 __all__ = [
     "Advise",
@@ -20,6 +21,7 @@
     "JobAnswer",
     "JobOutcome",
     "Noted",
+    "PeerState",
     "Ping",
     "Pong",
     "ProbeStore",
@@ -49,26 +51,36 @@
 
     :param incarnation: identifies the sender's process.
     :param owner_fitness: how well the sender can own, 0 to 1.
+    :param partition: what calls on the connection are about, if the sender opened it.
     """
 
     instance_id: str
     incarnation: str
     owner_fitness: float = 1.0
+    partition: PartitionNumber = PartitionNumber(0)
 
 
-class Ping(msgspec.Struct, frozen=True, tag="ping", array_like=True):
-    """Asks for a sign of life.
+class PeerState(msgspec.Struct, frozen=True, array_like=True):
+    """What an instance tells of itself again and again.
 
-    :param store_age_s: seconds since the sender last heard from the store.
+    :param store_age_s: seconds since it last heard from the store.
+    :param owned: number of partitions that it owns.
     """
 
     store_age_s: float
+    owned: int = 0
+
+
+class Ping(msgspec.Struct, frozen=True, tag="ping", array_like=True):
+    """Asks for a sign of life."""
+
+    state: PeerState
 
 
 class Pong(msgspec.Struct, frozen=True, tag="pong", array_like=True):
     """A sign of life."""
 
-    store_age_s: float
+    state: PeerState
 
 
 class SubmitJob(msgspec.Struct, frozen=True, tag="submit", array_like=True):
--- a/pistachiolift/node/settings.py
+++ b/pistachiolift/node/settings.py
@@ -14,6 +14,7 @@
 # and several times that in bursts, and less than 10 Mbit/s.
 OWNER_CORES = 2.0
 OWNER_LINK_MBPS = 50.0
+WORKERS_PER_PARTITION = 176
 
 
 class NodeSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -29,6 +30,8 @@
     :param link_mbps: bandwidth of the instance's link, in Mbit/s.
     :param grace_s: time between SIGTERM and SIGKILL, in seconds.
     :param lease_limit_ms: longest lease of the runs of a worker, in milliseconds.
+    :param workers_per_partition: about how many workers one owner decides for; it
+        counts when a cell starts for the first time.
     :param keep_final_s: time for which the state of a finished job is told.
     """
 
@@ -46,6 +49,7 @@
     grace_s: float = 6.0
     lease_limit_ms: float = 6_000.0
     keep_final_s: float = 120.0
+    workers_per_partition: int = WORKERS_PER_PARTITION
 
     def __post_init__(self) -> None:
         if not 0 < self.peer_ports[0] <= self.peer_ports[1] < 65_536:
@@ -59,6 +63,10 @@
                 f"cpu_share is {self.cpu_share}, core_speed {self.core_speed} and "
                 f"link_mbps {self.link_mbps}; all must be above 0"
             )
+        if not 1 <= self.workers_per_partition <= 10_000:
+            raise ValueError(
+                f"workers_per_partition is {self.workers_per_partition}; 1 to 10000"
+            )
         for name in ("grace_s", "lease_limit_ms", "keep_final_s"):
             if not 0 < getattr(self, name) <= 86_400:
                 raise ValueError(f"{name} is {getattr(self, name)}; above 0 to 86400")
--- a/pistachiolift/node/tests/test_handover.py
+++ b/pistachiolift/node/tests/test_handover.py
@@ -8,7 +8,7 @@
 
 from pistachiolift.common import ManualClock, Metrics
 from pistachiolift.node.handover import FAILED_CALLS, SETTLED_S, HandoverMonitor
-from pistachiolift.node.peer_messages import Hello, Noted, ProbeStore
+from pistachiolift.node.peer_messages import Hello, Noted, PeerState, ProbeStore
 
 
 @dataclass
@@ -16,14 +16,18 @@
     """A connected instance; it takes over when it is asked."""
 
     name: str
-    owner_fitness: float = 0.25
-    peer_store_age_s: float | None = 0.5
+    peer_fitness: float = 0.25
+    store_age_s: float | None = 0.5
     reaches_store: bool = True
     calls: list = field(default_factory=list)
 
     @property
     def peer(self):
-        return Hello(self.name, "incarnation", self.owner_fitness)
+        return Hello(self.name, "incarnation")
+
+    @property
+    def peer_state(self):
+        return None if self.store_age_s is None else PeerState(self.store_age_s)
 
     def call(self, message, *, timeout_s):
         self.calls.append(type(message))
@@ -57,7 +61,7 @@
             clock=self.clock,
             metrics=Metrics(),
             peers=lambda: peers,
-            fitness=fitness,
+            fitness=lambda: fitness,
         )
         monitor.start()
 
@@ -75,7 +79,7 @@
     """Pattern: unlike instances, of which few can own a large fleet."""
 
     def test_an_unfit_owner_hands_over_to_the_fittest_peer(self):
-        peers = [Peer("small"), Peer("large", owner_fitness=1.0)]
+        peers = [Peer("small"), Peer("large", peer_fitness=1.0)]
         cell = Cell(peers, fitness=0.2)
         cell.advance(SETTLED_S - 0.2)
         assert asked(peers) == []
@@ -86,10 +90,10 @@
     @pytest.mark.parametrize(
         "peer",
         [
-            Peer("alike", owner_fitness=0.3),
-            Peer("cut off", owner_fitness=1.0, peer_store_age_s=9.0),
-            Peer("unknown", owner_fitness=1.0, peer_store_age_s=None),
-            Peer("probed", owner_fitness=1.0, reaches_store=False),
+            Peer("alike", peer_fitness=0.3),
+            Peer("cut off", peer_fitness=1.0, store_age_s=9.0),
+            Peer("unknown", peer_fitness=1.0, store_age_s=None),
+            Peer("probed", peer_fitness=1.0, reaches_store=False),
         ],
     )
     def test_the_ownership_stays_where_no_peer_is_better(self, peer):
@@ -99,9 +103,9 @@
 
     def test_an_owner_that_lost_the_store_prefers_fit_peers_that_reach_it(self):
         peers = [
-            Peer("cut off", owner_fitness=1.0, peer_store_age_s=9.0),
-            Peer("small", peer_store_age_s=0.1),
-            Peer("large", owner_fitness=1.0, peer_store_age_s=1.0),
+            Peer("cut off", peer_fitness=1.0, store_age_s=9.0),
+            Peer("small", store_age_s=0.1),
+            Peer("large", peer_fitness=1.0, store_age_s=1.0),
         ]
         cell = Cell(peers, fitness=1.0)
         cell.owner.failed_calls = FAILED_CALLS
--- a/pistachiolift/node/tests/test_ledger.py
+++ b/pistachiolift/node/tests/test_ledger.py
@@ -5,17 +5,14 @@
 
 from pistachiolift.common import JobId, ManualClock, Metrics
 from pistachiolift.node.interfaces import Put
-from pistachiolift.node.ledger import (
-    CLAIM_KEY,
-    COMPACT_ABOVE_VALUES,
-    LOG_PREFIX,
-    Ledger,
-    read_ledger,
-)
+from pistachiolift.node.ledger import COMPACT_ABOVE_VALUES, Ledger, read_ledger
+from pistachiolift.node.partition_map import PartitionKeys, PartitionNumber
 from pistachiolift.workflows import JobForgotten
 
 from .fake_store import FakeStore
 
+KEYS = PartitionKeys(PartitionNumber(0))
+
 
 def record(index):
     return JobForgotten(JobId(f"j{index}"))
@@ -29,7 +26,7 @@
         self.clock = ManualClock()
         self.store = FakeStore()
         claim = ensureDeferred(
-            self.store.transact(expected={}, puts={CLAIM_KEY: Put(b"me")})
+            self.store.transact(expected={}, puts={KEYS.claim: Put(b"me")})
         )
         self.durable = 0
         self.superseded = 0
@@ -39,6 +36,7 @@
             self.store,
             clock=self.clock,
             metrics=Metrics(),
+            keys=KEYS,
             fence=claim.result,
             on_durable=self._durable,
             on_superseded=self._superseded,
@@ -60,7 +58,7 @@
             self.reactor.advance(step_s)
 
     def records(self):
-        result = ensureDeferred(read_ledger(self.store)).result
+        result = ensureDeferred(read_ledger(self.store, KEYS)).result
         return [r.job_id for key in sorted(result) for r in result[key]]
 
 
@@ -132,7 +130,7 @@
         def claim_again():
             bench.store.before_transact = lambda: None
             claim = ensureDeferred(
-                bench.store.transact(expected={}, puts={CLAIM_KEY: Put(b"me")})
+                bench.store.transact(expected={}, puts={KEYS.claim: Put(b"me")})
             )
             bench.ledger.fence = claim.result
 
@@ -148,7 +146,7 @@
     def test_a_later_claim_ends_the_writing(self):
         bench = Bench()
         ensureDeferred(
-            bench.store.transact(expected={}, puts={CLAIM_KEY: Put(b"other")})
+            bench.store.transact(expected={}, puts={KEYS.claim: Put(b"other")})
         )
         bench.ledger.append([record(0)])
         bench.advance(0.5)
@@ -164,6 +162,6 @@
         for index in range(COMPACT_ABOVE_VALUES + 60):
             bench.ledger.append([record(index)])
             bench.advance(0.02)
-        keys = [key for key in bench.store.entries if key.startswith(LOG_PREFIX)]
+        keys = [key for key in bench.store.entries if key.startswith(KEYS.log_prefix)]
         assert len(keys) <= COMPACT_ABOVE_VALUES + 1
         assert bench.durable == COMPACT_ABOVE_VALUES + 60
--- a/pistachiolift/node/tests/test_ownership.py
+++ b/pistachiolift/node/tests/test_ownership.py
@@ -4,10 +4,13 @@
 from twisted.internet.task import Clock as ReactorClock
 
 from pistachiolift.common import ManualClock, Metrics
-from pistachiolift.node.ownership import OWNER_KEY, OwnerRecord, Ownership
+from pistachiolift.node.ownership import OwnerRecord, Ownership
+from pistachiolift.node.partition_map import PartitionKeys, PartitionNumber
 
 from .fake_store import FakeStore
 
+KEYS = PartitionKeys(PartitionNumber(0))
+
 
 class Cell:
     """Instances that share one store and one clock."""
@@ -37,6 +40,7 @@
         return Ownership(
             self.reactor,
             self.store,
+            keys=KEYS,
             me=me,
             clock=self.clock,
             metrics=Metrics(),
@@ -72,13 +76,13 @@
         cell.store.lost_answers = 1
         cell.advance(1.0)
         assert cell.owners() == [0]
-        assert cell.ownerships[0].fence == cell.store.entries[OWNER_KEY].version
+        assert cell.ownerships[0].fence == cell.store.entries[KEYS.owner].version
 
     def test_a_lapsed_lease_is_claimed_again_under_a_higher_fence(self):
         cell = Cell(instances=1)
         cell.advance(1.0)
         first = cell.ownerships[0].fence
-        cell.store.lapse(cell.store.entries[OWNER_KEY].lease_id)
+        cell.store.lapse(cell.store.entries[KEYS.owner].lease_id)
         cell.advance(1.0)
         assert cell.ownerships[0].fence > first
         assert not [event for event in cell.events if event[0] == "lost"]
@@ -90,7 +94,7 @@
         cut = FakeStore()
         cut.down = True
         cell.ownerships[old].store = cut
-        cell.store.lapse(cell.store.entries[OWNER_KEY].lease_id)
+        cell.store.lapse(cell.store.entries[KEYS.owner].lease_id)
         cell.advance(1.0)
         new = 1 - old
         assert cell.ownerships[new].fence > cell.ownerships[old].fence
--- a/pistachiolift/platform/tests/platform_cell.py
+++ b/pistachiolift/platform/tests/platform_cell.py
@@ -21,12 +21,21 @@
     """Instances on loopback; as a context manager it ends what it has started.
 
     :param directory: for settings files and logs.
+    :param partitions: number of racks and partitions, which have an owner each.
     """
 
-    def __init__(self, directory: Path, *, instances: int = 3, workers: int = 3):
+    def __init__(
+        self,
+        directory: Path,
+        *,
+        instances: int = 3,
+        workers: int = 3,
+        partitions: int = 1,
+    ):
         self.directory = directory
         self._instances = instances
         self._workers = workers
+        self._partitions = partitions
         self.processes: dict[str, ChildProcess] = {}
 
     def assign_ports(self, ports: list[int]) -> None:
@@ -36,6 +45,7 @@
             "store": ports[0],
             "adviser": ports[1],
             "control": ports[2],
+            "racks": self._partitions,
             "workers": ports[3 : 3 + workers],
         }
         rest = ports[3 + workers :]
@@ -123,6 +133,7 @@
             "store_address": f"127.0.0.1:{self.ports['store']}",
             "adviser_address": f"127.0.0.1:{self.ports['adviser']}",
             "grace_s": 6.0,
+            "workers_per_partition": max(1, self._workers // self._partitions),
         }
 
     def kill(self, index: int) -> None:
@@ -198,10 +209,11 @@
         status, _ = self.request(self.ports["control"], "POST", path, body)
         assert status == 200
 
-    def owner(self) -> int | None:
-        """Return the index of the owner, as its metrics tell."""
+    def owner(self, partition: int = 0) -> int | None:
+        """Return the index of a partition's owner, as its metrics tell."""
+        name = f"pistachiolift_partition_{partition}_owner 1.0"
         for index, port in enumerate(self.ready_ports):
             status, answer = self.request(port, "GET", "/metrics")
-            if status == 200 and "pistachiolift_ownership_owner 1.0" in str(answer):
+            if status == 200 and name in str(answer):
                 return index
         return None
--- a/pistachiolift/platform/tests/soak/run.py
+++ b/pistachiolift/platform/tests/soak/run.py
@@ -30,8 +30,10 @@
 class SoakCell(PlatformCell):
     """A cell whose instances reach the store and the workers through the proxy."""
 
-    def __init__(self, directory: Path):
-        super().__init__(directory, instances=INSTANCES, workers=WORKERS)
+    def __init__(self, directory: Path, partitions: int):
+        super().__init__(
+            directory, instances=INSTANCES, workers=WORKERS, partitions=partitions
+        )
         self.locks = [threading.Lock() for _ in range(INSTANCES)]
         self.store_lock = threading.Lock()
 
@@ -243,13 +245,15 @@
         return {"Count": count, "Cpu": cpu, "MemMb": 100, "EstimateMs": 300}
 
 
-def run_soak(seed: int, duration_s: float, directory: Path) -> list[str]:
+def run_soak(
+    seed: int, duration_s: float, directory: Path, partitions: int = 1
+) -> list[str]:
     """Run one seed.
 
     :returns: what went wrong.
     """
     rng = random.Random(seed)
-    with SoakCell(directory) as cell:
+    with SoakCell(directory, partitions) as cell:
         end_s = time.monotonic() + duration_s
         clients = [Client(cell, n, seed, end_s) for n in range(CLIENTS)]
         faults = Faults(cell, rng, duration_s)
@@ -289,14 +293,21 @@
 @click.option("--seed", type=int, default=None, help="First seed; random if left out.")
 @click.option("--seeds", type=int, default=1, help="Number of seeds.")
 @click.option("--duration", "duration_s", type=float, default=20.0, help="Seconds.")
+@click.option("--partitions", type=int, default=1, help="Partitions of the cell.")
 @click.option("--keep", type=click.Path(path_type=Path), help="Folder for failed runs.")
-def main(seed: int | None, seeds: int, duration_s: float, keep: Path | None) -> None:
+def main(
+    seed: int | None,
+    seeds: int,
+    duration_s: float,
+    partitions: int,
+    keep: Path | None,
+) -> None:
     """Run the soak and report each seed."""
     first = random.SystemRandom().randrange(1_000_000) if seed is None else seed
     failed = 0
     for number in range(first, first + seeds):
         directory = Path(tempfile.mkdtemp(prefix=f"soak-{number}-", dir=keep))
-        problems = run_soak(number, duration_s, directory)
+        problems = run_soak(number, duration_s, directory, partitions)
         failed += bool(problems)
         click.echo(f"seed {number}: {'FAILED' if problems else 'passed'} {directory}")
         for problem in problems[:10]:
--- a/pistachiolift/platform/tests/standin_platform.py
+++ b/pistachiolift/platform/tests/standin_platform.py
@@ -53,7 +53,9 @@
     store = StandinStore()
     log: list[dict] = []
     workers = [
-        StandinWorker(f"i-{index}", f"127.0.0.1:{port}", log)
+        StandinWorker(
+            f"i-{index}", f"127.0.0.1:{port}", log, f"r{index % ports['racks']}"
+        )
         for index, port in enumerate(ports.get("advertised", ports["workers"]))
     ]
 
--- a/pistachiolift/platform/tests/standin_worker.py
+++ b/pistachiolift/platform/tests/standin_worker.py
@@ -16,9 +16,10 @@
     It notes overlaps of its own runs with others in ``log``, which all workers share.
     """
 
-    def __init__(self, worker_id: str, address: str, log: list[dict]):
+    def __init__(self, worker_id: str, address: str, log: list[dict], rack: str):
         self.worker_id = worker_id
         self.address = address
+        self.rack = rack
         self.born = int(time.time() * 1000)
         self.fence = 0
         self.until_ms = 0
@@ -44,7 +45,7 @@
             "State": "ready",
             "ColdLeftMs": 0,
             "Capacity": {"Cpu": 8000, "MemMb": 16000, "Gpu": 0},
-            "Labels": ["a", "r1"],
+            "Labels": ["a", self.rack],
             "ClockMs": self.clock_ms(),
             "Seq": self.sequence,
             "born": self.born,
--- a/pistachiolift/platform/tests/test_path.py
+++ b/pistachiolift/platform/tests/test_path.py
@@ -151,3 +151,54 @@
             lambda: cell.state(others[1], job) == "completed", "completion", 10
         )
         assert cell.processes[f"instance-{owner}"].wait(10) == 0
+
+
+class TestPartitions:
+    """A cell whose workers are divided among several owners."""
+
+    PARTITIONS = 3
+
+    @pytest.fixture
+    def cell(self, tmp_path):
+        with PlatformCell(tmp_path, partitions=self.PARTITIONS) as running:
+            running.wait_until(lambda: None not in self.owners(running), "owners", 10)
+            yield running
+
+    def owners(self, cell):
+        return [cell.owner(number) for number in range(self.PARTITIONS)]
+
+    def test_jobs_of_all_partitions_are_served_through_any_instance(self, cell):
+        jobs = [JOB.format(96 + i) for i in range(12)]
+        for i, job in enumerate(jobs):
+            assert cell.submit(i % 3, job) == 200
+        for i, job in enumerate(jobs):
+            cell.wait_until(
+                lambda i=i, j=job: cell.state((i + 1) % 3, j) == "completed",
+                "completion",
+                10,
+            )
+        runs = cell.runs()
+        assert len(runs) == 24
+        assert not done_twice(runs)
+        assert cell.call(0, "GET", "/urgent/")[1] == {"Waiting": 0}
+        assert cell.call(1, "GET", f"/urgent/{JOB.format(1)}")[0] == 410
+
+    def test_the_owners_are_spread_over_the_instances(self, cell):
+        cell.wait_until(lambda: len(set(self.owners(cell))) == 3, "spread", 20)
+
+    def test_an_owner_s_death_is_survived_by_its_partition_s_jobs(self, cell):
+        jobs = [JOB.format(112 + i) for i in range(9)]
+        for i, job in enumerate(jobs):
+            assert cell.submit(i % 3, job, ms=1500) == 200
+        killed = cell.owner(1)
+        cell.kill(killed)
+        others = [i for i in range(3) if i != killed]
+        for i, job in enumerate(jobs):
+            cell.wait_until(
+                lambda i=i, j=job: cell.state(others[i % 2], j) == "completed",
+                "completion",
+                20,
+            )
+        runs = cell.runs()
+        assert not overlaps(runs)
+        assert not done_twice(runs)
--- a/pistachiolift/platform/tests/test_soak.py
+++ b/pistachiolift/platform/tests/test_soak.py
@@ -17,3 +17,7 @@
 @pytest.mark.parametrize("seed", [1, *REGRESSIONS])
 def test_promises_hold_under_faults(seed, tmp_path):
     assert run_soak(seed, DURATION_S, tmp_path) == []
+
+
+def test_promises_hold_under_faults_with_two_owners(tmp_path):
+    assert run_soak(1, DURATION_S, tmp_path, partitions=2) == []
