End requests whose deadline passes while a start is refused

Only the entry's giving up 0.5 s after the deadline answers then, so the home had said nothing. The deadline's timer ends waiting requests only; one whose attempt was on its way at that moment and was then refused went back into the queue, where nothing ended it, or was granted again after its deadline.

Change: a request that would be queued again after its deadline ends as expired. An entry that has heard nothing by then tells that the request has expired, or may have run, instead of refusing it with a time to come back.

--- a/pistachiolift/entry/request_service.py
+++ b/pistachiolift/entry/request_service.py
@@ -8,6 +8,7 @@
 from ..common import (
     Clock,
     CustomerId,
+    DeadlineExpiredError,
     ErrorCode,
     IdempotencyMismatchError,
     InstanceId,
@@ -259,15 +260,19 @@
     def _check_session(self, session: RequestSession, now_s: float) -> None:
         silence_s = now_s - session.heard_s
         if now_s > session.deadline_s + DEADLINE_GRACE_S:
-            self._give_up(session, "the home gave no answer before the deadline")
+            error = DeadlineExpiredError("the home gave no answer before the deadline")
+            self._give_up(session, error)
         elif silence_s > HOME_SILENCE_LIMIT_S:
-            partition = session.partition_id
-            self._give_up(session, f"partition {partition} has no reachable owner")
+            error = NoOwnerError(
+                f"partition {session.partition_id} has no reachable owner",
+                retry_after_s=NO_OWNER_RETRY_AFTER_S,
+            )
+            self._give_up(session, error)
         elif now_s - session.submitted_s > RESUBMIT_INTERVAL_S:
             self._metrics.count("retry.submit.silence")
             self._submit_to_home(session)
 
-    def _give_up(self, session: RequestSession, reason: str) -> None:
+    def _give_up(self, session: RequestSession, error: PistachioliftError) -> None:
         """Answer without the home.
 
         Without the session this instance rejects every grant, so a request that it
@@ -275,12 +280,8 @@
         tell whether an earlier submission of the same identifier ran.
         """
         self.sessions.remove(session.request_id)
-        may_have_run = session.granted_before or session.resubmitted
-        error = NoOwnerError(
-            reason,
-            outcome=Outcome.UNKNOWN if may_have_run else Outcome.REFUSED,
-            retry_after_s=NO_OWNER_RETRY_AFTER_S,
-        )
+        if session.granted_before or session.resubmitted:
+            error.outcome = Outcome.UNKNOWN
         self._metrics.count(f"refusal.{error.code.value}")
         for caller in session.callers:
             caller.answer.fail(error)
--- /dev/null
+++ b/pistachiolift/entry/tests/test_request_service.py
@@ -0,0 +1,110 @@
+"""What callers are told when their request's home does not answer."""
+
+import pytest
+from twisted.internet.task import Clock as ReactorClock
+
+from pistachiolift.common import (
+    CustomerId,
+    InstanceId,
+    KindId,
+    ManualClock,
+    Metrics,
+    Outcome,
+    PartitionId,
+    RequestId,
+)
+from pistachiolift.entry.request_service import (
+    DEADLINE_GRACE_S,
+    HOME_SILENCE_LIMIT_S,
+    RequestService,
+)
+from pistachiolift.entry.session import Caller, RequestSession
+from pistachiolift.home import PartitionMap
+
+
+class Answer:
+    """A caller's connection."""
+
+    retryable = True
+
+    def __init__(self):
+        self.errors = []
+
+    def fail(self, error):
+        self.errors.append(error)
+
+
+class Body:
+    replayable = True
+
+
+class Entry:
+    """An entry instance whose messages are lost."""
+
+    def __init__(self):
+        self.reactor, self.clock = ReactorClock(), ManualClock()
+        self.service = RequestService(
+            self.reactor,
+            clock=self.clock,
+            self_id=InstanceId("entry"),
+            partition_map=PartitionMap(),
+            dispatcher=None,
+            metrics=Metrics(),
+            send=lambda instance_id, message: False,
+            dedup_window_s=lambda: 600.0,
+        )
+
+    def submit(self, deadline_s, **changes):
+        """Submit a request; returns the caller's connection."""
+        now_s = self.clock.monotonic_s()
+        session = RequestSession(
+            request_id=RequestId("c/1"),
+            customer_id=CustomerId("c"),
+            kind_id=KindId("k"),
+            partition_id=PartitionId("p"),
+            deadline_s=now_s + deadline_s,
+            repeatable=True,
+            body_digest="",
+            body_bytes=0,
+            heard_s=now_s,
+            **changes,
+        )
+        answer = Answer()
+        self.service.submit(session, Caller(Body(), answer, b""))
+        return answer
+
+    def advance(self, interval_s):
+        for _ in range(round(interval_s / 0.25)):
+            self.clock.advance(0.25)
+            self.reactor.advance(0.25)
+
+
+class TestSilentHome:
+    @pytest.mark.parametrize(
+        "changes, outcome",
+        [
+            ({}, Outcome.EXPIRED),
+            ({"granted_before": True}, Outcome.UNKNOWN),
+            ({"resubmitted": True}, Outcome.UNKNOWN),
+        ],
+    )
+    def test_a_request_ends_as_expired_after_its_deadline(self, changes, outcome):
+        entry = Entry()
+        with entry.service:
+            answer = entry.submit(2.0, **changes)
+            entry.advance(2.0)
+            assert answer.errors == []
+            entry.advance(DEADLINE_GRACE_S + 0.25)
+        [error] = answer.errors
+        assert error.outcome is outcome
+        assert error.retry_after_s is None
+        assert entry.service.is_idle
+
+    def test_a_request_with_time_left_is_refused_with_a_time_to_come_back(self):
+        entry = Entry()
+        with entry.service:
+            answer = entry.submit(30.0)
+            entry.advance(HOME_SILENCE_LIMIT_S + 0.5)
+        [error] = answer.errors
+        assert error.outcome is Outcome.REFUSED
+        assert error.retry_after_s > 0
--- a/pistachiolift/requests/attempt_ends.py
+++ b/pistachiolift/requests/attempt_ends.py
@@ -11,6 +11,7 @@
     RequestRecord,
     body_gone_result,
     cancelled_result,
+    deadline_result,
     failed_result,
 )
 
@@ -195,7 +196,12 @@
         request.lifecycle.wait()
 
         def requeue(now_s: float) -> None:
-            if request.phase is RequestPhase.WAITING:
+            if request.phase is not RequestPhase.WAITING:
+                return
+            if now_s >= request.spec.deadline_s:
+                # It passed while an attempt was under way that did not run.
+                self._book.end(request, deadline_result(request), now_s)
+            else:
                 request.lifecycle.requeue()
                 self._granting.enqueue(request, now_s)
 
--- a/pistachiolift/requests/records.py
+++ b/pistachiolift/requests/records.py
@@ -5,6 +5,7 @@
 from ..common import (
     AttemptId,
     CancelledError,
+    DeadlineExpiredError,
     ErrorCode,
     IdempotencyMismatchError,
     InstanceId,
@@ -21,6 +22,7 @@
     "RequestRecord",
     "body_gone_result",
     "cancelled_result",
+    "deadline_result",
     "failed_result",
     "intent_of",
     "mismatch_error",
@@ -139,6 +141,14 @@
     )
 
 
+def deadline_result(request: RequestRecord) -> RequestResult:
+    """Return the result of a request that waited until its deadline."""
+    if request.attempts_started > 0:
+        return failed_result(ErrorCode.RETRIES_EXHAUSTED)
+    error = DeadlineExpiredError("the deadline passed while the request waited")
+    return RequestResult.from_error(error)
+
+
 def body_gone_result(request: RequestRecord) -> RequestResult:
     """Return the result of a request that nobody can send any more."""
     error = CancelledError("no caller holds the body of the request any more")
--- a/pistachiolift/requests/scheduler.py
+++ b/pistachiolift/requests/scheduler.py
@@ -5,7 +5,6 @@
 
 from ..common import (
     AttemptId,
-    DeadlineExpiredError,
     Epoch,
     ErrorCode,
     InstanceId,
@@ -38,7 +37,7 @@
     AttemptRecord,
     RequestRecord,
     cancelled_result,
-    failed_result,
+    deadline_result,
     mismatch_error,
 )
 from .takeover import Takeover
@@ -348,12 +347,7 @@
 
     def _expire(self, request: RequestRecord, now_s: float) -> None:
         self._book.queue.remove(request.spec.request_id)
-        if request.attempts_started > 0:
-            result = failed_result(ErrorCode.RETRIES_EXHAUSTED)
-        else:
-            error = DeadlineExpiredError("the deadline passed while the request waited")
-            result = RequestResult.from_error(error)
-        self._book.end(request, result, now_s)
+        self._book.end(request, deadline_result(request), now_s)
 
     def _refuse(
         self, spec: RequestSpec, error: PistachioliftError, now_s: float
