Place gangs away from workers that have failed, and lose no probes

Cause: a gang that had failed on a worker was placed there again, because only single tasks avoided it; beside workers that fail all that they start, gangs used up their tries. A quarantined worker gets one task as a probe; if its start was withdrawn or its run was never listed, no other probe followed and the worker stayed empty.

Change: gangs and single tasks prefer workers on which no job has failed since a task last succeeded there; gangs also avoid those where their own members failed. Each run that ends without a result frees the worker for another probe.

--- a/pistachiolift/common/worker_health.py
+++ b/pistachiolift/common/worker_health.py
@@ -49,6 +49,11 @@
         record = self._workers_by_id.get(worker_id)
         return record is not None and record.quarantined_until_s is not None
 
+    def suspicion(self, worker_id: WorkerId) -> int:
+        """Return how many jobs have failed there since a task last succeeded."""
+        record = self._workers_by_id.get(worker_id)
+        return 0 if record is None else len(record.failing_jobs)
+
     def quarantined_until_s(self, worker_id: WorkerId) -> float | None:
         """Return when the next probe may start, ``None`` if not quarantined."""
         record = self._workers_by_id.get(worker_id)
--- a/pistachiolift/workflows/dispatch.py
+++ b/pistachiolift/workflows/dispatch.py
@@ -76,10 +76,12 @@
         """Start a gang, or return the workers to keep free for it."""
         if len(step.waiting) != step.step.count:
             return frozenset()
-        plan = plan_gang(step, eligible_workers(step, usable_by_id, now_s), blocked)
+        health = self._book.health
+        eligible = eligible_workers(step, usable_by_id, now_s)
+        plan = plan_gang(step, eligible, blocked, health)
         if not plan.worker_ids:
             approved = self._advice.approved(step, usable_by_id)
-            return plan_gang(step, approved, blocked).wanted
+            return plan_gang(step, approved, blocked, health).wanted
         indices = list(range(step.step.count))
         number = step.next_number(indices, self._book.fence * RUNS_PER_FENCE)
         for index, worker_id in zip(indices, plan.worker_ids, strict=True):
@@ -100,7 +102,7 @@
             if entry.worker_id not in blocked and room_for_step(step, entry)
         ]
         for index in sorted(step.waiting):
-            worker = choose_worker(step, index, candidates)
+            worker = choose_worker(step, index, candidates, self._book.health)
             if worker is None:
                 return
             number = step.next_number([index], self._book.fence * RUNS_PER_FENCE)
--- a/pistachiolift/workflows/lifecycle.py
+++ b/pistachiolift/workflows/lifecycle.py
@@ -122,6 +122,7 @@
 
     def end_unlisted(self, run: TaskRun, kind: EndKind, now_s: float) -> None:
         """Apply the end of a run that no worker lists and that has no result."""
+        self._book.health.task_inconclusive(run.worker_id)
         step = self._book.step(run.task.step_key)
         if step is not None:
             self.apply_end(step, run.task.index, run.number, kind, "", now_s)
--- a/pistachiolift/workflows/placement.py
+++ b/pistachiolift/workflows/placement.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from ..common import RackId, WorkerId
+from ..common import RackId, WorkerHealth, WorkerId
 from .state import StepEntry, WorkerEntry
 
 __all__ = ["GangPlan", "choose_worker", "eligible_workers", "plan_gang"]
@@ -11,6 +11,10 @@
 # An adviser's ticket that is about to expire would reach the worker too late.
 TICKET_MARGIN_S = 0.06
 
+# Jobs that have failed on a worker since its last success before others are preferred;
+# a job may also fail by its own fault, which the next success there makes up for.
+SUSPICIOUS_JOBS = 1
+
 
 @dataclass(frozen=True, slots=True)
 class GangPlan:
@@ -59,12 +63,13 @@
 
 
 def choose_worker(
-    step: StepEntry, index: int, workers: list[WorkerEntry]
+    step: StepEntry, index: int, workers: list[WorkerEntry], health: WorkerHealth
 ) -> WorkerEntry | None:
     """Return the worker for one task, or ``None`` if it fits nowhere.
 
-    Prefers workers where the task has not failed, near its data, fast, and tightly
-    filled, so that whole workers stay free for gangs.
+    Prefers workers where the task has not failed, that are not suspected of failing
+    everything, near its data, fast, and tightly filled, so that whole workers stay
+    free for gangs.
     """
     step_spec = step.step
     if step_spec.fills:
@@ -78,6 +83,7 @@
         far = bool(step_spec.data_rack) and entry.worker.rack != step_spec.data_rack
         key = (
             entry.worker_id in failed_on,
+            _is_suspect(health, entry),
             far,
             entry.pace.bucket,
             entry.free_cpu_milli,
@@ -87,6 +93,10 @@
     return best
 
 
+def _is_suspect(health: WorkerHealth, entry: WorkerEntry) -> bool:
+    return health.suspicion(entry.worker_id) >= SUSPICIOUS_JOBS
+
+
 def _choose_for_fill(step: StepEntry, workers: list[WorkerEntry]) -> WorkerEntry | None:
     """Return the worker with the most processors that nobody uses."""
     fitting = [entry for entry in workers if room_for_step(step, entry)]
@@ -105,7 +115,10 @@
 
 
 def plan_gang(
-    step: StepEntry, workers: list[WorkerEntry], blocked: frozenset[WorkerId]
+    step: StepEntry,
+    workers: list[WorkerEntry],
+    blocked: frozenset[WorkerId],
+    health: WorkerHealth,
 ) -> GangPlan:
     """Place all tasks of a gang that have no run, or say what to keep free for it.
 
@@ -124,7 +137,7 @@
     wanted: frozenset[WorkerId] = frozenset()
     for group in groups:
         open_workers = [entry for entry in group if entry.worker_id not in blocked]
-        chosen = _fill(step, open_workers)
+        chosen = _fill(step, open_workers, health)
         if chosen:
             return GangPlan(worker_ids=chosen)
         wanted = wanted or _wanted(step, open_workers)
@@ -132,17 +145,27 @@
         # No rack can ever hold it: a gang across racks is slow, but it runs.
         open_workers = [entry for entry in workers if entry.worker_id not in blocked]
         return GangPlan(
-            worker_ids=_fill(step, open_workers), wanted=_wanted(step, open_workers)
+            worker_ids=_fill(step, open_workers, health),
+            wanted=_wanted(step, open_workers),
         )
     return GangPlan(wanted=wanted)
 
 
-def _fill(step: StepEntry, workers: list[WorkerEntry]) -> tuple[WorkerId, ...]:
-    """Return a worker for each task, or nothing if they do not all fit."""
+def _fill(
+    step: StepEntry, workers: list[WorkerEntry], health: WorkerHealth
+) -> tuple[WorkerId, ...]:
+    """Return a worker for each task, or nothing if they do not all fit.
+
+    One member that fails ends all, so that the workers that are least likely to fail
+    go first.
+    """
     near = step.step.data_rack
+    failed_on = set().union(*step.failed_on_by_index.values())
     room = [(entry, room_for_step(step, entry)) for entry in workers]
     room.sort(
         key=lambda item: (
+            item[0].worker_id in failed_on,
+            _is_suspect(health, item[0]),
             bool(near) and item[0].worker.rack != near,
             item[0].pace.bucket,
             -item[1],
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -238,7 +238,6 @@
         else:
             worker.refused_until_s = now_s + REFUSED_PAUSE_S
         worker.release(run)
-        self.book.health.task_inconclusive(worker_id)
         self._lifecycle.end_unlisted(run, EndKind.STOPPED, now_s)
 
     def start_unanswered(self, worker_id: WorkerId, task: TaskKey, number: int) -> None:
--- a/pistachiolift/workflows/tests/test_orders.py
+++ b/pistachiolift/workflows/tests/test_orders.py
@@ -107,7 +107,7 @@
 # Ways of placing.
 
 
-def emptiest_first(step, index, workers):
+def emptiest_first(step, index, workers, health):
     fitting = [entry for entry in workers if room_for_step(step, entry)]
     return max(fitting, key=lambda entry: entry.free_cpu_milli, default=None)
 
--- a/pistachiolift/workflows/tests/test_sick_workers.py
+++ b/pistachiolift/workflows/tests/test_sick_workers.py
@@ -66,6 +66,58 @@
         on_w0 = [run for runs in cell.runs_by_job.values() for run in runs]
         assert sum(1 for _, worker, _ in on_w0 if worker == "w0") < 30
 
+    def test_a_gang_is_not_started_again_where_it_has_failed(self):
+        """Pattern: large gangs beside workers that fail all that they start."""
+        cell = VirtualCell(workers=12)
+        for name in ("w0", "w5"):
+            cell.workers_by_id[name].fails = True
+        step = make_step(9, cpu=8000, gang=True)
+        job = cell.submit("a", make_queue(max_failures=3), make_graph(step))
+        cell.run(10.0)
+        assert cell.status(job) is JobStatus.COMPLETED
+        assert len(cell.runs_by_job[job]) <= 18
+
+    def test_gangs_avoid_workers_on_which_other_jobs_have_failed(self):
+        cell = VirtualCell(workers=12)
+        cell.workers_by_id["w0"].fails = True
+        queue = make_queue(max_failures=3)
+        first = cell.submit("first", queue, make_graph(make_step(12)))
+        cell.run(3.0)
+        step = make_step(10, cpu=8000, gang=True)
+        gangs = []
+        for number in range(4):
+            gangs.append(cell.submit(f"g{number}", queue, make_graph(step)))
+            cell.run(3.0)
+        assert cell.status(first) is JobStatus.COMPLETED
+        assert {cell.status(gang) for gang in gangs} == {JobStatus.COMPLETED}
+        assert all(len(cell.runs_by_job[gang]) == 10 for gang in gangs)
+
+
+class TestProbes:
+    """A worker in quarantine gets a single task, which has to end somehow."""
+
+    def test_a_probe_that_was_never_sent_is_followed_by_another(self):
+        cell = VirtualCell(workers=1)
+        fake = cell.workers_by_id["w0"]
+        fake.fails = True
+        queue = make_queue(max_failures=9)
+        for number in range(3):
+            cell.submit(f"f{number}", queue, make_graph(make_step(estimate_s=0.1)))
+        cell.run(1.0)
+        assert cell.scheduler.book.health.is_quarantined("w0")
+        for number in range(3):
+            cell.cancel(f"f{number}")
+        fake.fails = False
+        cell.store_up = False
+        probe = cell.submit("probe", queue, make_graph())
+        cell.run(7.0)
+        assert cell.runs_by_job[probe] == []
+        cell.scheduler.withdraw(probe)
+        cell.store_up = True
+        later = cell.submit("later", queue, make_graph())
+        cell.run(4.0)
+        assert cell.status(later) is JobStatus.COMPLETED
+
 
 class TestSlowWorkers:
     def test_fast_workers_are_preferred_once_speeds_are_known(self):
--- a/pistachiolift/workflows/tests/virtual_cell.py
+++ b/pistachiolift/workflows/tests/virtual_cell.py
@@ -305,8 +305,19 @@
                 self.duration_of(run[0], step) * other.slowness
                 for other, run in members
             )
-            for other, run in members:
-                self._after(duration_s, self._finish, other, run)
+            self._after(duration_s, self._finish_gang, members)
+
+    def _finish_gang(self, members) -> None:
+        """End all members; one that fails breaks off the others."""
+        if any(other.fails and run in other.running for other, run in members):
+            for other, (task, number) in members:
+                present = other.alive and not other.lose_ends
+                if present and other.running.pop((task, number), None) is not None:
+                    kind = EndKind.FAILED if other.fails else EndKind.MEMBER_ENDED
+                    self._end(other, task, number, kind)
+            return
+        for other, run in members:
+            self._finish(other, run)
 
     def _finish(self, fake: FakeWorker, key) -> None:
         if not fake.alive or fake.lose_ends or fake.running.pop(key, None) is None:
