Wake entry instances less often, and play sick workers at random

The side that accepts a peer connection woke 2.5 times a second for each.

Change: the monitor runs while the instance owns; the accepting side looks for silence once in the limit.

--- a/pistachiolift/node/handover.py
+++ b/pistachiolift/node/handover.py
@@ -67,8 +67,14 @@
         self._checking.clock = reactor
 
     def start(self) -> None:
-        """Begin to watch."""
-        self._checking.start(CHECK_INTERVAL_S, now=False)
+        """Begin to watch; called when this instance has become the owner."""
+        if not self._checking.running:
+            self._checking.start(CHECK_INTERVAL_S, now=False)
+
+    def stop(self) -> None:
+        """Stop to watch."""
+        if self._checking.running:
+            self._checking.stop()
 
     def _check(self) -> None:
         now_s = self._clock.monotonic_s()
--- a/pistachiolift/node/partition.py
+++ b/pistachiolift/node/partition.py
@@ -129,7 +129,6 @@
     def start(self) -> None:
         """Begin to look for the owner."""
         self.ownership.start()
-        self._handover.start()
 
     async def release(self) -> None:
         """Let another instance own, and go on following the owner."""
@@ -187,6 +186,7 @@
             self._parts.members.enter()
 
     def _claimed(self, fence: int, stopped: bool) -> None:
+        self._handover.start()
         if self._owner is not None:
             self._owner.claimed_again(fence)
             return
@@ -268,6 +268,7 @@
                 await deferLater(parts.reactor, 0.1)
 
     def _ownership_lost(self, reason: str) -> None:
+        self._handover.stop()
         owner, self._owner = self._owner, None
         if owner is not None:
             owner.close()
--- a/pistachiolift/node/peer_link.py
+++ b/pistachiolift/node/peer_link.py
@@ -101,9 +101,13 @@
         self.transport.setTcpNoDelay(True)
         self._heard_s = self._reactor.seconds()
         self._send(Frame(0, False, self._hello))
-        self._timer = self._reactor.callLater(PING_INTERVAL_S, self._ping)
+        self._timer = self._reactor.callLater(self._check_interval_s, self._check)
 
-    def _ping(self) -> None:
+    @property
+    def _check_interval_s(self) -> float:
+        return PING_INTERVAL_S if self._outgoing else SILENCE_LIMIT_S
+
+    def _check(self) -> None:
         self._timer = None
         silence_s = self._reactor.seconds() - self._heard_s
         if silence_s > SILENCE_LIMIT_S:
@@ -117,7 +121,7 @@
             return
         if self._outgoing:
             self._send(Frame(0, False, Ping(self._state())))
-        self._timer = self._reactor.callLater(PING_INTERVAL_S, self._ping)
+        self._timer = self._reactor.callLater(self._check_interval_s, self._check)
 
     def _send(self, frame: Frame) -> None:
         data = encode_frame(frame)
--- a/pistachiolift/workflows/tests/test_recovery.py
+++ b/pistachiolift/workflows/tests/test_recovery.py
@@ -88,6 +88,43 @@
         ]
 
 
+class SickPlay(Play):
+    """Workers fall ill for some seconds, one after the other, and some are replaced."""
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        at_s = 0.0
+        while at_s < 12.0:
+            at_s += self.rng.uniform(0.1, 0.8)
+            name = f"w{self.rng.randrange(WORKERS)}"
+            fault, value = self.rng.choice(FAULTS)
+            duration_s = self.rng.uniform(1, 7)
+            self.cell.at(at_s, self._set, name, fault, value)
+            healthy = False if isinstance(value, bool) else type(value)()
+            self.cell.at(at_s + duration_s, self._set, name, fault, healthy)
+        for _ in range(4):
+            at_s = self.rng.uniform(1, 10)
+            self.cell.at(at_s, self._replace, f"w{self.rng.randrange(WORKERS)}")
+
+    def _set(self, name, fault, value):
+        fake = self.cell.workers_by_id.get(name)
+        if fake is not None:
+            setattr(fake, fault, value)
+
+    def _replace(self, name):
+        """End a worker's process; another one follows after a second."""
+        if name in self.cell.workers_by_id:
+            self.cell.crash(name)
+            index = int(name.removeprefix("w"))
+            self.cell.at(1.0, self._add, index)
+
+    def _add(self, index):
+        self.cell.add_worker(index, cpu=32_000, memory=65_536, incarnation=2)
+
+
+FAULTS = [("cut", True), ("hangs", True), ("fails", True), ("late_share", 0.5)]
+
+
 class TestOutagesAndTakeovers:
     """Pattern: tickets and starts are held back by the store, and owners change.
 
@@ -104,3 +141,20 @@
         play.cell.run(60.0)
         assert len(play.queue_by_job) > 100
         assert play.unfinished() == []
+
+
+class TestSickWorkers:
+    """Pattern: workers are cut off, hang, fail everything, or obey late.
+
+    The checks are those of the outages, which happen here too.
+    """
+
+    @pytest.mark.parametrize("takeovers", [0, 1])
+    @pytest.mark.parametrize("seed", [1, 2, 3, 4])
+    def test_every_accepted_job_is_completed(self, seed, takeovers):
+        play = SickPlay(seed)
+        for _ in range(takeovers):
+            play.cell.at(play.rng.uniform(2, 9), play.cell.replace_owner)
+        play.cell.run(60.0)
+        assert len(play.queue_by_job) > 100
+        assert play.unfinished() == []
