Drive a worker again whose entry changes right after it was taken for dead

Cause: a worker whose connections were refused twice is forgotten at once, but its closed driver only at the next tick. A directory entry that changed in between entered the worker again and kept the closed driver: it was never listed again.

Change: a closed driver is replaced.

--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -336,7 +336,8 @@
         known = self._drivers_by_id.get(worker.worker_id)
         if known is not None:
             if (
-                known.worker.incarnation == worker.incarnation
+                not known.closed
+                and known.worker.incarnation == worker.incarnation
                 and known.worker.address == worker.address
             ):
                 known.worker = worker
--- a/pistachiolift/node/worker_driver.py
+++ b/pistachiolift/node/worker_driver.py
@@ -158,6 +158,11 @@
         except StaleOwnerError:
             self._events.superseded("fence_at_worker")
 
+    @property
+    def closed(self) -> bool:
+        """Whether the driver gives no more orders."""
+        return self._closed
+
     def close(self) -> None:
         """Give no more orders."""
         if not self._closed:
--- a/pistachiolift/workflows/tests/virtual_cell.py
+++ b/pistachiolift/workflows/tests/virtual_cell.py
@@ -29,6 +29,7 @@
     Worker,
     WorkerState,
 )
+from pistachiolift.workflows.dispatch import RUNS_PER_FENCE
 
 WALL_OFFSET_S = 1.7e9
 MESSAGE_S = 0.004
@@ -81,6 +82,8 @@
         self.alive = True
         self.cut = False
         self.lease_end_s = 0.0
+        # The newest owner that it has heard of.
+        self.fence = 0
         # Share of the orders that get no answer and are carried out later.
         self.late_share = 0.0
         self.hangs = False
@@ -255,6 +258,9 @@
                 self._after(self.rng.uniform(2, 12), self._start_late, fake, order)
             self._after(UNANSWERED_S, self._unanswered, order, self.scheduler)
             return
+        if order.number // RUNS_PER_FENCE < fake.fence:
+            # The owner that sent it has been replaced.
+            return
         if order.number <= fake.blocked.get(order.task, 0):
             answer = StartAnswer(started=False, reason="old")
         else:
@@ -275,6 +281,7 @@
         job = self.scheduler.book.jobs_by_id.get(order.task.job_id)
         key = (order.task, order.number)
         blocked = order.number <= fake.blocked.get(order.task, 0)
+        blocked = blocked or order.number // RUNS_PER_FENCE < fake.fence
         if not fake.alive or fake.cut or blocked or key in fake.running or job is None:
             return
         if job.queue.advice is not None:
@@ -400,6 +407,7 @@
             self.scheduler.workers.unreachable(worker_id)
             return
         fake.lease_end_s = self.now_s + LEASE_S
+        fake.fence = self._fence
         self._forget_seen(fake)
         ended = list(fake.unseen)
         running = [
