--- a/pistachiolift/tests/cell.py
+++ b/pistachiolift/tests/cell.py
@@ -145,7 +145,12 @@
             self.add_worker(f"worker-{number}", announce=False)
         for _ in range(instances):
             self.add_instance(announce=False)
-        self.wait_for(self._all_listening, "all processes listen")
+        try:
+            self.wait_for(self._all_listening, "all processes listen")
+        except AssertionError as error:
+            for process in self.processes():
+                error.add_note(f"{process.log_path.name}: {process.abort()[-3000:]}")
+            raise
         self.announce(self.entries())
         self._configure()
         self.wait_for(self.all_owned, "all partitions have owners")
