Count a run as stopped from the first answer to its stop

A run without an end to list counts as over when a listing requested after the last answer to an order does not name it. Stops are repeated every 0.4 s and a quiet worker's listing waits 0.8 s, so that each listing was requested before the newest answer.

Change: only the first answer to a stop counts.

Result: the new test in virtual time failed before and passes.

--- a/pistachiolift/workflows/lifecycle.py
+++ b/pistachiolift/workflows/lifecycle.py
@@ -306,5 +306,6 @@
         """Stop a run at a process that may have taken its start."""
         run.status = TaskRunStatus.RUNNING
         run.answered_s = None
+        run.stop_answered = False
         worker.reserve(run)
         self.stop(run, "worker_replaced")
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -249,9 +249,14 @@
     def stop_answered(
         self, worker_id: WorkerId, task: TaskKey, number: int, *, now_s: float
     ) -> None:
-        """Note that a stop is in force; the next listing tells the end."""
+        """Note that a stop is in force; the next listing tells the end.
+
+        Stops are repeated until then, more often than a quiet worker is listed, so
+        that only the first answer counts.
+        """
         run = self.book.run(worker_id, (task, number))
-        if run is not None:
+        if run is not None and not run.stop_answered:
+            run.stop_answered = True
             run.answered_s = now_s
 
     def advice_answered(
--- a/pistachiolift/workflows/state.py
+++ b/pistachiolift/workflows/state.py
@@ -66,6 +66,7 @@
     :param confirmed_s: time at which the worker was known to have it, or ``None``.
     :param answered_s: time at which the worker last answered an order about it; a
         listing requested later must name the run if it still exists.
+    :param stop_answered: whether the worker has answered a stop of it.
     :param sent: whether a start may have left this process.
     :param usage: what the worker reported last: for a serving task its tail latency
         in milliseconds, for any other thousandths of a core.
@@ -81,6 +82,7 @@
     status: TaskRunStatus
     placed_s: float
     sent: bool = False
+    stop_answered: bool = False
     confirmed_s: float | None = None
     answered_s: float | None = None
     percent: int = 0
--- a/pistachiolift/workflows/tests/test_sick_workers.py
+++ b/pistachiolift/workflows/tests/test_sick_workers.py
@@ -1,6 +1,6 @@
 """Workers that hang, fail everything or are slow, beside sound ones."""
 
-from pistachiolift.workflows import JobStatus
+from pistachiolift.workflows import EndKind, JobStatus
 
 from .virtual_cell import VirtualCell, make_graph, make_queue, make_step
 
@@ -172,3 +172,41 @@
             wall_ms=cell.wall_ms,
         )
         assert taken is False
+
+
+class TestRepeatedStops:
+    def test_a_run_that_was_never_there_ends_on_a_quiet_worker(self):
+        """Pattern: listings that wait longer than it takes to repeat a stop.
+
+        Covers gangs that were never started again, because a member whose start had
+        not arrived was stopped again and again.
+        """
+        cell = VirtualCell(workers=1)
+        fake = cell.workers_by_id["w0"]
+        step = make_step(2, cpu=4000, estimate_s=60.0, gang=True)
+        job = cell.submit("a", make_queue(), make_graph(step))
+        cell.run(0.5)
+        first, second = list(fake.running)
+        # The second start was lost, and the first member waited in vain.
+        del fake.running[second]
+        cell._list = lambda other: None
+        cell._end(fake, *first, EndKind.GANG_INCOMPLETE)
+        scheduler = cell.scheduler
+        ended = list(fake.unseen)
+        for _ in range(3):
+            sent_s = cell.now_s
+            for _ in range(2):
+                cell.run(0.4)
+                scheduler.stop_answered("w0", *second, now_s=cell.now_s)
+            scheduler.workers.listed(
+                "w0",
+                [],
+                ended,
+                complete=True,
+                sent_s=sent_s,
+                now_s=cell.now_s,
+                wall_ms=cell.wall_ms,
+            )
+            ended = []
+        cell.run(0.5)
+        assert len(cell.runs_by_job[job]) == 4
