--- a/pistachiolift/workflows/tests/test_sick_workers.py
+++ b/pistachiolift/workflows/tests/test_sick_workers.py
@@ -1,6 +1,6 @@
 """Workers that hang, fail everything or are slow, beside sound ones."""
 
-from pistachiolift.workflows import EndKind, JobStatus
+from pistachiolift.workflows import EndKind, JobStatus, ListedEnd
 
 from .virtual_cell import VirtualCell, make_graph, make_queue, make_step
 
@@ -188,17 +188,17 @@
         cell.run(0.5)
         first, second = list(fake.running)
         # The second start was lost, and the first member waited in vain.
-        del fake.running[second]
+        fake.running.clear()
+        cell.scheduler.book.run("w0", second).answered_s = None
         cell._list = lambda other: None
-        cell._end(fake, *first, EndKind.GANG_INCOMPLETE)
-        scheduler = cell.scheduler
-        ended = list(fake.unseen)
+        ended = [ListedEnd(*first, EndKind.GANG_INCOMPLETE)]
         for _ in range(3):
             sent_s = cell.now_s
             for _ in range(2):
                 cell.run(0.4)
-                scheduler.stop_answered("w0", *second, now_s=cell.now_s)
-            scheduler.workers.listed(
+                if not ended:
+                    cell.scheduler.stop_answered("w0", *second, now_s=cell.now_s)
+            cell.scheduler.workers.listed(
                 "w0",
                 [],
                 ended,
@@ -208,5 +208,7 @@
                 wall_ms=cell.wall_ms,
             )
             ended = []
+            if cell.scheduler.book.run("w0", second) is None:
+                break
         cell.run(0.5)
         assert len(cell.runs_by_job[job]) == 4
