Let the ledgers of all partitions share the store's rate of writes

Cause: each owner may write 67 times a second, whatever the number of partitions and the rate that the store allows to all instances.

Change: all ledgers together use at most half of that rate, which the platform's settings name. A cell of one partition writes as before.

Result: a test of a steady stream of records with 1 and 9 partitions.

--- a/pistachiolift/node/ledger.py
+++ b/pistachiolift/node/ledger.py
@@ -14,13 +14,15 @@
 from .interfaces import CoordinationStore, Put, TransactionConflictError
 from .partition_map import PartitionKeys
 
-__all__ = ["Ledger", "read_ledger"]
+__all__ = ["Ledger", "commit_interval_s", "read_ledger"]
 
 logger = logging.getLogger(__name__)
 
 # Shortest time between the beginnings of two writes: at most 67 a second, a sixth of
-# the smallest rate that the platform grants to all instances together.
+# the rate that the platform grants to all instances of a small cell together.
 COMMIT_INTERVAL_S = 0.015
+# Share of the store's writes that the ledgers of all partitions may use.
+LEDGER_SHARE = 0.5
 # Shortest time between two tries of a write.
 RETRY_INTERVAL_S = 0.1
 
@@ -36,11 +38,21 @@
 COMPACT_VALUES = 24
 
 
+def commit_interval_s(partitions: int, store_writes_per_s: float) -> float:
+    """Return the shortest time between the beginnings of two writes of a ledger.
+
+    :param partitions: number of ledgers that share the store.
+    :param store_writes_per_s: rate of writes that the store allows to all of them.
+    """
+    return max(COMMIT_INTERVAL_S, partitions / (LEDGER_SHARE * store_writes_per_s))
+
+
 class Ledger:
     """Appends records in batches, one write at a time.
 
     :param keys: keys of the partition.
     :param fence: version of the claim under which this owner writes.
+    :param interval_s: returns the shortest time between two writes.
     :param on_durable: called with the number of records that have become durable.
     :param on_superseded: called once when another owner has claimed the log.
     :param on_failed_call: called when a write had no answer.
@@ -55,6 +67,7 @@
         metrics: Metrics,
         keys: PartitionKeys,
         fence: int,
+        interval_s: Callable[[], float],
         on_durable: Callable[[int], None],
         on_superseded: Callable[[], None],
         on_failed_call: Callable[[], None],
@@ -65,6 +78,7 @@
         self._metrics = metrics
         self._partition_keys = keys
         self.fence = fence
+        self._interval_s = interval_s
         self._on_durable = on_durable
         self._on_superseded = on_superseded
         self._on_failed_call = on_failed_call
@@ -138,7 +152,7 @@
             while self._queue and not self._closed:
                 begun_s = self._clock.monotonic_s()
                 await self._write_batch()
-                pause_s = COMMIT_INTERVAL_S - (self._clock.monotonic_s() - begun_s)
+                pause_s = self._interval_s() - (self._clock.monotonic_s() - begun_s)
                 if pause_s > 0:
                     await deferLater(self._reactor, pause_s)
         finally:
--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -55,6 +55,7 @@
     :param keys: keys of the partition.
     :param fence: version of the claim.
     :param contact_s: tells when the store was last heard.
+    :param commit_interval_s: returns the shortest time between two writes.
     :param on_superseded: called with a reason when a later owner has been seen.
     :param on_failed_call: called when a call to the store had no answer.
     :param table: returns the configuration in force.
@@ -72,6 +73,7 @@
         metrics: Metrics,
         keys: PartitionKeys,
         fence: int,
+        commit_interval_s: Callable[[], float],
         terms: LeaseTerms,
         keep_final_s: float,
         desk: AdviceDesk,
@@ -105,6 +107,7 @@
             metrics=metrics,
             keys=keys,
             fence=fence,
+            interval_s=commit_interval_s,
             on_durable=self._durable,
             on_superseded=lambda: self.superseded("ledger"),
             on_failed_call=on_failed_call,
--- a/pistachiolift/node/partition.py
+++ b/pistachiolift/node/partition.py
@@ -14,6 +14,7 @@
 from .handover import HandoverMonitor
 from .interfaces import AdviserClient, CoordinationStore, QueueTable, Translation
 from .job_service import JobService
+from .ledger import commit_interval_s
 from .members import Members
 from .owner import AUTHORITY_S, Owner
 from .owner_link import OwnerLink
@@ -200,6 +201,7 @@
             metrics=parts.metrics,
             keys=self._keys,
             fence=fence,
+            commit_interval_s=self._commit_interval_s,
             terms=LeaseTerms(lease_s=min(LEASE_S, settings.lease_limit_ms / 1000)),
             keep_final_s=settings.keep_final_s,
             desk=self._desk,
@@ -232,6 +234,12 @@
             on_failure=lambda: owner.superseded("recovery_failed"),
         )
 
+    def _commit_interval_s(self) -> float:
+        partition_map = self._parts.partition_map()
+        partitions = 1 if partition_map is None else partition_map.count
+        settings = self._parts.settings()
+        return commit_interval_s(partitions, settings.store_writes_per_s)
+
     def _workers(self) -> dict[WorkerId, Worker]:
         """Return the workers of the partition that the directory names."""
         if self._directory is None:
--- a/pistachiolift/node/settings.py
+++ b/pistachiolift/node/settings.py
@@ -24,6 +24,7 @@
     :param caller_address: IP address and port for callers.
     :param ready_address: IP address and port of the readiness check.
     :param peer_ports: first and last port free for traffic between instances.
+    :param store_writes_per_s: rate of writes that the store allows to all instances.
     :param adviser_address: empty where no queue needs advice.
     :param cpu_share: share of a core that the process may use.
     :param core_speed: speed of that core, in ordinary cores.
@@ -42,6 +43,7 @@
     ready_address: str
     peer_ports: tuple[int, int]
     store_address: str
+    store_writes_per_s: float = 400.0
     adviser_address: str | None = ""
     cpu_share: float = 1.0
     core_speed: float = 1.0
@@ -67,6 +69,10 @@
             raise ValueError(
                 f"workers_per_partition is {self.workers_per_partition}; 1 to 10000"
             )
+        if not 1 <= self.store_writes_per_s <= 1_000_000:
+            raise ValueError(
+                f"store_writes_per_s is {self.store_writes_per_s}; 1 to 1000000"
+            )
         for name in ("grace_s", "lease_limit_ms", "keep_final_s"):
             if not 0 < getattr(self, name) <= 86_400:
                 raise ValueError(f"{name} is {getattr(self, name)}; above 0 to 86400")
--- a/pistachiolift/node/tests/test_ledger.py
+++ b/pistachiolift/node/tests/test_ledger.py
@@ -1,11 +1,17 @@
 """The owner's log under lost answers, outages and other owners."""
 
+import pytest
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import Clock as ReactorClock
 
 from pistachiolift.common import JobId, ManualClock, Metrics
 from pistachiolift.node.interfaces import Put
-from pistachiolift.node.ledger import COMPACT_ABOVE_VALUES, Ledger, read_ledger
+from pistachiolift.node.ledger import (
+    COMPACT_ABOVE_VALUES,
+    Ledger,
+    commit_interval_s,
+    read_ledger,
+)
 from pistachiolift.node.partition_map import PartitionKeys, PartitionNumber
 from pistachiolift.workflows import JobForgotten
 
@@ -21,7 +27,8 @@
 class Bench:
     """A ledger over a store in memory, under a claim."""
 
-    def __init__(self):
+    def __init__(self, interval_s=0.015):
+        self.interval_s = interval_s
         self.reactor = ReactorClock()
         self.clock = ManualClock()
         self.store = FakeStore()
@@ -38,6 +45,7 @@
             metrics=Metrics(),
             keys=KEYS,
             fence=claim.result,
+            interval_s=lambda: self.interval_s,
             on_durable=self._durable,
             on_superseded=self._superseded,
             on_failed_call=self._failed,
@@ -63,6 +71,22 @@
 
 
 class TestCommits:
+    @pytest.mark.parametrize(
+        "partitions, writes_per_s, interval_s",
+        [(1, 400, 0.015), (9, 400, 0.045), (9, 6000, 0.015)],
+    )
+    def test_the_ledgers_of_many_partitions_share_the_store(
+        self, partitions, writes_per_s, interval_s
+    ):
+        """Pattern: a steady stream of records in a cell of many partitions."""
+        bench = Bench(commit_interval_s(partitions, writes_per_s))
+        before = bench.store.writes
+        for index in range(200):
+            bench.ledger.append([record(index)])
+            bench.advance(0.005, step_s=0.005)
+        writes = bench.store.writes - before
+        assert writes == pytest.approx(1.0 / interval_s, rel=0.15)
+
     def test_records_that_arrive_together_are_written_together(self):
         bench = Bench()
         bench.ledger.append([record(0)])
--- a/pistachiolift/node/tests/test_owner.py
+++ b/pistachiolift/node/tests/test_owner.py
@@ -58,6 +58,7 @@
             self.connections,
             keys=PartitionKeys(PartitionNumber(0)),
             fence=1,
+            commit_interval_s=lambda: 0.015,
             terms=LeaseTerms(lease_s=4.5),
             keep_final_s=60.0,
             desk=AdviceDesk(None, peers=lambda: [], **common),
