--- a/pistachiolift/workflows/tests/test_recovery.py
+++ b/pistachiolift/workflows/tests/test_recovery.py
@@ -88,6 +88,10 @@
         ]
 
 
+# What may be wrong with a worker for some seconds.
+FAULTS = [("cut", True), ("hangs", True), ("fails", True), ("late_share", 0.5)]
+
+
 class SickPlay(Play):
     """Workers fall ill for some seconds, one after the other, and some are replaced."""
 
@@ -122,7 +126,12 @@
         self.cell.add_worker(index, cpu=32_000, memory=65_536, incarnation=2)
 
 
-FAULTS = [("cut", True), ("hangs", True), ("fails", True), ("late_share", 0.5)]
+def check_all_completed(play, takeovers):
+    for _ in range(takeovers):
+        play.cell.at(play.rng.uniform(2, 9), play.cell.replace_owner)
+    play.cell.run(60.0)
+    assert len(play.queue_by_job) > 100
+    assert play.unfinished() == []
 
 
 class TestOutagesAndTakeovers:
@@ -135,12 +144,7 @@
     @pytest.mark.parametrize("takeovers", [0, 1, 2])
     @pytest.mark.parametrize("seed", [1, 7])
     def test_every_accepted_job_is_completed(self, seed, takeovers):
-        play = Play(seed)
-        for _ in range(takeovers):
-            play.cell.at(play.rng.uniform(2, 9), play.cell.replace_owner)
-        play.cell.run(60.0)
-        assert len(play.queue_by_job) > 100
-        assert play.unfinished() == []
+        check_all_completed(Play(seed), takeovers)
 
 
 class TestSickWorkers:
@@ -152,9 +156,4 @@
     @pytest.mark.parametrize("takeovers", [0, 1])
     @pytest.mark.parametrize("seed", [1, 2, 3, 4])
     def test_every_accepted_job_is_completed(self, seed, takeovers):
-        play = SickPlay(seed)
-        for _ in range(takeovers):
-            play.cell.at(play.rng.uniform(2, 9), play.cell.replace_owner)
-        play.cell.run(60.0)
-        assert len(play.queue_by_job) > 100
-        assert play.unfinished() == []
+        check_all_completed(SickPlay(seed), takeovers)
