--- a/pistachiolift/home/ownership_driver.py
+++ b/pistachiolift/home/ownership_driver.py
@@ -171,6 +171,13 @@
                 self._send(action)
             case RefusePromise():
                 self._metrics.count(f"refusal.promise.{action.reason.value}")
+                log_event(
+                    logger,
+                    "promise_refused",
+                    partition=action.partition_id,
+                    to=action.to_id,
+                    reason=action.reason.value,
+                )
             case _:
                 self._tell_listener(action)
 
