--- a/pistachiolift/node/tests/test_ownership.py
+++ b/pistachiolift/node/tests/test_ownership.py
@@ -62,6 +62,14 @@
         (index,) = self.owners()
         return index
 
+    def kill_owner(self):
+        """End the owner's process; returns its index and its record."""
+        index = self.owner()
+        ownership = self.ownerships[index]
+        ownership.fence = None
+        ownership._stopped = True
+        return index, ownership.owner
+
 
 class TestClaims:
     def test_one_instance_becomes_the_owner(self):
@@ -109,10 +117,7 @@
     def test_a_dead_owner_is_replaced_before_its_lease_ends(self):
         cell = Cell(instances=3)
         cell.advance(1.0)
-        old = cell.owner()
-        record = cell.ownerships[old].owner
-        cell.ownerships[old].fence = None
-        cell.ownerships[old]._stopped = True
+        old, record = cell.kill_owner()
         others = [o for i, o in enumerate(cell.ownerships) if i != old]
         for other in others:
             other.owner_died(record)
@@ -124,10 +129,7 @@
     def test_an_owner_that_dies_in_an_outage_is_replaced_when_the_store_is_back(self):
         cell = Cell(instances=3)
         cell.advance(1.0)
-        old = cell.owner()
-        record = cell.ownerships[old].owner
-        cell.ownerships[old].fence = None
-        cell.ownerships[old]._stopped = True
+        old, record = cell.kill_owner()
         cell.store.down = True
         cell.store.wake()
         for index in {0, 1, 2} - {old}:
