Give no port to two processes, and say when a server cannot listen

The process that came second then ended without a word: `serve` wrote the failure to Twisted's log, which nobody reads, and exited with 0. `node` went on running without listening.

Change: free_ports keeps the ports bound for their processes. Both commands log `server_failed`, write one line to standard error and exit with 9. A cell whose process ends at its start fails at once and names the exit code.

--- a/pistachiolift/cli/demo.py
+++ b/pistachiolift/cli/demo.py
@@ -1,11 +1,10 @@
 """The command that runs the demo."""
 
 import click
-from twisted.internet import reactor
-from twisted.internet.defer import ensureDeferred
 
 from ..demo import run_demo
 from .documented import example, option
+from .loop import run_on_loop
 from .options import output_option
 from .output import echo_document
 
@@ -22,18 +21,6 @@
 
     Exits with 1 if a guarantee was broken.
     """
-    results: list[tuple[list[str], bool]] = []
-    failures: list = []
-
-    def start() -> None:
-        running = ensureDeferred(run_demo(reactor, seed=seed))
-        running.addCallbacks(results.append, failures.append)
-        running.addBoth(lambda _: reactor.stop())
-
-    reactor.callWhenRunning(start)
-    reactor.run()
-    if failures:
-        failures[0].raiseException()
-    lines, held = results[0]
+    lines, held = run_on_loop(lambda reactor: run_demo(reactor, seed=seed))
     echo_document(output, {"lines": lines, "held": held}, "\n".join(lines))
     raise SystemExit(0 if held else EXIT_VIOLATION)
--- a/pistachiolift/cli/errors.py
+++ b/pistachiolift/cli/errors.py
@@ -14,6 +14,7 @@
 class ClientErrorCode(Enum):
     """Codes of failures that the command line itself finds."""
 
+    ADDRESS_TAKEN = "address_taken"
     INTERRUPTED = "interrupted"
     MALFORMED_ANSWER = "malformed_answer"
     NO_ANSWER = "no_answer"
--- a/pistachiolift/cli/loop.py
+++ b/pistachiolift/cli/loop.py
@@ -1,20 +1,25 @@
 """Runs the work of a command on Twisted's event loop."""
 
+import logging
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
 from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.error import CannotListenError
 from twisted.internet.interfaces import IReactorCore
 from twisted.internet.task import deferLater
 from twisted.python.failure import Failure
 
+from ..common import ErrorCode, log_event
 from .errors import ClientErrorCode, CommandError
 from .exit_codes import ExitCode
 
-__all__ = ["make_reactor", "run_on_loop", "sleep"]
+__all__ = ["make_reactor", "run_on_loop", "run_server", "sleep"]
 
 T = TypeVar("T")
 
+logger = logging.getLogger(__name__)
+
 
 def make_reactor() -> IReactorCore:
     """Return the reactor of the process; it runs once."""
@@ -59,6 +64,31 @@
     return results[0]
 
 
+def run_server(work: Callable[[IReactorCore], Awaitable[None]]) -> None:
+    """Run a server until its coroutine function ends, and log why it failed.
+
+    :param work: called with the reactor; returns when the server has stopped.
+    :raises CommandError: if a port is taken, or a signal stopped the loop first.
+    """
+    try:
+        run_on_loop(work)
+    except CannotListenError as error:
+        code = ClientErrorCode.ADDRESS_TAKEN.value
+        _log_failure(code, error)
+        raise CommandError(code, str(error), exit_code=ExitCode.FAILED) from error
+    except CommandError:
+        raise
+    except Exception as error:
+        _log_failure(ErrorCode.INTERNAL.value, error)
+        raise
+
+
+def _log_failure(code: str, error: Exception) -> None:
+    log_event(
+        logger, "server_failed", level=logging.CRITICAL, code=code, error=repr(error)
+    )
+
+
 def _stop(reactor: IReactorCore) -> None:
     if reactor.running:
         reactor.stop()
--- a/pistachiolift/cli/node.py
+++ b/pistachiolift/cli/node.py
@@ -5,8 +5,7 @@
 from pathlib import Path
 
 import click
-from twisted.internet import reactor
-from twisted.internet.defer import ensureDeferred
+from twisted.internet.interfaces import IReactorFromThreads
 
 from ..common import Metrics, SystemClock
 from ..node.instance import NodeInstance
@@ -18,6 +17,7 @@
 from ..platform.store import PlatformStore
 from ..platform.translation import PlatformTranslation
 from .documented import example, option
+from .loop import make_reactor, run_server
 
 __all__ = ["node"]
 
@@ -43,6 +43,7 @@
     settings again.
     """
     settings = read_settings(settings_file)
+    reactor = make_reactor()
     metrics = Metrics()
     handler = configure_node_logging(reactor, log_level.upper(), metrics)
     instance = NodeInstance(
@@ -64,12 +65,15 @@
         metrics=metrics,
         on_changed=instance.apply_settings,
     )
-    reactor.callWhenRunning(lambda: _start(instance, file))
-    reactor.run()
-    handler.flush()
+    try:
+        run_server(lambda reactor: _run(reactor, instance, file))
+    finally:
+        handler.flush()
 
 
-def _start(instance: NodeInstance, file: SettingsFile) -> None:
+async def _run(
+    reactor: IReactorFromThreads, instance: NodeInstance, file: SettingsFile
+) -> None:
     instance.start()
     file.start()
 
@@ -79,10 +83,4 @@
     signal.signal(signal.SIGTERM, drain)
     signal.signal(signal.SIGINT, drain)
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(file.check))
-    running = ensureDeferred(_wait(instance))
-    running.addErrback(lambda failure: reactor.stop())
-
-
-async def _wait(instance: NodeInstance) -> None:
     await instance.drained
-    reactor.stop()
--- a/pistachiolift/cli/serve.py
+++ b/pistachiolift/cli/serve.py
@@ -4,13 +4,13 @@
 from pathlib import Path
 
 import click
-from twisted.internet import reactor
-from twisted.internet.defer import ensureDeferred
+from twisted.internet.interfaces import IReactorCore
 
 from ..common import DataCentreId, InstanceId
 from ..entry import Instance, InstanceConfig
 from ..home import record_trace
 from .documented import example, option
+from .loop import run_server
 
 __all__ = ["serve"]
 
@@ -75,21 +75,10 @@
         **options,
     )
     with record_trace(config.trace_file):
-        reactor.callWhenRunning(lambda: _start(config))
-        reactor.run()
+        run_server(lambda reactor: _run(reactor, config))
 
 
-def _start(config: InstanceConfig) -> None:
-    running = ensureDeferred(_run(config))
-    running.addErrback(_fail)
-
-
-def _fail(failure) -> None:
-    failure.printTraceback()
-    reactor.stop()
-
-
-async def _run(config: InstanceConfig) -> None:
+async def _run(reactor: IReactorCore, config: InstanceConfig) -> None:
     instance = Instance(reactor, config)
     async with instance:
         # The first signal drains; a second one stops at once.
@@ -101,4 +90,3 @@
         signal.signal(signal.SIGTERM, drain)
         signal.signal(signal.SIGINT, drain)
         await instance.drained
-    reactor.stop()
--- a/pistachiolift/peers/network.py
+++ b/pistachiolift/peers/network.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 import pynng
+from twisted.internet.error import CannotListenError
 from twisted.internet.interfaces import IReactorFDSet, IReadDescriptor
 from zope.interface import implementer
 
@@ -111,10 +112,18 @@
             recv_buffer_size=RECEIVE_BUFFER_MESSAGES,
             recv_max_size=MESSAGE_LIMIT_BYTES + FRAME_OVERHEAD_BYTES,
         )
-        self._listener.listen(f"tcp://{listen_address}")
+        self._listen(listen_address)
         self._reader = _SocketReader(self._listener, self._receive)
         reactor.addReader(self._reader)
 
+    def _listen(self, address: str) -> None:
+        try:
+            self._listener.listen(f"tcp://{address}")
+        except pynng.AddressInUse as error:
+            self._listener.close()
+            host, _, port = address.rpartition(":")
+            raise CannotListenError(host, int(port), error) from error
+
     def __enter__(self) -> "PeerNetwork":
         return self
 
--- a/pistachiolift/standins/ports.py
+++ b/pistachiolift/standins/ports.py
@@ -2,7 +2,7 @@
 
 import random
 import socket
-from contextlib import ExitStack
+from collections import deque
 
 __all__ = ["free_ports"]
 
@@ -12,24 +12,37 @@
 PORTS = range(12_000, 32_000)
 ATTEMPTS = 1000
 
+# Ports kept for their processes, which bind them within seconds. A cell takes up to
+# about 40; those of several cells are kept.
+KEPT = 400
+
 _choice = random.SystemRandom()
+_kept_sockets: deque[socket.socket] = deque()
 
 
 def free_ports(count: int) -> list[int]:
-    """Return different ports that nothing is bound to.
+    """Return ports that nothing is bound to, and keep them for their processes.
+
+    No other call returns a port of the last ``KEPT``, in this process or another one. A
+    server can listen on it if it binds with ``SO_REUSEADDR``, as Twisted and NNG do.
 
     :param count: number of ports.
     :raises OSError: if too few are free.
     """
     ports: list[int] = []
-    with ExitStack() as stack:
-        for _ in range(ATTEMPTS):
-            if len(ports) == count:
-                return ports
-            reserved = stack.enter_context(socket.socket())
-            try:
-                reserved.bind((HOST, _choice.choice(PORTS)))
-            except OSError:
-                continue
-            ports.append(reserved.getsockname()[1])
+    for _ in range(ATTEMPTS):
+        if len(ports) == count:
+            return ports
+        keeper = socket.socket()
+        try:
+            keeper.bind((HOST, _choice.choice(PORTS)))
+        except OSError:
+            keeper.close()
+            continue
+        # Set after binding, so that the bind above fails on a port that is kept.
+        keeper.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        ports.append(keeper.getsockname()[1])
+        _kept_sockets.append(keeper)
+        if len(_kept_sockets) > KEPT:
+            _kept_sockets.popleft().close()
     raise OSError(f"fewer than {count} of the ports {PORTS} are free")
--- a/pistachiolift/tests/cell.py
+++ b/pistachiolift/tests/cell.py
@@ -149,7 +149,9 @@
             self.wait_for(self._all_listening, "all processes listen")
         except AssertionError as error:
             for process in self.processes():
-                error.add_note(f"{process.log_path.name}: {process.abort()[-3000:]}")
+                state = "running" if process.running else f"exit {process.wait(0)}"
+                name = f"{process.log_path.name} ({state})"
+                error.add_note(f"{name}: {process.abort()[-3000:]}")
             raise
         self.announce(self.entries())
         self._configure()
@@ -264,6 +266,7 @@
         assert reply.status == 200, reply
 
     def _all_listening(self) -> bool:
+        assert all(process.running for process in self.processes())
         ports = [self.store_port, self.directory_port]
         nodes = [*self.instances.values(), *self.upstreams.values()]
         ports += [node.port for node in [*nodes, *self.workers.values()]]
