Serve requests that wait to be accepted when a planned stop begins

Cause: a port that is closed resets the connections that the kernel has completed and the process has not accepted yet, and a kept connection was closed although its next request had arrived.

Change: right before a listener's port is closed, all waiting connections are accepted, and idle connections have 0.1 s for requests on their way.

Result: the new test (plain and TLS) gets ConnectionResetError on the code before.

--- a/pistachiolift/listener/listener.py
+++ b/pistachiolift/listener/listener.py
@@ -1,5 +1,6 @@
 """Listens for callers and stops without cutting off requests."""
 
+import select
 from collections.abc import Callable
 from pathlib import Path
 
@@ -7,6 +8,7 @@
 from twisted.internet.defer import Deferred, TimeoutError, maybeDeferred
 from twisted.internet.interfaces import IListeningPort, IReactorCore
 from twisted.internet.ssl import CertificateOptions
+from twisted.internet.task import deferLater
 
 from ..common import InvalidInputError
 from .site import StreamingSite
@@ -17,6 +19,10 @@
 # at once when another instance leaves.
 BACKLOG = 512
 
+# Time for requests that callers sent before the port was closed, a few round trips
+# between data centres.
+LAST_REQUESTS_S = 0.1
+
 PEM_END = b"-----END CERTIFICATE-----"
 
 
@@ -44,6 +50,15 @@
     )
 
 
+def _accept_waiting(port: IListeningPort) -> None:
+    poll = select.poll()
+    poll.register(port.fileno(), select.POLLIN)
+    for _ in range(BACKLOG):
+        if not poll.poll(0):
+            return
+        port.doRead()
+
+
 class Listener:
     """Accepts connections for a site inside an ``async with`` block.
 
@@ -100,10 +115,17 @@
         )
 
     async def stop_accepting(self) -> None:
-        """Close the listening port and the connections without a request."""
+        """Close the listening port, then the connections without a request.
+
+        Requests that were on their way when the port closed are served.
+        """
         port, self._port = self._port, None
         if port is not None:
+            # Called right before the port is closed, which resets the connections
+            # that wait to be accepted.
+            self._reactor.callLater(0, _accept_waiting, port)
             await maybeDeferred(port.stopListening)
+            await deferLater(self._reactor, LAST_REQUESTS_S)
         self._site.drain()
 
     async def finish(self) -> None:
--- a/pistachiolift/listener/tests/listener_server.py
+++ b/pistachiolift/listener/tests/listener_server.py
@@ -4,6 +4,7 @@
 """
 
 import sys
+import time
 from pathlib import Path
 
 import click
@@ -16,6 +17,8 @@
 from pistachiolift.common import Metrics
 from pistachiolift.listener import HttpLimits, Listener, StreamingSite
 
+BUSY_S = 1.0
+
 app = Klein()
 orders = {b"stop": Deferred(), b"finish": Deferred()}
 
@@ -24,9 +27,18 @@
     delimiter = b"\n"
 
     def lineReceived(self, line):  # noqa: N802
+        if line == b"stop when busy":
+            # Connections that come meanwhile are not accepted before the stop.
+            time.sleep(BUSY_S)
+            line = b"stop"
         orders[line].callback(None)
 
 
+@app.route("/fast", methods=["POST"])
+async def fast(request):
+    return b"ok"
+
+
 @app.route("/slow", methods=["POST"])
 async def slow(request):
     request.body.on_disconnect(lambda: click.echo("left"))
--- a/pistachiolift/listener/tests/test_listener.py
+++ b/pistachiolift/listener/tests/test_listener.py
@@ -4,6 +4,8 @@
 import ssl
 import subprocess
 import sys
+import time
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import pytest
@@ -86,6 +88,24 @@
         assert server.process.wait(30) == 0
         idle.close()
 
+    def test_stop_serves_connections_that_wait_to_be_accepted(self, server):
+        """Guards against a reset of callers that came just before a planned stop."""
+
+        def call(connection):
+            connection.request("POST", "/fast", b"x")
+            return connection.getresponse().read()
+
+        connections = [server.connect() for _ in range(5)]
+        assert call(connections[0]) == b"ok"
+        server.order("stop when busy")
+        time.sleep(0.3)
+        with ThreadPoolExecutor() as pool:
+            assert list(pool.map(call, connections)) == [b"ok"] * len(connections)
+        assert server.read() == "stopped"
+        with pytest.raises(ConnectionRefusedError):
+            server.connect().connect()
+        assert server.process.wait(30) == 0
+
     def test_caller_that_leaves_while_its_body_is_held_is_noticed(self, server):
         """Guards against work for a caller whose paused connection has ended."""
         connection = server.connect()
