Keep an idle connection to a worker for each of its slots

Cause: the tasks of a step are started side by side, but only 5 idle connections to a worker were kept, so that each round of starts closed some and opened others.

Change: 9, one for a listing and one for each slot; a partition's workers then take 2,367 of 3,900 descriptors at most.

--- a/pistachiolift/backends/tests/test_http.py
+++ b/pistachiolift/backends/tests/test_http.py
@@ -8,13 +8,16 @@
 from pistachiolift.backends.http import JsonHttpClient
 from pistachiolift.common import StoreUnavailableError
 
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
-def make_client(reactor, *, timeout_s=0.3):
+
+def make_client(reactor, *, timeout_s=0.3, connections=1):
     return JsonHttpClient(
         reactor,
         "http://192.0.2.1:80",
         timeout_s=timeout_s,
         unavailable=StoreUnavailableError,
+        connections=connections,
     )
 
 
@@ -65,6 +68,24 @@
         assert transport.value().endswith(b'\r\n\r\n{"a":1}')
 
 
+class TestIdleConnections:
+    def test_calls_side_by_side_use_the_connections_of_earlier_ones(self):
+        """Pattern: the tasks of one step after another are started on a worker."""
+        reactor = MemoryReactorClock()
+        client = make_client(reactor, connections=3)
+        opened = []
+        for _ in range(4):
+            calls = [ensureDeferred(client.call("GET", "/")) for _ in range(3)]
+            for _, _, factory, _, _ in reactor.tcpClients[len(opened) :]:
+                protocol = factory.buildProtocol(None)
+                protocol.makeConnection(StringTransport())
+                opened.append(protocol)
+            for protocol in opened:
+                protocol.dataReceived(ANSWER)
+            assert [call.result for call in calls] == [(200, b"")] * 3
+        assert len(opened) == 3
+
+
 class TestSilentConnections:
     def test_a_call_without_an_answer_closes_the_idle_connections(self, monkeypatch):
         """Pattern: all open connections go silent at once."""
--- a/pistachiolift/platform/workers.py
+++ b/pistachiolift/platform/workers.py
@@ -35,9 +35,10 @@
 # A worker lists at most so many ends at once.
 ENDS_PER_LISTING = 500
 
-# The tasks of a step are started side by side. An instance has 3,900 descriptors for
-# sockets, which is enough for this many idle connections to 700 workers.
-CONNECTIONS = 5
+# Idle connections kept: one for a listing and one for each of the 8 slots, as the tasks
+# of a step are started side by side. An instance has 3,900 descriptors for sockets; a
+# partition has at most 263 workers.
+CONNECTIONS = 9
 
 _END_KINDS = {
     "done": EndKind.DONE,
