Hand the ownership over to a named instance at a planned stop

Cause: an owner that stopped ended its lease and left the claim to the watches of the others: a revocation, a watch, a random delay and three calls, all after the last decision, and a new owner that did not know that the old one had stopped.

Change: the owner asks the fittest peer, and of those the one that was started last, which a rolling replacement reaches last, whether it reaches the store and stays; then it stops and has that peer claim, with two calls. If the peer does not claim, the owner's key is freed for all. A claim that is being made when the stop begins is given up. The state that peers tell of themselves has their age.

Tests of the choice of the peer, of a peer that does not claim, of two store calls, and of a lease that ended meanwhile.

--- a/pistachiolift/node/handover.py
+++ b/pistachiolift/node/handover.py
@@ -16,6 +16,11 @@
 
 logger = logging.getLogger(__name__)
 
+# Why an owner hands over, for log lines.
+STORE_OUT_OF_REACH = "store_out_of_reach"
+FITTER_PEER = "fitter_peer"
+PLANNED_STOP = "planned_stop"
+
 CHECK_INTERVAL_S = 0.1
 
 # Calls that fail in a row, and the time that they span, before peers are asked.
@@ -25,6 +30,8 @@
 # In an outage of the whole store all peers say no; they are asked again after this.
 ASK_INTERVAL_S = 1.0
 ASKED_PEERS = 3
+# A planned stop has half of the platform's grace time for it, 3 s of 6 s.
+ASKED_BEFORE_STOP = 2
 
 # A peer hears from the store at least every 2 s, when its watch returns.
 FRESH_S = 2.5
@@ -40,7 +47,8 @@
     """Watches the owner's calls to the store, and how fit its peers are.
 
     An owner that alone has lost the store hands over to a peer that has not, and one
-    that is much less fit than a peer to that peer.
+    that is much less fit than a peer to that peer. An owner that is about to stop hands
+    over when it is told to.
 
     :param peers: returns the open connections of other instances.
     :param fitness: returns how well this instance can own the partition beside
@@ -82,9 +90,9 @@
             return
         peers = self._ranked_peers()
         if self._lost_store(now_s):
-            reason = "store_out_of_reach"
+            reason = STORE_OUT_OF_REACH
         elif now_s - self._ownership.claimed_s > SETTLED_S:
-            reason = "fitter_peer"
+            reason = FITTER_PEER
             peers = [peer for peer in peers if self._is_much_fitter(peer)]
         else:
             return
@@ -118,17 +126,33 @@
             return False
         return peer.peer_fitness >= FITTER_RATIO * self._fitness()
 
-    async def _ask(self, peers: list[PeerConnection], reason: str) -> None:
+    async def hand_over(self) -> bool:
+        """Let a peer claim before this instance stops.
+
+        In a rolling replacement, the peer that started last has been replaced already.
+
+        :returns: whether a peer owns now.
+        """
+        self.stop()
+        peers = sorted(self._ranked_peers(), key=self._age_s)
+        peers.sort(key=lambda peer: -peer.peer_fitness)
+        return await self._ask(peers[:ASKED_BEFORE_STOP], PLANNED_STOP)
+
+    @staticmethod
+    def _age_s(peer: PeerConnection) -> float:
+        return float("inf") if peer.peer_state is None else peer.peer_state.age_s
+
+    async def _ask(self, peers: list[PeerConnection], reason: str) -> bool:
         for peer in peers:
             self._metrics.count("handover.probes")
             if not await self._call(peer, ProbeStore(), PROBE_TIMEOUT_S):
                 continue
             fence = self._ownership.fence
             if fence is None:
-                return
+                return False
             answered = self._ownership.failed_calls < FAILED_CALLS
-            if reason == "store_out_of_reach" and answered:
-                return
+            if reason == STORE_OUT_OF_REACH and answered:
+                return False
             log_event(
                 logger,
                 "ownership_handed_over",
@@ -139,10 +163,14 @@
                 fitness=self._fitness(),
                 peer_fitness=peer.peer_fitness,
             )
-            request = self._call(peer, TakeOver(fence), TAKE_OVER_TIMEOUT_S)
+            lease_id = self._ownership.lease_id
+            # No orders are given from here on, so that the peer may claim.
             self._ownership.superseded(reason)
-            await request
-            return
+            if await self._call(peer, TakeOver(fence), TAKE_OVER_TIMEOUT_S):
+                return True
+            await self._ownership.free(lease_id)
+            return False
+        return False
 
     @staticmethod
     async def _call(peer: PeerConnection, message, timeout_s: float) -> bool:
--- a/pistachiolift/node/instance.py
+++ b/pistachiolift/node/instance.py
@@ -82,7 +82,7 @@
         self._incarnation = uuid.uuid4().hex[:16]
         self.draining = False
         self.drained: Deferred[None] = Deferred()
-        self._linked_s = clock.monotonic_s()
+        self._linked_s = self._started_s = clock.monotonic_s()
         self._peers = PeerServer(self._accept_peer)
         self._peer_port: IListeningPort | None = None
         self._ready_port: IListeningPort | None = None
@@ -289,7 +289,10 @@
 
     def _state(self) -> PeerState:
         store_age_s = min(each.ownership.store_age_s for each in self._partitions)
-        return PeerState(round(store_age_s, 3), len(self._owned()))
+        age_s = self.clock.monotonic_s() - self._started_s
+        return PeerState(
+            round(store_age_s, 3), owned=len(self._owned()), age_s=round(age_s, 1)
+        )
 
     async def _answer_peer(
         self, connection: PeerConnection, message: Message
--- a/pistachiolift/node/ownership.py
+++ b/pistachiolift/node/ownership.py
@@ -109,7 +109,7 @@
         self._fitness = fitness
         self._reluctance_s = reluctance_s
         self._lease_id: LeaseId | None = None
-        self._stopped = False
+        self._retiring = False
         self._claiming = False
         self.fence: int | None = None
         self.contact_s = float("-inf")
@@ -161,7 +161,7 @@
 
     def check_store(self) -> None:
         """Find out whether the store answers; a watch that waits does not tell."""
-        if not self._checking_store and not self._stopped:
+        if not self._checking_store:
             self._checking_store = True
             self._spawn(self._check_store())
 
@@ -177,7 +177,7 @@
 
     async def _watch_forever(self) -> None:
         revision = None
-        while not self._stopped:
+        while True:
             sent_s = self._clock.monotonic_s()
             try:
                 if revision is None:
@@ -264,7 +264,7 @@
     async def _replace(self, record: OwnerRecord) -> None:
         await deferLater(self._reactor, self._claim_delay_s())
         # The store may be away while the owner dies.
-        while self.owner == record and self.fence is None and not self._stopped:
+        while self.owner == record and self.fence is None and not self._retiring:
             if self._may_claim() and not self._claiming:
                 await self._claim_once(self._owner_version)
             await deferLater(self._reactor, RETRY_INTERVAL_S)
@@ -274,13 +274,18 @@
 
         :returns: whether this instance owns.
         """
-        if not self._may_claim() or self._claiming or self.fence is not None:
+        if self._claiming or self.fence is not None or not self._able_to_claim():
             return self.fence is not None
-        return await self._claim_once(fence)
+        return await self._claim_once(fence, key_expected=True)
 
-    async def _claim_once(self, fence: int) -> bool:
+    async def _claim_once(self, fence: int, *, key_expected: bool = False) -> bool:
         self._claiming = True
         try:
+            # Saves a call to the store if the lease of the owner has not ended.
+            if key_expected and await self._claim_over(
+                fence, owner_version=fence, stopped=True
+            ):
+                return True
             return await self._claim_from(fence)
         except StoreUnavailableError:
             self._metrics.count("ownership.claim_failed")
@@ -297,13 +302,16 @@
             fence, owner_version=fence if entry else 0, stopped=True
         )
 
+    def _able_to_claim(self) -> bool:
+        return self._may_claim() and not self._retiring
+
     def _claim_delay_s(self) -> float:
         """Return how long to leave the claim to fitter instances."""
         unfit_s = (1 - self._fitness) * CLAIM_DELAY_S
         return random.uniform(0, CLAIM_JITTER_S) + unfit_s + self._reluctance_s()
 
     async def _claim(self) -> None:
-        if not self._may_claim() or self._stopped or self._claiming:
+        if self._claiming or not self._able_to_claim():
             await deferLater(self._reactor, RETRY_INTERVAL_S)
             return
         self._claiming = True
@@ -351,6 +359,9 @@
             fence = await self._find_claim(claim_version)
             if fence is None:
                 return False
+        if self._retiring:
+            await self.free(lease_id)
+            return False
         self._lease_id = lease_id
         self.fence = fence
         self.claimed_s = self._clock.monotonic_s()
@@ -385,7 +396,7 @@
     # Renewal.
 
     def _renew(self) -> None:
-        if self._lease_id is not None and not self._stopped:
+        if self._lease_id is not None:
             self._spawn(self._renew_once(self._lease_id))
 
     async def _renew_once(self, lease_id: LeaseId) -> None:
@@ -408,7 +419,7 @@
         )
         self._claiming = True
         try:
-            while self.fence == fence and not self._stopped:
+            while self.fence == fence:
                 try:
                     if await self._claim_over(fence):
                         return
@@ -442,20 +453,31 @@
             self._renewing.stop()
         self._on_lost(reason)
 
+    @property
+    def lease_id(self) -> LeaseId | None:
+        """The lease of the owner's key, if this instance owns."""
+        return self._lease_id
+
+    def claim_no_more(self) -> None:
+        """Leave all claims to others, also one that is being made."""
+        self._retiring = True
+
     async def release(self) -> None:
         """Let another instance take over at once."""
-        self._stopped = True
+        self.claim_no_more()
         lease_id = self._lease_id
         if self.fence is not None:
             self._lose("released")
-        if lease_id is not None:
-            try:
-                await self.store.revoke_lease(lease_id)
-            except StoreUnavailableError as error:
-                log_event(logger, "ownership_release_failed", reason=error.message)
-
-    def watch_again(self) -> None:
-        """Keep on naming the owner after a release."""
-        self._stopped = False
-        self._may_claim = lambda: False
-        self._spawn(self._watch_forever())
+        await self.free(lease_id)
+
+    async def free(self, lease_id: LeaseId | None) -> None:
+        """Free the owner's key before its lease ends.
+
+        :param lease_id: lease under which this instance owned until now.
+        """
+        if lease_id is None:
+            return
+        try:
+            await self.store.revoke_lease(lease_id)
+        except StoreUnavailableError as error:
+            log_event(logger, "ownership_release_failed", reason=error.message)
--- a/pistachiolift/node/partition.py
+++ b/pistachiolift/node/partition.py
@@ -133,8 +133,10 @@
 
     async def release(self) -> None:
         """Let another instance own, and go on following the owner."""
+        self.ownership.claim_no_more()
+        if self.owned:
+            await self._handover.hand_over()
         await self.ownership.release()
-        self.ownership.watch_again()
 
     @property
     def owned(self) -> bool:
--- a/pistachiolift/node/peer_messages.py
+++ b/pistachiolift/node/peer_messages.py
@@ -65,10 +65,12 @@
 
     :param store_age_s: seconds since it last heard from the store.
     :param owned: number of partitions that it owns.
+    :param age_s: seconds since it was started.
     """
 
     store_age_s: float
     owned: int = 0
+    age_s: float = 0.0
 
 
 class Ping(msgspec.Struct, frozen=True, tag="ping", array_like=True):
--- a/pistachiolift/node/tests/test_handover.py
+++ b/pistachiolift/node/tests/test_handover.py
@@ -3,12 +3,18 @@
 from dataclasses import dataclass, field
 
 import pytest
-from twisted.internet.defer import succeed
+from twisted.internet.defer import ensureDeferred, succeed
 from twisted.internet.task import Clock as ReactorClock
 
 from pistachiolift.common import ManualClock, Metrics
 from pistachiolift.node.handover import FAILED_CALLS, SETTLED_S, HandoverMonitor
-from pistachiolift.node.peer_messages import Hello, Noted, PeerState, ProbeStore
+from pistachiolift.node.peer_messages import (
+    Hello,
+    Noted,
+    PeerState,
+    ProbeStore,
+    TakeOver,
+)
 
 
 @dataclass
@@ -18,7 +24,9 @@
     name: str
     peer_fitness: float = 0.25
     store_age_s: float | None = 0.5
+    age_s: float = 100.0
     reaches_store: bool = True
+    takes_over: bool = True
     calls: list = field(default_factory=list)
 
     @property
@@ -27,11 +35,14 @@
 
     @property
     def peer_state(self):
-        return None if self.store_age_s is None else PeerState(self.store_age_s)
+        if self.store_age_s is None:
+            return None
+        return PeerState(self.store_age_s, age_s=self.age_s)
 
     def call(self, message, *, timeout_s):
         self.calls.append(type(message))
-        done = self.reaches_store or not isinstance(message, ProbeStore)
+        probe = isinstance(message, ProbeStore)
+        done = self.reaches_store if probe else self.takes_over
         return succeed(Noted(done))
 
 
@@ -43,19 +54,24 @@
         self.claimed_s = 0.0
         self.failed_calls = 0
         self.failing_since_s = 0.0
+        self.lease_id = 5
         self.lost = []
+        self.freed = []
 
     def superseded(self, reason):
-        self.fence = None
+        self.fence = self.lease_id = None
         self.lost.append(reason)
 
+    async def free(self, lease_id):
+        self.freed.append(lease_id)
+
 
 class Cell:
     def __init__(self, peers, fitness):
         self.reactor, self.clock = ReactorClock(), ManualClock()
         self.owner = Owner()
         self.owner.claimed_s = self.clock.monotonic_s()
-        monitor = HandoverMonitor(
+        self.monitor = HandoverMonitor(
             self.reactor,
             self.owner,
             clock=self.clock,
@@ -63,7 +79,10 @@
             peers=lambda: peers,
             fitness=lambda: fitness,
         )
-        monitor.start()
+        self.monitor.start()
+
+    def hand_over(self):
+        return ensureDeferred(self.monitor.hand_over()).result
 
     def advance(self, interval_s):
         for _ in range(round(interval_s / 0.1)):
@@ -113,3 +132,37 @@
         cell.advance(0.2)
         assert asked(peers) == ["large"]
         assert cell.owner.lost == ["store_out_of_reach"]
+
+
+class TestPlannedStop:
+    """Pattern: the instances are replaced one after the other."""
+
+    def test_the_peer_that_was_started_last_takes_over(self):
+        peers = [
+            Peer("to be replaced"),
+            Peer("replaced", age_s=4.0),
+            Peer("replaced later", age_s=2.0),
+            Peer("small", peer_fitness=0.1, age_s=1.0),
+        ]
+        cell = Cell(peers, fitness=0.25)
+        assert cell.hand_over()
+        assert asked(peers) == ["replaced later"]
+        assert cell.owner.lost == ["planned_stop"]
+        assert cell.owner.freed == []
+
+    def test_a_peer_that_stops_as_well_is_passed_over(self):
+        """Its probe is answered with no, while the owner still decides."""
+        peers = [Peer("stopping", age_s=2.0, reaches_store=False), Peer("other")]
+        cell = Cell(peers, fitness=0.25)
+        assert cell.hand_over()
+        assert peers[1].calls == [ProbeStore, TakeOver]
+
+    def test_the_key_is_freed_for_all_if_the_peer_does_not_claim(self):
+        cell = Cell([Peer("other", takes_over=False)], fitness=0.25)
+        assert not cell.hand_over()
+        assert cell.owner.freed == [5]
+
+    def test_an_owner_without_peers_goes_on_until_it_is_released(self):
+        cell = Cell([], fitness=0.25)
+        assert not cell.hand_over()
+        assert cell.owner.lost == []
--- a/pistachiolift/node/tests/test_ownership.py
+++ b/pistachiolift/node/tests/test_ownership.py
@@ -67,7 +67,8 @@
         index = self.owner()
         ownership = self.ownerships[index]
         ownership.fence = None
-        ownership._stopped = True
+        ownership.claim_no_more()
+        ownership._renewing.stop()
         return index, ownership.owner
 
 
@@ -183,6 +184,43 @@
         assert result.result is False
         assert len(cell.owners()) == 1
 
+    def test_a_handover_costs_two_calls_to_the_store(self):
+        """The time without decisions is that of the calls, on a slow store."""
+        cell = Cell(instances=2)
+        cell.advance(1.0)
+        old = cell.owner()
+        fence = cell.ownerships[old].fence
+        cell.ownerships[old].superseded("planned_stop")
+        cell.store.get = None
+        result = ensureDeferred(cell.ownerships[1 - old].take_over(fence))
+        assert result.result is True
+
+    def test_a_handover_after_the_lease_has_ended(self):
+        cell = Cell(instances=2)
+        cell.advance(1.0)
+        old = cell.owner()
+        fence = cell.ownerships[old].fence
+        cell.ownerships[old].superseded("planned_stop")
+        # The watches have not told it yet.
+        del cell.store.entries[KEYS.owner]
+        result = ensureDeferred(cell.ownerships[1 - old].take_over(fence))
+        assert result.result is True
+
+    def test_a_claim_that_is_made_when_the_stop_begins_is_given_up(self):
+        cell = Cell(instances=1)
+        (ownership,) = cell.ownerships
+        transact = cell.store.transact
+
+        async def transact_then_stop(**arguments):
+            version = await transact(**arguments)
+            ownership.claim_no_more()
+            return version
+
+        cell.store.transact = transact_then_stop
+        cell.advance(1.0)
+        assert cell.events == []
+        assert ensureDeferred(cell.store.get(KEYS.owner)).result is None
+
     def test_a_planned_release_frees_the_key_at_once(self):
         cell = Cell(instances=2)
         cell.advance(1.0)
