Count no pause of its own as silence, and no lost entry as a failed attempt

A new test fails on the code before.

Cause 2, repeated check-ins answered failed after their entry instance had died: their attempts passed the run limit at 19.6 s, 0.2 s before the loss of the entry instance was noticed, and so all were charged to the retry budget of 3 tokens. Change: an attempt that passes its run limit while its caller waits at another entry instance is treated as one whose entry instance has gone, once for each request. A second silent attempt still needs the budget.

--- a/pistachiolift/entry/request_service.py
+++ b/pistachiolift/entry/request_service.py
@@ -96,8 +96,10 @@
         )
         self._sweeping = LoopingCall(self._sweep)
         self._sweeping.clock = reactor
+        self._swept_s = 0.0
 
     def __enter__(self) -> "RequestService":
+        self._swept_s = self._clock.monotonic_s()
         self._sweeping.start(SWEEP_INTERVAL_S, now=False)
         return self
 
@@ -251,7 +253,11 @@
 
     def _sweep(self) -> None:
         now_s = self._clock.monotonic_s()
+        # What a home has sent while this process stood still has yet to be read.
+        paused_s = max(0.0, now_s - self._swept_s - SWEEP_INTERVAL_S)
+        self._swept_s = now_s
         for session in self.sessions.all():
+            session.heard_s = min(now_s, session.heard_s + paused_s)
             if session.held is None:
                 self._check_session(session, now_s)
         self._reports.resend_due()
--- a/pistachiolift/entry/tests/test_request_service.py
+++ b/pistachiolift/entry/tests/test_request_service.py
@@ -108,3 +108,15 @@
         [error] = answer.errors
         assert error.outcome is Outcome.REFUSED
         assert error.retry_after_s > 0
+
+    def test_a_pause_of_this_process_is_no_silence_of_the_home(self):
+        """Pattern: an instance is frozen and resumed with requests in flight."""
+        entry = Entry()
+        with entry.service:
+            answer = entry.submit(30.0)
+            entry.clock.advance(HOME_SILENCE_LIMIT_S + 1.0)
+            entry.advance(HOME_SILENCE_LIMIT_S - 0.5)
+            assert answer.errors == []
+            entry.advance(1.0)
+        [error] = answer.errors
+        assert error.outcome is Outcome.REFUSED
--- a/pistachiolift/requests/confirmation.py
+++ b/pistachiolift/requests/confirmation.py
@@ -77,6 +77,11 @@
             waiting = request.phase in (RequestPhase.RUNNING, RequestPhase.STOPPING)
             if request.attempt is attempt and waiting:
                 self._book.count("attempt.overdue")
+                # Its end may be known before the loss of its entry instance; later
+                # attempts of a request need the retry budget.
+                first = request.attempts_started == 1
+                if first and request.waits_beside(attempt.entry_id):
+                    request.orphaned = True
                 self.confirm(request, attempt, now_s)
 
         self._book.timers.call_at(due_s, overdue)
--- a/pistachiolift/requests/records.py
+++ b/pistachiolift/requests/records.py
@@ -57,7 +57,8 @@
         each can send the body.
     :param attempts_started: attempts that have run or may have run.
     :param intent_durable: whether the store holds the request's intent.
-    :param orphaned: whether the entry instance that ran its attempt has gone.
+    :param orphaned: whether the entry instance that ran its attempt has gone, or has
+        said nothing while a caller sent the request again elsewhere.
     :param announced: whether the final outcome has been sent to all who wait.
     """
 
@@ -83,6 +84,12 @@
         """Whether any entry instance can send the body."""
         return any(self.has_body_by_entry.values())
 
+    def waits_beside(self, entry_id: InstanceId) -> bool:
+        """Whether an entry instance other than this one can send the body."""
+        return any(
+            held for other, held in self.has_body_by_entry.items() if other != entry_id
+        )
+
     @property
     def is_idle(self) -> bool:
         """Whether the request waits without a slot."""
