Tell operators where jobs and partitions stand on the users' platform

Change: beside readiness and metrics, each instance answers the documents that the commands read; one that does not own asks the owner over the peer link. The reasons for which a task waits are worked out from the owner's tables (`workflows/standing.py`): earlier steps, time, retry delay, no worker, never fits, no room, advice, turn.

--- a/pistachiolift/cli/documents.py
+++ b/pistachiolift/cli/documents.py
@@ -77,7 +77,10 @@
 
 
 class JobTask(msgspec.Struct):
-    """One task of a job that is not done."""
+    """One task of a job that is not done.
+
+    :param step: index of its step, if the job has steps.
+    """
 
     index: int
     attempt: int
@@ -85,10 +88,15 @@
     state: str | None = None
     worker_id: str | None = None
     waits_for: str | None = None
+    step: int | None = None
 
 
 class JobStanding(msgspec.Struct):
-    """``/v1/jobs/ID``: where a job stands."""
+    """``/v1/jobs/ID``: where a job stands.
+
+    :param customer_id: empty on a platform whose queues belong to no customer.
+    :param queue_id: empty where jobs belong to customers.
+    """
 
     job_id: str
     customer_id: str
@@ -107,3 +115,4 @@
     quota_used: tuple[int, int, int]
     partition: str = ""
     listed_tasks: list[JobTask] = []
+    queue_id: str = ""
--- a/pistachiolift/cli/explanations.py
+++ b/pistachiolift/cli/explanations.py
@@ -37,6 +37,9 @@
     "gang_restart": "the gang starts again as a whole",
     "turn": "more urgent or earlier tasks are placed first",
     "ledger": "its placement is being stored",
+    "earlier_steps": "the steps before it have not succeeded",
+    "due_time": "its time has not come",
+    "advice": "the adviser has not approved workers for it",
     "start": "the worker has not confirmed the start",
     "stop": "the worker has not confirmed the stop",
     "worker_silent": "the worker does not answer; it may run until its lease ends",
@@ -128,7 +131,7 @@
     """
     job = standing
     sentences = [
-        f"Job {job.job_id} of customer {job.customer_id} is {job.state}.",
+        f"Job {job.job_id} of {_whose(job)} is {job.state}.",
         f"Of {job.tasks} tasks {job.running} are placed on workers, {job.done} are "
         f"done, {job.retrying} wait for another attempt and {job.not_started} have "
         "not been placed.",
@@ -154,8 +157,15 @@
     return sentences
 
 
+def _whose(job: JobStanding) -> str:
+    if job.customer_id:
+        return f"customer {job.customer_id}"
+    return f"queue {job.queue_id}"
+
+
 def _explain_task(task: JobTask) -> str:
-    text = f"Task {task.index}, attempt {task.attempt}, is "
+    name = task.index if task.step is None else f"{task.step}.{task.index}"
+    text = f"Task {name}, attempt {task.attempt}, is "
     text += f"{task.state} on {task.worker_id}" if task.worker_id else "waiting"
     if task.waits_for is not None:
         text += f": {_WAITS.get(task.waits_for, task.waits_for)}"
--- a/pistachiolift/cli/status.py
+++ b/pistachiolift/cli/status.py
@@ -182,8 +182,7 @@
 
 
 async def _shares(client: ApiClient, rows: list[_PartitionRow]) -> list[_Share]:
-    answer = await client.ask("/v1/settings/get", GetRequest())
-    value_by_key = {each.key: each.value for each in answer.decode(GetAnswer).values}
+    value_by_key = await _settings(client)
     known = [row.status for row in rows if row.status is not None]
     slots = sum(each.slots for each in known)
     shares = []
@@ -200,6 +199,17 @@
     return shares
 
 
+async def _settings(client: ApiClient) -> dict[str, object]:
+    """Return the settings of the cell; an instance of a platform has none."""
+    try:
+        answer = await client.ask("/v1/settings/get", GetRequest())
+    except CommandError as error:
+        if error.exit_code is not ExitCode.NOT_FOUND:
+            raise
+        return {}
+    return {each.key: each.value for each in answer.decode(GetAnswer).values}
+
+
 def _cell_text(cell: _CellStatus, *, counters: bool) -> str:
     parts = [
         format_table(
--- a/pistachiolift/node/instance.py
+++ b/pistachiolift/node/instance.py
@@ -15,7 +15,7 @@
 from .interfaces import AdviserClient, CoordinationStore, QueueTable, Translation
 from .job_router import JobRouter
 from .members import Members
-from .metrics_text import render_metrics
+from .operator_api import make_operator_app
 from .ownership import OwnerRecord
 from .partition import InstanceParts, Partition
 from .partition_map import PartitionMap, PartitionNumber
@@ -132,12 +132,12 @@
             partition_map=lambda: self._partition_watch.map,
             service=lambda number: self._partitions[number].jobs,
         )
-        site = StreamingSite(
+        self._site = StreamingSite(
             make_caller_api(self), metrics=metrics, reactor=reactor, limits=HTTP_LIMITS
         )
         host, _, port = settings.caller_address.rpartition(":")
         self._listener = Listener(
-            site,
+            self._site,
             reactor=reactor,
             host=host,
             port=int(port),
@@ -155,7 +155,9 @@
         """Open all ports and begin to look for the owner."""
         ready_host, _, ready_port = self.settings.ready_address.rpartition(":")
         self._ready_port = self._reactor.listenTCP(
-            int(ready_port), Site(self._status_app().resource()), interface=ready_host
+            int(ready_port),
+            Site(make_operator_app(self).resource()),
+            interface=ready_host,
         )
         peer_host, _, peer_port = self.settings.peer_address.rpartition(":")
         self._peer_port = self._reactor.listenTCP(
@@ -204,26 +206,8 @@
         log_event(logger, "instance_stopped", result=str(result)[:200])
         self.drained.callback(None)
 
-    def _status_app(self) -> Klein:
-        """Return the application for readiness checks and metrics."""
-        app = Klein()
-
-        @app.route("/metrics")
-        def metrics(request):
-            request.setHeader("Content-Type", "text/plain; version=0.0.4")
-            return render_metrics(self.metrics)
-
-        @app.route("/", branch=True)
-        def ready(request):
-            reason = self._not_ready()
-            if reason:
-                request.setResponseCode(503)
-                return reason
-            return b""
-
-        return app
-
-    def _not_ready(self) -> str:
+    def not_ready(self) -> str:
+        """Return why no callers are to be sent here, empty if they are."""
         if self.draining:
             return "draining"
         if self.table is None:
@@ -237,6 +221,22 @@
             return "no owner"
         return ""
 
+    @property
+    def partitions(self) -> tuple[Partition, ...]:
+        """The partitions that are known here, by number."""
+        return tuple(self._partitions)
+
+    @property
+    def open_requests(self) -> int:
+        """Connections of callers."""
+        return len(self._site.channels)
+
+    def known_instances(self) -> list[str]:
+        """Return this instance and those connected to it, by name."""
+        names = {self.settings.instance_id}
+        names |= {c.peer.instance_id for c in self._accepted()}
+        return sorted(names)
+
     # Partitions.
 
     def _map_known(self, partition_map: PartitionMap) -> None:
--- a/pistachiolift/node/job_calls.py
+++ b/pistachiolift/node/job_calls.py
@@ -14,6 +14,8 @@
     LedgerRecord,
     Queue,
     QueueId,
+    describe_book,
+    describe_job,
 )
 from .ledger import Ledger
 from .peer_messages import JobAnswer, JobOutcome
@@ -177,3 +179,23 @@
         if not self._is_ready():
             return JobAnswer(JobOutcome.NOT_OWNER)
         return JobAnswer(JobOutcome.OK, count=self._scheduler.waiting(queue_id))
+
+    def explain(self, job_id: JobId) -> JobAnswer:
+        """Tell where a job stands."""
+        if not self._is_ready():
+            return JobAnswer(JobOutcome.NOT_OWNER)
+        standing = describe_job(
+            self._scheduler.book,
+            job_id,
+            now_s=self._clock.monotonic_s(),
+            wall_ms=self._wall_ms(),
+        )
+        if standing is None:
+            return self._unknown()
+        return JobAnswer(JobOutcome.OK, standing=standing)
+
+    def figures(self) -> JobAnswer:
+        """Tell the figures of the partition."""
+        if not self._is_ready():
+            return JobAnswer(JobOutcome.NOT_OWNER)
+        return JobAnswer(JobOutcome.OK, figures=describe_book(self._scheduler.book))
--- a/pistachiolift/node/job_router.py
+++ b/pistachiolift/node/job_router.py
@@ -49,6 +49,10 @@
         """Ask for a job's state."""
         return await self._find(job_id, lambda s: s.status(job_id, until_s=until_s))
 
+    async def explain(self, job_id: JobId, *, until_s: float) -> JobAnswer:
+        """Ask where a job stands."""
+        return await self._find(job_id, lambda s: s.explain(job_id, until_s=until_s))
+
     async def waiting(self, queue_id: QueueId, *, until_s: float) -> JobAnswer:
         """Ask how many jobs of a queue have not begun."""
         partition_map = self._partition_map()
--- a/pistachiolift/node/job_service.py
+++ b/pistachiolift/node/job_service.py
@@ -13,6 +13,8 @@
 from .peer_messages import (
     CancelJob,
     CountWaiting,
+    DescribePartition,
+    ExplainJob,
     GetStatus,
     JobAnswer,
     JobOutcome,
@@ -102,6 +104,14 @@
         """Ask how many jobs of a queue have not begun."""
         return await self._call(lambda: CountWaiting(queue_id), until_s)
 
+    async def explain(self, job_id: JobId, *, until_s: float) -> JobAnswer:
+        """Ask where a job stands."""
+        return await self._call(lambda: ExplainJob(job_id), until_s)
+
+    async def figures(self, *, until_s: float) -> JobAnswer:
+        """Ask for the figures of the partition."""
+        return await self._call(DescribePartition, until_s)
+
     async def _call(self, message: Callable[[], Message], until_s: float) -> JobAnswer:
         """Call until there is an answer or the time is over.
 
@@ -172,4 +182,8 @@
                 return owner.calls.status(message.job_id)
             case CountWaiting():
                 return owner.calls.waiting(message.queue_id)
+            case ExplainJob():
+                return owner.calls.explain(message.job_id)
+            case DescribePartition():
+                return owner.calls.figures()
         return JobAnswer(JobOutcome.NOT_OWNER)
--- /dev/null
+++ b/pistachiolift/node/operator_api.py
@@ -0,0 +1,185 @@
+"""The read-only HTTP interface for operators, beside readiness and metrics."""
+
+from collections.abc import Awaitable
+from typing import TYPE_CHECKING
+
+from klein import Klein
+
+from ..common import (
+    JobId,
+    NoOwnerError,
+    NotFoundError,
+    PistachioliftError,
+    encode_json,
+)
+from ..listener import render_error
+from ..workflows import BookFigures, JobStanding
+from .metrics_text import render_metrics
+from .partition_map import PartitionNumber
+from .peer_messages import JobAnswer, JobOutcome
+
+if TYPE_CHECKING:
+    from .instance import NodeInstance
+
+__all__ = ["make_operator_app"]
+
+# An operator waits for a takeover.
+CALL_TIMEOUT_S = 2.0
+RETRY_AFTER_S = 1.0
+
+
+def make_operator_app(instance: "NodeInstance") -> Klein:
+    """Return the application for readiness checks, metrics and operators."""
+    app = Klein()
+
+    async def answer(request, document: Awaitable[object]) -> bytes:
+        request.setHeader("Content-Type", "application/json")
+        try:
+            return encode_json(await document)
+        except PistachioliftError as error:
+            headers, body = render_error(error)
+            request.setResponseCode(error.http_status)
+            for name, value in headers:
+                request.setHeader(name, value)
+            return body
+
+    @app.route("/metrics")
+    def metrics(request):
+        request.setHeader("Content-Type", "text/plain; version=0.0.4")
+        return render_metrics(instance.metrics)
+
+    @app.route("/v1/status")
+    async def status(request):
+        return await answer(request, _status(instance))
+
+    @app.route("/v1/partitions/<name>")
+    async def partition(request, name: str):
+        return await answer(request, _partition(instance, name))
+
+    @app.route("/v1/jobs/<job_id>")
+    async def job(request, job_id: str):
+        return await answer(request, _job(instance, JobId(job_id)))
+
+    @app.route("/v1/<path:_rest>")
+    async def unknown(request, _rest: str):
+        return await answer(request, _unknown())
+
+    @app.route("/", branch=True)
+    def ready(request):
+        reason = instance.not_ready()
+        if reason:
+            request.setResponseCode(503)
+            return reason
+        return b""
+
+    return app
+
+
+async def _unknown() -> None:
+    raise NotFoundError("instances of a platform tell status, partitions and jobs")
+
+
+async def _status(instance: "NodeInstance") -> dict[str, object]:
+    owners = {
+        str(each.number): {
+            "owner": each.ownership.owner and each.ownership.owner.instance_id,
+            "epoch": each.ownership.owner_version,
+        }
+        for each in instance.partitions
+    }
+    return {
+        "instance": instance.settings.instance_id,
+        "data_centre": instance.settings.zone,
+        "draining": instance.draining,
+        "revision": 0 if instance.table is None else instance.table.version,
+        "live_instances": instance.known_instances(),
+        "open_requests": instance.open_requests,
+        "partitions": owners,
+    }
+
+
+async def _partition(instance: "NodeInstance", name: str) -> dict[str, object]:
+    numbers = [each.number for each in instance.partitions]
+    if not name.isdecimal() or int(name) not in numbers:
+        raise NotFoundError(f"partition {name!r:.40} is not one of {numbers}")
+    partition = instance.partitions[PartitionNumber(int(name))]
+    until_s = instance.clock.monotonic_s() + CALL_TIMEOUT_S
+    answer = _checked(await partition.jobs.figures(until_s=until_s))
+    owner = partition.ownership.owner
+    return _partition_document(name, owner.instance_id if owner else "", answer.figures)
+
+
+def _partition_document(
+    name: str, owner_id: str, figures: BookFigures
+) -> dict[str, object]:
+    return {
+        "partition": name,
+        "epoch": figures.fence,
+        "owner": owner_id,
+        # The product's slots belong to upstreams, which this platform has not.
+        "slots": 0,
+        "running_by_urgency": {},
+        "queued_by_kind": figures.pending_by_queue,
+        "jobs": {
+            "jobs": figures.open_jobs,
+            "jobs_waiting": sum(figures.pending_by_queue.values()),
+            "tasks_placed": figures.tasks_placed,
+            "workers_by_status": figures.workers_by_state,
+            "quarantined": figures.quarantined,
+        },
+    }
+
+
+async def _job(instance: "NodeInstance", job_id: JobId) -> dict[str, object]:
+    if instance.table is None:
+        raise NoOwnerError("there is no configuration yet", retry_after_s=RETRY_AFTER_S)
+    until_s = instance.clock.monotonic_s() + CALL_TIMEOUT_S
+    answer = _checked(await instance.jobs.explain(job_id, until_s=until_s))
+    return _job_document(answer.standing)
+
+
+def _job_document(standing: JobStanding) -> dict[str, object]:
+    return {
+        "job_id": standing.job_id,
+        "customer_id": "",
+        "queue_id": standing.queue_id,
+        "state": standing.status.value,
+        "tasks": standing.tasks,
+        "running": standing.running,
+        "done": standing.done,
+        "retrying": standing.retrying,
+        "not_started": standing.not_started,
+        "durable": standing.durable,
+        "blocked_by": None,
+        "making_room": False,
+        "end_reason": None,
+        "end_code": None,
+        "quota_share": None,
+        "quota_used": [0, 0, 0],
+        "listed_tasks": [
+            {
+                "step": task.step,
+                "index": task.index,
+                "attempt": task.run,
+                "failures": task.failures,
+                "state": task.state and task.state.value,
+                "worker_id": task.worker_id,
+                "waits_for": task.waits_for and task.waits_for.value,
+            }
+            for task in standing.listed_tasks
+        ],
+    }
+
+
+def _checked(answer: JobAnswer) -> JobAnswer:
+    """Return an answer of the owner.
+
+    :raises NotFoundError: if no owner knows the job.
+    :raises NoOwnerError: if no owner could tell.
+    """
+    match answer.outcome:
+        case JobOutcome.OK:
+            return answer
+        case JobOutcome.UNKNOWN_JOB:
+            raise NotFoundError("no partition knows the job")
+    raise NoOwnerError("no owner answered", retry_after_s=RETRY_AFTER_S)
--- a/pistachiolift/node/ownership.py
+++ b/pistachiolift/node/ownership.py
@@ -124,6 +124,11 @@
         self._renewing = LoopingCall(self._renew)
         self._renewing.clock = reactor
 
+    @property
+    def owner_version(self) -> int:
+        """Version of the newest claim that is known here."""
+        return self._owner_version
+
     @property
     def store_age_s(self) -> float:
         """Seconds since a call to the store that was answered was sent."""
--- a/pistachiolift/node/peer_messages.py
+++ b/pistachiolift/node/peer_messages.py
@@ -5,7 +5,15 @@
 import msgspec
 
 from ..common import JobId, WorkerId
-from ..workflows import JobGraph, JobStatus, Queue, QueueId, StepKey
+from ..workflows import (
+    BookFigures,
+    JobGraph,
+    JobStanding,
+    JobStatus,
+    Queue,
+    QueueId,
+    StepKey,
+)
 from .partition_map import PartitionNumber
 
 __all__ = [
@@ -14,6 +22,8 @@
     "Announce",
     "CancelJob",
     "CountWaiting",
+    "DescribePartition",
+    "ExplainJob",
     "FRAME_LIMIT_BYTES",
     "Frame",
     "GetStatus",
@@ -115,12 +125,28 @@
     queue_id: QueueId
 
 
+class ExplainJob(msgspec.Struct, frozen=True, tag="explain", array_like=True):
+    """Asks where a job stands."""
+
+    job_id: JobId
+
+
+class DescribePartition(msgspec.Struct, frozen=True, tag="figures", array_like=True):
+    """Asks for the figures of the connection's partition."""
+
+
 class JobAnswer(msgspec.Struct, frozen=True, tag="job", array_like=True):
-    """Answers a call about jobs."""
+    """Answers a call about jobs.
+
+    :param standing: where the job stands, if that was asked.
+    :param figures: those of the partition, if they were asked for.
+    """
 
     outcome: JobOutcome
     status: JobStatus | None = None
     count: int = 0
+    standing: JobStanding | None = None
+    figures: BookFigures | None = None
 
 
 class Announce(msgspec.Struct, frozen=True, tag="announce", array_like=True):
@@ -180,6 +206,8 @@
     | CancelJob
     | GetStatus
     | CountWaiting
+    | ExplainJob
+    | DescribePartition
     | JobAnswer
     | Announce
     | Noted
--- a/pistachiolift/platform/tests/platform_cell.py
+++ b/pistachiolift/platform/tests/platform_cell.py
@@ -3,6 +3,8 @@
 import http.client
 import json
 import signal
+import subprocess
+import sys
 import time
 from pathlib import Path
 
@@ -110,7 +112,7 @@
 
     def start_instance(self, index: int) -> None:
         """Start an instance, or start it again."""
-        path = self.directory / f"settings-{index}.json"
+        path = self.settings_path(index)
         path.write_text(json.dumps(self.settings(index)))
         self._start(
             f"instance-{index}",
@@ -136,6 +138,20 @@
             "workers_per_partition": max(1, self._workers // self._partitions),
         }
 
+    def settings_path(self, index: int) -> Path:
+        """Return the file with an instance's settings."""
+        return self.directory / f"settings-{index}.json"
+
+    def operate(self, index: int, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run a command of the operators against an instance."""
+        url = f"http://127.0.0.1:{self.ready_ports[index]}"
+        return subprocess.run(
+            [sys.executable, "-m", "pistachiolift", *arguments, "--operator-url", url],
+            capture_output=True,
+            text=True,
+            timeout=START_LIMIT_S,
+        )
+
     def kill(self, index: int) -> None:
         """Kill an instance's process."""
         self.processes[f"instance-{index}"].kill()
--- a/pistachiolift/platform/tests/test_path.py
+++ b/pistachiolift/platform/tests/test_path.py
@@ -1,9 +1,12 @@
 """The path of a job with real processes beside the platform's stand-ins."""
 
+import json
 import time
 
 import pytest
 
+from pistachiolift.cli.exit_codes import ExitCode
+
 from .platform_cell import PlatformCell
 
 JOB = "00000000000000{:02x}"
@@ -68,6 +71,32 @@
         assert cell.submit(0, job) == 200
         cell.wait_until(lambda: cell.state(1, job) == "completed", "completion", 10)
 
+    def test_operators_see_where_jobs_stand(self, cell):
+        """Each instance answers, whoever owns."""
+        job = JOB.format(9)
+        steps = [
+            {"Count": 2, "Cpu": 500, "MemMb": 100, "EstimateMs": 200},
+            {"Count": 1, "Cpu": 500, "MemMb": 100, "EstimateMs": 200, "After": [0]},
+        ]
+        assert cell.submit(0, job, ms=60_000, steps=steps) == 200
+        cell.wait_until(lambda: len(cell.runs()) == 2, "both tasks run", 10)
+        for index in range(3):
+            explained = cell.operate(index, "explain", "job", job)
+            assert explained.returncode == 0, explained.stderr
+            assert "is running. Of 3 tasks 2 are placed" in " ".join(
+                explained.stdout.split()
+            )
+            assert "Task 1.0" in explained.stdout
+            assert "the steps before it have not succeeded" in explained.stdout
+            shown = cell.operate(index, "status", "--output", "json")
+            assert shown.returncode == 0, shown.stderr
+            [partition] = json.loads(shown.stdout)["partitions"]
+            owner = json.loads(cell.settings_path(cell.owner()).read_text())
+            assert partition["owner"] == owner["instance_id"]
+            assert partition["status"]["jobs"]["tasks_placed"] == 2
+        unknown = cell.operate(0, "explain", "job", JOB.format(10))
+        assert unknown.returncode == ExitCode.NOT_FOUND
+
     def test_a_queue_with_advice_is_served(self, cell):
         job = JOB.format(3)
         assert cell.submit(0, job, queue="advised") == 200
--- a/pistachiolift/workflows/__init__.py
+++ b/pistachiolift/workflows/__init__.py
@@ -30,6 +30,14 @@
     encode_batch,
 )
 from .scheduler import GraphScheduler, StartAnswer
+from .standing import (
+    BookFigures,
+    JobStanding,
+    TaskStanding,
+    WaitReason,
+    describe_book,
+    describe_job,
+)
 from .validation import validate_graph
 
 __all__ = [
@@ -67,4 +75,10 @@
     "decode_batch",
     "encode_batch",
     "validate_graph",
+    "BookFigures",
+    "JobStanding",
+    "TaskStanding",
+    "WaitReason",
+    "describe_book",
+    "describe_job",
 ]
--- a/pistachiolift/workflows/model.py
+++ b/pistachiolift/workflows/model.py
@@ -81,6 +81,14 @@
     memory_mb: int = 0
     accelerators: int = 0
 
+    def holds(self, other: "Size") -> bool:
+        """Whether another amount fits into this one."""
+        return (
+            other.cpu_milli <= self.cpu_milli
+            and other.memory_mb <= self.memory_mb
+            and other.accelerators <= self.accelerators
+        )
+
 
 class AdvicePolicy(msgspec.Struct, frozen=True, kw_only=True):
     """What a call to the placement adviser costs, and how long its answer holds.
--- /dev/null
+++ b/pistachiolift/workflows/standing.py
@@ -0,0 +1,230 @@
+"""Where a job and its tasks stand, for operators."""
+
+from enum import Enum
+
+import msgspec
+
+from ..common import JobId, WorkerId
+from .book import Book
+from .model import JobStatus, TaskRunStatus, WorkerState
+from .placement import room_for_step
+from .state import StepEntry, TaskRun
+
+__all__ = [
+    "BookFigures",
+    "JobStanding",
+    "TaskStanding",
+    "WaitReason",
+    "describe_book",
+    "describe_job",
+]
+
+# Tasks of a job that are described one by one.
+LISTED_TASKS = 20
+
+
+class WaitReason(Enum):
+    """What a task waits for."""
+
+    LEDGER = "ledger"
+    EARLIER_STEPS = "earlier_steps"
+    DUE_TIME = "due_time"
+    RETRY_DELAY = "retry_delay"
+    NO_WORKERS = "no_workers"
+    NEVER_FITS = "never_fits"
+    NO_ROOM = "no_room"
+    ADVICE = "advice"
+    TURN = "turn"
+    START = "start"
+    STOP = "stop"
+    WORKER_SILENT = "worker_silent"
+
+
+class TaskStanding(msgspec.Struct, frozen=True, kw_only=True):
+    """A task that has not succeeded.
+
+    :param run: number of its last run, 0 before the first.
+    :param failures: runs that have failed.
+    :param state: state of its run, ``None`` without one.
+    """
+
+    occurrence: int
+    step: int
+    index: int
+    run: int
+    failures: int
+    state: TaskRunStatus | None = None
+    worker_id: WorkerId | None = None
+    waits_for: WaitReason | None = None
+
+
+class JobStanding(msgspec.Struct, frozen=True, kw_only=True):
+    """A job as its owner knows it; its tasks are those of all steps.
+
+    :param durable: whether its acceptance is stored; nothing starts before.
+    :param listed_tasks: the first of those that have not succeeded.
+    """
+
+    job_id: JobId
+    queue_id: str
+    status: JobStatus
+    tasks: int
+    running: int
+    done: int
+    retrying: int
+    not_started: int
+    durable: bool
+    listed_tasks: tuple[TaskStanding, ...] = ()
+
+
+class BookFigures(msgspec.Struct, frozen=True, kw_only=True):
+    """Figures of a partition.
+
+    :param pending_by_queue: jobs of which nothing has started.
+    :param workers_by_state: workers by what the owner makes of them.
+    """
+
+    fence: int
+    jobs: int
+    open_jobs: int
+    pending_by_queue: dict[str, int]
+    tasks_placed: int
+    workers_by_state: dict[str, int]
+    quarantined: tuple[WorkerId, ...]
+
+
+def describe_job(
+    book: Book, job_id: JobId, *, now_s: float, wall_ms: int
+) -> JobStanding | None:
+    """Return where a job stands, ``None`` if it is not known.
+
+    :param now_s: monotonic time.
+    :param wall_ms: Unix time, in milliseconds.
+    """
+    job = book.jobs_by_id.get(job_id)
+    if job is None:
+        return None
+    steps = job.steps()
+    tried = [
+        sum(index in step.last_run_by_index for index in step.waiting) for step in steps
+    ]
+    waiting = sum(len(step.waiting) for step in steps)
+    listed: list[TaskStanding] = []
+    for step in steps:
+        if not job.status.final and len(listed) < LISTED_TASKS:
+            listed += _describe_tasks(book, step, now_s, wall_ms)
+    return JobStanding(
+        job_id=job_id,
+        queue_id=job.queue.queue_id,
+        status=job.status,
+        tasks=sum(step.step.count for step in steps),
+        running=sum(len(step.runs_by_index) for step in steps),
+        done=sum(len(step.finished) for step in steps),
+        retrying=sum(tried),
+        not_started=waiting - sum(tried),
+        durable=job.accepted_record <= book.committed,
+        listed_tasks=tuple(listed[:LISTED_TASKS]),
+    )
+
+
+def _describe_tasks(
+    book: Book, step: StepEntry, now_s: float, wall_ms: int
+) -> list[TaskStanding]:
+    open_tasks = [i for i in range(step.step.count) if i not in step.finished]
+    standings = []
+    reason: WaitReason | None = None
+    for index in open_tasks[:LISTED_TASKS]:
+        run = step.runs_by_index.get(index)
+        if run is None and reason is None:
+            # The tasks of a step wait for the same.
+            reason = _wait_of_step(book, step, now_s, wall_ms)
+        standings.append(
+            TaskStanding(
+                occurrence=step.key.occurrence,
+                step=step.key.step,
+                index=index,
+                run=step.last_run_by_index.get(index, 0),
+                failures=len(
+                    step.failed_runs_by_index.get(0 if step.step.gang else index, ())
+                ),
+                state=None if run is None else run.status,
+                worker_id=None if run is None else run.worker_id,
+                waits_for=reason if run is None else _wait_of_run(book, run),
+            )
+        )
+    return standings
+
+
+def _wait_of_run(book: Book, run: TaskRun) -> WaitReason | None:
+    worker = book.workers_by_id.get(run.worker_id)
+    if worker is not None and not worker.reachable:
+        return WaitReason.WORKER_SILENT
+    if run.status is TaskRunStatus.STARTING:
+        return WaitReason.START
+    return WaitReason.STOP if run.status is TaskRunStatus.STOPPING else None
+
+
+def _wait_of_step(
+    book: Book, step: StepEntry, now_s: float, wall_ms: int
+) -> WaitReason:
+    if step.job.accepted_record > book.committed:
+        return WaitReason.LEDGER
+    if step.key in book.timed_steps:
+        return WaitReason.DUE_TIME
+    if step.key not in book.open_steps:
+        return WaitReason.EARLIER_STEPS
+    if step.not_before_s > now_s:
+        return WaitReason.RETRY_DELAY
+    pool_id, size = step.job.queue.pool_id, step.step.reserved
+    usable = book.usable_workers(pool_id, now_s).values()
+    labelled = [
+        each
+        for each in usable
+        if not step.step.required_label
+        or step.step.required_label in each.worker.labels
+    ]
+    if not labelled:
+        return WaitReason.NO_WORKERS
+    if not any(each.worker.capacity.holds(size) for each in labelled):
+        return WaitReason.NEVER_FITS
+    needed = step.step.count if step.step.gang else 1
+    if sum(room_for_step(step, each) for each in labelled) < needed:
+        return WaitReason.NO_ROOM
+    if step.job.queue.advice is not None and step.tickets_end_s <= now_s:
+        return WaitReason.ADVICE
+    return WaitReason.TURN
+
+
+def describe_book(book: Book) -> BookFigures:
+    """Return the figures of a partition."""
+    pending_by_queue: dict[str, int] = {}
+    open_jobs = 0
+    for job in book.jobs_by_id.values():
+        open_jobs += not job.status.final
+        if job.status is JobStatus.PENDING:
+            queue_id = job.queue.queue_id
+            pending_by_queue[queue_id] = pending_by_queue.get(queue_id, 0) + 1
+    workers_by_state: dict[str, int] = {}
+    for worker in book.workers_by_id.values():
+        if not worker.registered:
+            state = "gone"
+        elif not worker.reachable:
+            state = "unreachable"
+        elif worker.worker.state is WorkerState.DRAINING:
+            state = "draining"
+        else:
+            state = "ready" if worker.listed else "not_listed"
+        workers_by_state[state] = workers_by_state.get(state, 0) + 1
+    return BookFigures(
+        fence=book.fence,
+        jobs=len(book.jobs_by_id),
+        open_jobs=open_jobs,
+        pending_by_queue=pending_by_queue,
+        tasks_placed=sum(len(worker.runs) for worker in book.workers_by_id.values()),
+        workers_by_state=workers_by_state,
+        quarantined=tuple(
+            worker_id
+            for worker_id in sorted(book.workers_by_id)
+            if book.health.is_quarantined(worker_id)
+        ),
+    )
