--- a/pistachiolift/standins/ports.py
+++ b/pistachiolift/standins/ports.py
@@ -1,5 +1,6 @@
 """Ports for processes of trials and tests."""
 
+import atexit
 import random
 import socket
 from collections import deque
@@ -46,3 +47,9 @@
         if len(_kept_sockets) > KEPT:
             _kept_sockets.popleft().close()
     raise OSError(f"fewer than {count} of the ports {PORTS} are free")
+
+
+@atexit.register
+def _close_kept() -> None:
+    while _kept_sockets:
+        _kept_sockets.pop().close()
