Answer callers at a stalled owner in time, and refuse what the store turned away

Calls to an owner in the same process had no time limit, unlike those over the peer link. The record had been sent, so it was not withdrawn either, although each try had been answered by "nothing was done"; and when its caller left, the log said that the job was refused while its write went on.

Change: a call to the owner here ends before the caller's time, as undecided (504). The adapter tells 503 from no answer; a batch of which every try was turned away counts as unsent and is made again, so that its jobs are withdrawn and refused after 0.6 s. A call whose caller has left says nothing and leaves the job in the ledger.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,8 @@
 VENV ?= .venv
 PYTHON ?= python3
 RUN := $(VENV)/bin/python
-# Tests run side by side on half of the processors.
+# Tests run side by side on half of the processors; the features, which take half a
+# minute each, are divided best by themselves.
 TEST_JOBS ?= $(shell expr $$(nproc) / 2)
 
 .PHONY: demo test lint format binary
@@ -16,7 +17,8 @@
 	$(RUN) -m pistachiolift --log-level ERROR demo
 
 test: $(VENV)/.installed
-	$(RUN) -m pytest -n $(TEST_JOBS) --dist worksteal
+	$(RUN) -m pytest -n $(TEST_JOBS) --dist worksteal --ignore pistachiolift/tests
+	$(RUN) -m pytest -n $(TEST_JOBS) --dist worksteal pistachiolift/tests
 
 lint: $(VENV)/.installed
 	$(VENV)/bin/ruff format --check pistachiolift conftest.py
--- a/pistachiolift/node/interfaces.py
+++ b/pistachiolift/node/interfaces.py
@@ -7,7 +7,12 @@
 import msgspec
 
 from ..backends import Entry, LeaseId, Listing, WatchEvent
-from ..common import ErrorCode, PistachioliftError, WorkerId
+from ..common import (
+    ErrorCode,
+    PistachioliftError,
+    StoreUnavailableError,
+    WorkerId,
+)
 from ..workflows import (
     ListedEnd,
     ListedRun,
@@ -29,6 +34,7 @@
     "QueueTable",
     "RunListing",
     "StaleOwnerError",
+    "StoreTurnedAwayError",
     "TransactionConflictError",
     "Translation",
     "WorkerConnection",
@@ -44,6 +50,10 @@
     http_status = 503
 
 
+class StoreTurnedAwayError(StoreUnavailableError):
+    """The store answered that it did nothing."""
+
+
 class LeaseEndedError(PistachioliftError):
     """The store does not know a lease."""
 
--- a/pistachiolift/node/job_calls.py
+++ b/pistachiolift/node/job_calls.py
@@ -112,14 +112,20 @@
             return False, await durable
         withdrawal: Deferred = Deferred()
         self._withdrawals_by_id.setdefault(job_id, []).append(withdrawal)
-        # The call is cancelled, and both with it, when its caller leaves.
-        result, _ = await DeferredList(
+        outcome = await DeferredList(
             [durable, withdrawal], fireOnOneCallback=True, consumeErrors=True
         )
-        if withdrawal.called:
+        if isinstance(outcome, list):
+            # Both were cancelled, as the caller has left; the record stays.
+            waiting = self._withdrawals_by_id.get(job_id, [])
+            if withdrawal in waiting:
+                waiting.remove(withdrawal)
+            return False, False
+        value, index = outcome
+        if index == 1:
             return True, False
         self._withdrawals_by_id.pop(job_id, None)
-        return False, result
+        return False, value
 
     def refuse_unsent(self) -> None:
         """Refuse the jobs that wait for the ledger and have not been sent to it."""
--- a/pistachiolift/node/job_service.py
+++ b/pistachiolift/node/job_service.py
@@ -1,8 +1,10 @@
 """Calls about jobs at an entry instance, forwarded to the owner."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
+from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import deferLater
 
@@ -154,8 +156,8 @@
         """
         owner = self._owner()
         if owner is not None:
-            answer = await self.answer(owner, message)
-            return answer.outcome is JobOutcome.UNDECIDED, answer
+            answer = await self._in_time(self.answer(owner, message), left_s)
+            return answer is None or answer.outcome is JobOutcome.UNDECIDED, answer
         connection = self._link.connection
         if connection is None:
             return False, None
@@ -168,6 +170,28 @@
             return True, None
         return answer.outcome is JobOutcome.UNDECIDED, answer
 
+    async def _in_time(
+        self, answering: Coroutine[Any, Any, JobAnswer], left_s: float
+    ) -> JobAnswer | None:
+        """Return an answer, or ``None`` after a time; the call goes on then."""
+        result: Deferred[JobAnswer | None] = Deferred()
+        answered = ensureDeferred(answering)
+
+        def expire() -> None:
+            if not result.called:
+                self._metrics.count("entry.call_unanswered")
+                result.callback(None)
+
+        def settle(value: object) -> None:
+            if timer.active():
+                timer.cancel()
+            if not result.called:
+                result.callback(value)
+
+        timer = self._reactor.callLater(left_s, expire)
+        answered.addBoth(settle)
+        return await result
+
     @staticmethod
     async def answer(owner: Owner, message: Message) -> JobAnswer:
         """Answer a call at the owner."""
--- a/pistachiolift/node/ledger.py
+++ b/pistachiolift/node/ledger.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable
+from enum import Enum
 
 import msgspec
 from twisted.internet.defer import Deferred
@@ -11,7 +12,12 @@
 from ..common import Clock, Metrics, StoreUnavailableError, log_event
 from ..workflows import LedgerRecord, decode_batch, encode_batch
 from .background import run_in_background
-from .interfaces import CoordinationStore, Put, TransactionConflictError
+from .interfaces import (
+    CoordinationStore,
+    Put,
+    StoreTurnedAwayError,
+    TransactionConflictError,
+)
 from .partition_map import PartitionKeys
 
 __all__ = ["Ledger", "commit_interval_s", "read_ledger"]
@@ -47,6 +53,16 @@
     return max(COMMIT_INTERVAL_S, partitions / (LEDGER_SHARE * store_writes_per_s))
 
 
+class _Fate(Enum):
+    """What has become of a write."""
+
+    DURABLE = "durable"
+    # Every try was answered, and nothing was done.
+    TURNED_AWAY = "turned_away"
+    # The ledger has been closed.
+    UNKNOWN = "unknown"
+
+
 class Ledger:
     """Appends records in batches, one write at a time.
 
@@ -112,7 +128,7 @@
 
     @property
     def stalled_s(self) -> float:
-        """Seconds for which the write in flight has had no answer."""
+        """Seconds for which the oldest record sent has not become durable."""
         if self._started_s is None:
             return 0.0
         return self._clock.monotonic_s() - self._started_s
@@ -130,7 +146,7 @@
             )
 
     def replace_unsent(self, replace: Callable[[LedgerRecord], LedgerRecord]) -> None:
-        """Replace records of which no write has been tried yet."""
+        """Replace records that cannot be in the store, and never will be."""
         self._queue[self._sent :] = [replace(r) for r in self._queue[self._sent :]]
 
     def when_durable(self, number: int) -> Deferred:
@@ -169,12 +185,17 @@
             value = encode_batch(kept + batch)
         self._sequence += 1
         key = f"{self._partition_keys.log_prefix}{self.fence:015d}-{self._sequence:09d}"
-        self._started_s = self._clock.monotonic_s()
+        if self._started_s is None:
+            self._started_s = self._clock.monotonic_s()
         self._sent = len(batch)
-        durable = await self._write(key, value, removes)
-        self._started_s = None
+        fate = await self._write(key, value, removes)
         self._sent = 0
-        if not durable:
+        if fate is _Fate.TURNED_AWAY:
+            # The batch is made again, as its records may be replaced until then.
+            await deferLater(self._reactor, RETRY_INTERVAL_S)
+            return
+        self._started_s = None
+        if fate is _Fate.UNKNOWN:
             return
         del self._queue[: len(batch)]
         for old in removes:
@@ -199,9 +220,10 @@
             return (), []
         return keys, kept
 
-    async def _write(self, key: str, value: bytes, removes: tuple[str, ...]) -> bool:
+    async def _write(self, key: str, value: bytes, removes: tuple[str, ...]) -> _Fate:
         """Write one value, and repeat it until its fate is known."""
         claim_key = self._partition_keys.claim
+        may_arrive = False
         while not self._closed:
             sent_s = self._clock.monotonic_s()
             try:
@@ -213,28 +235,33 @@
             except TransactionConflictError as error:
                 if error.versions_by_key.get(claim_key) != self.fence:
                     self._supersede()
-                    return False
+                    return _Fate.UNKNOWN
                 if error.versions_by_key.get(key):
                     # Only this owner writes the key: an earlier try has arrived.
-                    return self._heard(sent_s)
+                    self._heard(sent_s)
+                    return _Fate.DURABLE
                 # This owner has claimed again since the write was sent.
                 self._metrics.count("ledger.claim_renewed")
                 continue
             except StoreUnavailableError as error:
                 self._lost(error)
+                if not isinstance(error, StoreTurnedAwayError):
+                    may_arrive = True
+                if not may_arrive:
+                    return _Fate.TURNED_AWAY
                 waited_s = self._clock.monotonic_s() - sent_s
                 await deferLater(self._reactor, max(0.0, RETRY_INTERVAL_S - waited_s))
                 continue
-            return self._heard(sent_s)
-        return False
+            self._heard(sent_s)
+            return _Fate.DURABLE
+        return _Fate.UNKNOWN
 
-    def _heard(self, sent_s: float) -> bool:
+    def _heard(self, sent_s: float) -> None:
         self.last_contact_s = max(self.last_contact_s, sent_s)
         if self._failing_since_s is not None:
             outage_s = self._clock.monotonic_s() - self._failing_since_s
             log_event(logger, "ledger_regained", outage_s=outage_s)
             self._failing_since_s = None
-        return True
 
     def _lost(self, error: StoreUnavailableError) -> None:
         self._on_failed_call()
--- a/pistachiolift/node/tests/fake_store.py
+++ b/pistachiolift/node/tests/fake_store.py
@@ -8,18 +8,20 @@
     Changes,
     CoordinationStore,
     LeaseEndedError,
+    StoreTurnedAwayError,
     TransactionConflictError,
 )
 
 
 class FakeStore(CoordinationStore):
-    """Answers at once; can be down, or lose the answers of writes."""
+    """Answers at once; can be down, turn calls away, or lose the answers of writes."""
 
     def __init__(self):
         self.entries: dict[str, Entry] = {}
         self.revision = 10
         self.leases: set[int] = set()
         self.down = False
+        self.turns_away = False
         self.lost_answers = 0
         self.writes = 0
         self.before_transact = lambda: None
@@ -28,6 +30,8 @@
         self._next_lease = 1
 
     def _check(self) -> None:
+        if self.turns_away:
+            raise StoreTurnedAwayError("store is busy")
         if self.down:
             raise StoreUnavailableError("store is down")
 
--- a/pistachiolift/node/tests/test_job_calls.py
+++ b/pistachiolift/node/tests/test_job_calls.py
@@ -6,12 +6,13 @@
 from twisted.logger import globalLogPublisher
 
 from pistachiolift.common import JobId, Metrics
-from pistachiolift.node.job_calls import JobCalls
+from pistachiolift.node.job_calls import STALLED_LIMIT_S, JobCalls
+from pistachiolift.node.ledger import read_ledger
 from pistachiolift.node.peer_messages import JobOutcome
-from pistachiolift.workflows import GraphScheduler, JobStatus
+from pistachiolift.workflows import GraphScheduler, JobAccepted, JobStatus
 from pistachiolift.workflows.tests.virtual_cell import make_graph, make_queue
 
-from .test_ledger import Bench
+from .test_ledger import KEYS, Bench
 
 JOB = JobId("0123456789abcdef")
 
@@ -41,6 +42,11 @@
         super()._durable(count)
         self.scheduler.committed(count)
 
+    def kinds(self):
+        """Return the kinds of the records in the store."""
+        batches = ensureDeferred(read_ledger(self.store, KEYS)).result.values()
+        return [type(record) for batch in batches for record in batch]
+
     def submit(self, job_id=JOB):
         answers = []
         call = self.calls.submit(job_id, make_queue(), make_graph(), 0.0)
@@ -85,7 +91,50 @@
         assert answers == [JobOutcome.UNDECIDED]
 
 
+class TestStoreThatTurnsCallsAway:
+    """Pattern: jobs are handed in while the store is busy, and says so."""
+
+    def test_jobs_are_refused_although_their_write_was_tried(self):
+        bench = CallsBench()
+        bench.store.turns_away = True
+        answers = bench.submit()
+        bench.advance(STALLED_LIMIT_S + 0.2)
+        assert bench.ledger.stalled_s > STALLED_LIMIT_S
+        bench.calls.refuse_unsent()
+        assert answers == [JobOutcome.REFUSED]
+        bench.store.turns_away = False
+        bench.advance(1.0)
+        bench.contact_s = bench.clock.monotonic_s()
+        assert bench.calls.status(JOB).outcome is JobOutcome.UNKNOWN_JOB
+        assert bench.ledger.stalled_s == 0.0
+        assert not [r for r in bench.kinds() if r is JobAccepted]
+
+    def test_a_job_whose_first_write_may_still_arrive_is_not_refused(self):
+        bench = CallsBench()
+        bench.store.down = True
+        answers = bench.submit()
+        bench.advance(0.3)
+        bench.store.turns_away = True
+        bench.advance(1.0)
+        bench.calls.refuse_unsent()
+        assert answers == []
+        bench.store.down = bench.store.turns_away = False
+        bench.advance(1.0)
+        assert answers == [JobOutcome.OK]
+
+
 class TestCallersThatLeave:
+    def test_the_job_of_a_cancelled_call_stays(self):
+        bench = CallsBench()
+        bench.store.down = True
+        call = ensureDeferred(bench.calls.submit(JOB, make_queue(), make_graph(), 0.0))
+        call.addErrback(lambda failure: failure.trap(CancelledError) and None)
+        call.cancel()
+        assert call.result is None or call.result.outcome is JobOutcome.UNDECIDED
+        bench.store.down = False
+        bench.advance(1.0)
+        assert bench.calls.status(JOB).status is JobStatus.PENDING
+
     def test_a_cancelled_call_leaves_no_unhandled_error(self):
         """Pattern: callers give up while the store takes no writes."""
         bench = CallsBench()
--- a/pistachiolift/node/tests/test_job_service.py
+++ b/pistachiolift/node/tests/test_job_service.py
@@ -1,7 +1,7 @@
 """Calls at an entry instance while there is no owner."""
 
 import pytest
-from twisted.internet.defer import ensureDeferred
+from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.task import Clock as ReactorClock
 
 from pistachiolift.common import JobId, ManualClock, Metrics
@@ -28,18 +28,30 @@
         self.connection = None
 
 
+class StalledOwner:
+    """An owner in this process whose ledger takes no writes."""
+
+    def __init__(self):
+        self.calls = self
+        self.settled = Deferred()
+
+    async def submit(self, job_id, queue, graph, age_s):
+        return await self.settled
+
+
 class Entry:
-    """An entry instance without an owner of its own."""
+    """An entry instance; without an owner of its own unless it is given one."""
 
     def __init__(self):
         self.reactor, self.clock = ReactorClock(), ManualClock()
         self.link = Link()
         self.store_lost_s = 0.0
+        self.owner = None
         self.service = JobService(
             self.reactor,
             clock=self.clock,
             metrics=Metrics(),
-            owner=lambda: None,
+            owner=lambda: self.owner,
             link=self.link,
             store_lost_s=lambda: self.store_lost_s,
         )
@@ -92,3 +104,27 @@
         entry.link.connection = Peer(JobOutcome.OK)
         entry.submit()
         assert entry.answers == [JobOutcome.OK]
+
+
+class TestOwnerInThisProcess:
+    """Pattern: jobs are handed in at the owner while the store takes no writes."""
+
+    def test_a_caller_is_answered_before_its_time_is_over(self):
+        entry = Entry()
+        entry.owner = StalledOwner()
+        entry.submit()
+        entry.advance(DEADLINE_S - 0.1)
+        assert entry.answers == []
+        entry.advance(0.2)
+        assert entry.answers == [JobOutcome.UNDECIDED]
+        entry.owner.settled.callback(JobAnswer(JobOutcome.OK))
+        assert entry.answers == [JobOutcome.UNDECIDED]
+
+    def test_an_answer_in_time_is_passed_on(self):
+        entry = Entry()
+        entry.owner = StalledOwner()
+        entry.submit()
+        entry.advance(1.0)
+        entry.owner.settled.callback(JobAnswer(JobOutcome.OK))
+        assert entry.answers == [JobOutcome.OK]
+        assert not entry.reactor.getDelayedCalls()
--- a/pistachiolift/platform/store.py
+++ b/pistachiolift/platform/store.py
@@ -16,6 +16,7 @@
     HistoryLostError,
     LeaseEndedError,
     Put,
+    StoreTurnedAwayError,
     TransactionConflictError,
 )
 from .wire import decode_wire
@@ -145,7 +146,9 @@
             method, path, body=data, headers=headers, timeout_s=timeout_s
         )
         if status not in accept:
-            raise StoreUnavailableError(f"store answered {status} to {path[:60]}")
+            # Only this status says for certain that nothing was done.
+            kind = StoreTurnedAwayError if status == 503 else StoreUnavailableError
+            raise kind(f"store answered {status} to {path[:60]}")
         return status, answer
 
     async def get(self, key: str) -> Entry | None:
--- a/pistachiolift/platform/tests/test_path.py
+++ b/pistachiolift/platform/tests/test_path.py
@@ -160,11 +160,14 @@
         assert not done_twice(cell.runs())
 
     def test_the_store_is_down_for_a_while(self, cell):
-        job, refused = JOB.format(64), JOB.format(65)
+        job = JOB.format(64)
         assert cell.submit(0, job, ms=1500) == 200
         cell.control("/store/down")
         time.sleep(1.0)
-        assert cell.submit(1, refused) in (503, 504)
+        # Also at the owner, and first there, when no write is in flight.
+        owner = cell.owner()
+        for index in sorted(range(3), key=lambda i: i != owner):
+            assert cell.submit(index, JOB.format(65 + index)) in (503, 504)
         time.sleep(1.0)
         cell.control("/store/up")
         cell.wait_until(lambda: cell.state(2, job) == "completed", "completion", 20)
