Ask no peer that is cut off to take over at a planned stop

Change: the order of the other handovers, with the age instead of the store's as the last rank; the reasons are an enumeration.

--- a/pistachiolift/node/handover.py
+++ b/pistachiolift/node/handover.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable
+from enum import Enum
 
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall
@@ -16,11 +17,6 @@
 
 logger = logging.getLogger(__name__)
 
-# Why an owner hands over, for log lines.
-STORE_OUT_OF_REACH = "store_out_of_reach"
-FITTER_PEER = "fitter_peer"
-PLANNED_STOP = "planned_stop"
-
 CHECK_INTERVAL_S = 0.1
 
 # Calls that fail in a row, and the time that they span, before peers are asked.
@@ -43,6 +39,14 @@
 TAKE_OVER_TIMEOUT_S = 1.0
 
 
+class HandoverReason(Enum):
+    """Why an owner hands over."""
+
+    STORE_OUT_OF_REACH = "store_out_of_reach"
+    FITTER_PEER = "fitter_peer"
+    PLANNED_STOP = "planned_stop"
+
+
 class HandoverMonitor:
     """Watches the owner's calls to the store, and how fit its peers are.
 
@@ -90,9 +94,9 @@
             return
         peers = self._ranked_peers()
         if self._lost_store(now_s):
-            reason = STORE_OUT_OF_REACH
+            reason = HandoverReason.STORE_OUT_OF_REACH
         elif now_s - self._ownership.claimed_s > SETTLED_S:
-            reason = FITTER_PEER
+            reason = HandoverReason.FITTER_PEER
             peers = [peer for peer in peers if self._is_much_fitter(peer)]
         else:
             return
@@ -110,13 +114,20 @@
         failing_s = now_s - ownership.failing_since_s
         return ownership.failed_calls >= FAILED_CALLS and failing_s >= FAILING_S
 
-    def _ranked_peers(self) -> list[PeerConnection]:
-        """Return the peers, those first that reach the store and are the fittest."""
+    def _ranked_peers(self, *, youngest_first: bool = False) -> list[PeerConnection]:
+        """Return the peers, those first that reach the store and are the fittest.
+
+        :param youngest_first: puts those that were started last before the others of
+            the same fitness.
+        """
 
         def rank(peer: PeerConnection) -> tuple[bool, float, float]:
             state = peer.peer_state
-            age_s = float("inf") if state is None else state.store_age_s
-            return age_s > FRESH_S, -peer.peer_fitness, age_s
+            if state is None:
+                return True, -peer.peer_fitness, float("inf")
+            cut_off = state.store_age_s > FRESH_S
+            tie_s = state.age_s if youngest_first else state.store_age_s
+            return cut_off, -peer.peer_fitness, tie_s
 
         return sorted((peer for peer in self._peers() if peer.peer), key=rank)
 
@@ -134,15 +145,10 @@
         :returns: whether a peer owns now.
         """
         self.stop()
-        peers = sorted(self._ranked_peers(), key=self._age_s)
-        peers.sort(key=lambda peer: -peer.peer_fitness)
-        return await self._ask(peers[:ASKED_BEFORE_STOP], PLANNED_STOP)
-
-    @staticmethod
-    def _age_s(peer: PeerConnection) -> float:
-        return float("inf") if peer.peer_state is None else peer.peer_state.age_s
+        peers = self._ranked_peers(youngest_first=True)[:ASKED_BEFORE_STOP]
+        return await self._ask(peers, HandoverReason.PLANNED_STOP)
 
-    async def _ask(self, peers: list[PeerConnection], reason: str) -> bool:
+    async def _ask(self, peers: list[PeerConnection], reason: HandoverReason) -> bool:
         for peer in peers:
             self._metrics.count("handover.probes")
             if not await self._call(peer, ProbeStore(), PROBE_TIMEOUT_S):
@@ -151,21 +157,21 @@
             if fence is None:
                 return False
             answered = self._ownership.failed_calls < FAILED_CALLS
-            if reason == STORE_OUT_OF_REACH and answered:
+            if reason is HandoverReason.STORE_OUT_OF_REACH and answered:
                 return False
             log_event(
                 logger,
                 "ownership_handed_over",
                 to=peer.peer.instance_id,
                 fence=fence,
-                reason=reason,
+                reason=reason.value,
                 failed_calls=self._ownership.failed_calls,
                 fitness=self._fitness(),
                 peer_fitness=peer.peer_fitness,
             )
             lease_id = self._ownership.lease_id
             # No orders are given from here on, so that the peer may claim.
-            self._ownership.superseded(reason)
+            self._ownership.superseded(reason.value)
             if await self._call(peer, TakeOver(fence), TAKE_OVER_TIMEOUT_S):
                 return True
             await self._ownership.free(lease_id)
--- a/pistachiolift/node/tests/test_handover.py
+++ b/pistachiolift/node/tests/test_handover.py
@@ -143,6 +143,8 @@
             Peer("replaced", age_s=4.0),
             Peer("replaced later", age_s=2.0),
             Peer("small", peer_fitness=0.1, age_s=1.0),
+            Peer("cut off", store_age_s=9.0, age_s=1.0),
+            Peer("unknown", store_age_s=None),
         ]
         cell = Cell(peers, fitness=0.25)
         assert cell.hand_over()
