--- /dev/null
+++ b/pistachiolift/requests/tests/home.py
@@ -0,0 +1,76 @@
+"""The owner of a partition with one upstream, for tests of its decisions."""
+
+import random
+
+import msgspec
+
+from pistachiolift.bench.request_replay import StaticPolicies, Workload, make_spec
+from pistachiolift.requests import (
+    AttemptReport,
+    AttemptResult,
+    ConfirmAttempt,
+    EndRequest,
+    Grant,
+    RequestScheduler,
+)
+
+
+class Home:
+    """Collects the decisions of a scheduler.
+
+    :param work: kind of all requests.
+    :param slots: slots of the upstream.
+    :param deadline_s: deadline of all requests.
+    """
+
+    def __init__(self, work: Workload, *, slots: int, deadline_s: float):
+        self._work = work
+        self._deadline_s = deadline_s
+        self.scheduler = RequestScheduler(
+            partition_id="p",
+            epoch=1,
+            policies=StaticPolicies([work]),
+            rng=random.Random(1),
+        )
+        self.scheduler.pool.upsert("u", "192.0.2.1:80", slots, 0.0)
+        self.decisions = []
+
+    def submit(self, request_id, now_s, *, entry_id="entry"):
+        spec = make_spec(request_id, self._work, self._deadline_s)
+        spec = msgspec.structs.replace(spec, entry_id=entry_id)
+        self.decisions += self.scheduler.submit(spec, now_s)
+
+    def of_kind(self, kind):
+        return [each for each in self.decisions if isinstance(each, kind)]
+
+    def grants(self, request_id):
+        return [g for g in self.of_kind(Grant) if g.request_id == request_id]
+
+    def report(self, grant, result, now_s):
+        report = AttemptReport(grant.request_id, grant.attempt_id, result, 0.0)
+        self.decisions += self.scheduler.attempt_ended(report, now_s)
+
+    def lose_entry(self, entry_id, now_s):
+        self._take(self.scheduler.entry_lost(entry_id, now_s), now_s)
+
+    def advance(self, begin_s, end_s):
+        steps = round((end_s - begin_s) / 0.05)
+        for step in range(steps + 1):
+            now_s = begin_s + step * 0.05
+            self._take(self.scheduler.tick(now_s), now_s)
+
+    def _take(self, decisions, now_s):
+        """Answer for the upstream that each lost attempt ran to its end."""
+        self.decisions += decisions
+        for each in decisions:
+            if isinstance(each, ConfirmAttempt):
+                self.decisions += self.scheduler.attempt_confirmed(
+                    each.attempt_id, AttemptResult.LOST, now_s
+                )
+
+    def outcomes(self, request_id):
+        return [
+            each.result.outcome
+            for each in self.of_kind(EndRequest)
+            if each.request_id == request_id
+        ]
