--- a/pistachiolift/platform/tests/test_path.py
+++ b/pistachiolift/platform/tests/test_path.py
@@ -94,8 +94,14 @@
             owner = json.loads(cell.settings_path(cell.owner()).read_text())
             assert partition["owner"] == owner["instance_id"]
             assert partition["status"]["jobs"]["tasks_placed"] == 2
-        unknown = cell.operate(0, "explain", "job", JOB.format(10))
-        assert unknown.returncode == ExitCode.NOT_FOUND
+        for arguments in (
+            ("explain", "job", JOB.format(10)),
+            ("explain", "job", "no-identifier"),
+            ("status", "--partition", "7"),
+            ("status", "--partition", "x"),
+        ):
+            unknown = cell.operate(0, *arguments)
+            assert unknown.returncode == ExitCode.NOT_FOUND, unknown.stderr
 
     def test_a_queue_with_advice_is_served(self, cell):
         job = JOB.format(3)
