Forget the withdrawals of calls whose callers have left

Such a call left an empty list for its job behind for good. Each call now removes its own entry, and the last one the list. What callers are told is the same; the tests of node/ pass.

--- a/pistachiolift/node/job_calls.py
+++ b/pistachiolift/node/job_calls.py
@@ -115,17 +115,16 @@
         outcome = await DeferredList(
             [durable, withdrawal], fireOnOneCallback=True, consumeErrors=True
         )
+        waiting = self._withdrawals_by_id.get(job_id, [])
+        if withdrawal in waiting:
+            waiting.remove(withdrawal)
+        if not waiting:
+            self._withdrawals_by_id.pop(job_id, None)
         if isinstance(outcome, list):
             # Both were cancelled, as the caller has left; the record stays.
-            waiting = self._withdrawals_by_id.get(job_id, [])
-            if withdrawal in waiting:
-                waiting.remove(withdrawal)
             return False, False
         value, index = outcome
-        if index == 1:
-            return True, False
-        self._withdrawals_by_id.pop(job_id, None)
-        return False, value
+        return (True, False) if index == 1 else (False, value)
 
     def refuse_unsent(self) -> None:
         """Refuse the jobs that wait for the ledger and have not been sent to it."""
