Say once what a task waits for, and which workers have a label

The reasons for which a task waits stood in jobs/ and in workflows/, the filter by a required label in three places, and the slot of a task's failed runs in three; each is one piece now (common/wait_reason.py, with_required_label, StepEntry.failure_slot). Counts of the operators' figures use Counter. Behaviour and assertions are the same: 521 tests of workflows, jobs, node, common, cli, home and replay pass.

--- a/pistachiolift/common/__init__.py
+++ b/pistachiolift/common/__init__.py
@@ -11,6 +11,7 @@
 from .metrics import Metrics
 from .rendezvous import rendezvous_ranking, stable_hash
 from .urgency import Urgency
+from .wait_reason import WaitReason
 from .worker_health import WorkerHealth
 
 __all__ = [
@@ -20,6 +21,7 @@
     "Metrics",
     "SystemClock",
     "Urgency",
+    "WaitReason",
     "WorkerHealth",
     "configure_logging",
     "decode_json",
--- a/pistachiolift/jobs/__init__.py
+++ b/pistachiolift/jobs/__init__.py
@@ -49,7 +49,7 @@
 from .quota import QuotaDemand, QuotaTable, QuotaUse
 from .scheduler import JobScheduler
 from .tasks import TaskRecord
-from .views import JobExplanation, SchedulerStatus, TaskStanding, WaitReason
+from .views import JobExplanation, SchedulerStatus, TaskStanding
 from .workers import WorkerState
 
 __all__ = [
@@ -97,7 +97,6 @@
     "TaskStanding",
     "TaskState",
     "ThrottleTask",
-    "WaitReason",
     "WaitingEntry",
     "WorkerIndex",
     "WorkerSpec",
--- a/pistachiolift/jobs/tests/test_scheduler.py
+++ b/pistachiolift/jobs/tests/test_scheduler.py
@@ -9,6 +9,7 @@
     NoOwnerError,
     NotFoundError,
     StoreUnavailableError,
+    WaitReason,
 )
 from pistachiolift.jobs import (
     CheckpointTask,
@@ -22,7 +23,6 @@
     ReportedState,
     StartTask,
     StopTask,
-    WaitReason,
 )
 
 from .harness import Cell, make_spec
--- a/pistachiolift/jobs/views.py
+++ b/pistachiolift/jobs/views.py
@@ -2,7 +2,6 @@
 
 from collections import Counter
 from collections.abc import Iterator
-from enum import Enum
 from itertools import chain, islice
 
 import msgspec
@@ -14,6 +13,7 @@
     JobId,
     NotFoundError,
     PartitionId,
+    WaitReason,
     WorkerId,
 )
 from .model import EndReason, JobState, Resources, TaskState, WorkerStatus
@@ -25,7 +25,6 @@
     "JobExplanation",
     "SchedulerStatus",
     "TaskStanding",
-    "WaitReason",
     "describe",
     "explain_job",
 ]
@@ -34,22 +33,6 @@
 LISTED_TASKS = 100
 
 
-class WaitReason(Enum):
-    """Why a task does not run."""
-
-    NO_ROOM = "no_room"
-    NO_WORKERS = "no_workers"
-    NEVER_FITS = "never_fits"
-    QUOTA = "quota"
-    RETRY_DELAY = "retry_delay"
-    GANG_RESTART = "gang_restart"
-    TURN = "turn"
-    LEDGER = "ledger"
-    START = "start"
-    STOP = "stop"
-    WORKER_SILENT = "worker_silent"
-
-
 class TaskStanding(msgspec.Struct, frozen=True, kw_only=True):
     """Where one task stands; a task without a state is not placed.
 
--- a/pistachiolift/workflows/__init__.py
+++ b/pistachiolift/workflows/__init__.py
@@ -34,7 +34,6 @@
     BookFigures,
     JobStanding,
     TaskStanding,
-    WaitReason,
     describe_book,
     describe_job,
 )
@@ -78,7 +77,6 @@
     "BookFigures",
     "JobStanding",
     "TaskStanding",
-    "WaitReason",
     "describe_book",
     "describe_job",
 ]
--- a/pistachiolift/workflows/advice.py
+++ b/pistachiolift/workflows/advice.py
@@ -6,6 +6,7 @@
 from .book import Book
 from .decisions import AskAdvice
 from .model import AdvicePolicy, PoolId, StepKey
+from .placement import with_required_label
 from .state import StepEntry, WorkerEntry
 
 __all__ = ["AdvicePlanner"]
@@ -98,9 +99,7 @@
             or worker_id in step.approved
             or worker_id not in step.asked_workers
         ]
-        label = step.step.required_label
-        if label:
-            named = [entry for entry in named if label in entry.worker.labels]
+        named = with_required_label(step, named)
         near = step.step.data_rack
         named.sort(
             key=lambda e: (bool(near) and e.worker.rack != near, -e.free_cpu_milli)
--- a/pistachiolift/workflows/lifecycle.py
+++ b/pistachiolift/workflows/lifecycle.py
@@ -149,7 +149,7 @@
             self._learn(worker, step, run, kind, now_s)
         known = task.index in step.finished
         if kind is EndKind.FAILED:
-            slot = 0 if step.step.gang else task.index
+            slot = step.failure_slot(task.index)
             known = number in step.failed_runs_by_index.get(slot, ())
         if kind in (EndKind.DONE, EndKind.FAILED) and not known:
             record = TaskFinished(task, number, kind, checkpoint, wall_ms)
@@ -217,7 +217,7 @@
         self, step: StepEntry, index: int, number: int, now_s: float
     ) -> None:
         step.not_before_s = now_s + RETRY_DELAY_S
-        slot = 0 if step.step.gang else index
+        slot = step.failure_slot(index)
         failed_runs = step.failed_runs_by_index.setdefault(slot, set())
         failed_runs.add(number)
         failures = len(failed_runs)
--- a/pistachiolift/workflows/placement.py
+++ b/pistachiolift/workflows/placement.py
@@ -6,7 +6,14 @@
 from ..common import RackId, WorkerHealth, WorkerId
 from .state import StepEntry, WorkerEntry
 
-__all__ = ["GangPlan", "choose_worker", "eligible_workers", "plan_gang"]
+__all__ = [
+    "GangPlan",
+    "choose_worker",
+    "eligible_workers",
+    "plan_gang",
+    "room_for_step",
+    "with_required_label",
+]
 
 # An adviser's ticket that is about to expire would reach the worker too late.
 TICKET_MARGIN_S = 0.06
@@ -44,10 +51,17 @@
             for worker_id, (_, end_s) in step.tickets_by_worker.items()
             if end_s - TICKET_MARGIN_S > now_s and worker_id in usable_by_id
         ]
+    return with_required_label(step, found)
+
+
+def with_required_label(
+    step: StepEntry, workers: list[WorkerEntry]
+) -> list[WorkerEntry]:
+    """Return the workers that have the label which the step requires, if any."""
     label = step.step.required_label
     if not label:
-        return found
-    return [entry for entry in found if label in entry.worker.labels]
+        return workers
+    return [entry for entry in workers if label in entry.worker.labels]
 
 
 def _tasks_there(step: StepEntry, entry: WorkerEntry) -> int:
--- a/pistachiolift/workflows/standing.py
+++ b/pistachiolift/workflows/standing.py
@@ -1,20 +1,19 @@
 """Where a job and its tasks stand, for operators."""
 
-from enum import Enum
+from collections import Counter
 
 import msgspec
 
-from ..common import JobId, WorkerId
+from ..common import JobId, WaitReason, WorkerId
 from .book import Book
 from .model import JobStatus, TaskRunStatus, WorkerState
-from .placement import room_for_step
-from .state import StepEntry, TaskRun
+from .placement import room_for_step, with_required_label
+from .state import StepEntry, TaskRun, WorkerEntry
 
 __all__ = [
     "BookFigures",
     "JobStanding",
     "TaskStanding",
-    "WaitReason",
     "describe_book",
     "describe_job",
 ]
@@ -23,23 +22,6 @@
 LISTED_TASKS = 20
 
 
-class WaitReason(Enum):
-    """What a task waits for."""
-
-    LEDGER = "ledger"
-    EARLIER_STEPS = "earlier_steps"
-    DUE_TIME = "due_time"
-    RETRY_DELAY = "retry_delay"
-    NO_WORKERS = "no_workers"
-    NEVER_FITS = "never_fits"
-    NO_ROOM = "no_room"
-    ADVICE = "advice"
-    TURN = "turn"
-    START = "start"
-    STOP = "stop"
-    WORKER_SILENT = "worker_silent"
-
-
 class TaskStanding(msgspec.Struct, frozen=True, kw_only=True):
     """A task that has not succeeded.
 
@@ -105,10 +87,8 @@
     if job is None:
         return None
     steps = job.steps()
-    tried = [
-        sum(index in step.last_run_by_index for index in step.waiting) for step in steps
-    ]
     waiting = sum(len(step.waiting) for step in steps)
+    retrying = sum(i in step.last_run_by_index for step in steps for i in step.waiting)
     listed: list[TaskStanding] = []
     for step in steps:
         if not job.status.final and len(listed) < LISTED_TASKS:
@@ -120,8 +100,8 @@
         tasks=sum(step.step.count for step in steps),
         running=sum(len(step.runs_by_index) for step in steps),
         done=sum(len(step.finished) for step in steps),
-        retrying=sum(tried),
-        not_started=waiting - sum(tried),
+        retrying=retrying,
+        not_started=waiting - retrying,
         durable=job.accepted_record <= book.committed,
         listed_tasks=tuple(listed[:LISTED_TASKS]),
     )
@@ -145,7 +125,7 @@
                 index=index,
                 run=step.last_run_by_index.get(index, 0),
                 failures=len(
-                    step.failed_runs_by_index.get(0 if step.step.gang else index, ())
+                    step.failed_runs_by_index.get(step.failure_slot(index), ())
                 ),
                 state=None if run is None else run.status,
                 worker_id=None if run is None else run.worker_id,
@@ -176,13 +156,8 @@
     if step.not_before_s > now_s:
         return WaitReason.RETRY_DELAY
     pool_id, size = step.job.queue.pool_id, step.step.reserved
-    usable = book.usable_workers(pool_id, now_s).values()
-    labelled = [
-        each
-        for each in usable
-        if not step.step.required_label
-        or step.step.required_label in each.worker.labels
-    ]
+    usable = list(book.usable_workers(pool_id, now_s).values())
+    labelled = with_required_label(step, usable)
     if not labelled:
         return WaitReason.NO_WORKERS
     if not any(each.worker.capacity.holds(size) for each in labelled):
@@ -197,34 +172,31 @@
 
 def describe_book(book: Book) -> BookFigures:
     """Return the figures of a partition."""
-    pending_by_queue: dict[str, int] = {}
-    open_jobs = 0
-    for job in book.jobs_by_id.values():
-        open_jobs += not job.status.final
-        if job.status is JobStatus.PENDING:
-            queue_id = job.queue.queue_id
-            pending_by_queue[queue_id] = pending_by_queue.get(queue_id, 0) + 1
-    workers_by_state: dict[str, int] = {}
-    for worker in book.workers_by_id.values():
-        if not worker.registered:
-            state = "gone"
-        elif not worker.reachable:
-            state = "unreachable"
-        elif worker.worker.state is WorkerState.DRAINING:
-            state = "draining"
-        else:
-            state = "ready" if worker.listed else "not_listed"
-        workers_by_state[state] = workers_by_state.get(state, 0) + 1
+    jobs = book.jobs_by_id.values()
+    workers = book.workers_by_id.values()
+    pending = Counter(
+        job.queue.queue_id for job in jobs if job.status is JobStatus.PENDING
+    )
     return BookFigures(
         fence=book.fence,
-        jobs=len(book.jobs_by_id),
-        open_jobs=open_jobs,
-        pending_by_queue=pending_by_queue,
-        tasks_placed=sum(len(worker.runs) for worker in book.workers_by_id.values()),
-        workers_by_state=workers_by_state,
+        jobs=len(jobs),
+        open_jobs=sum(not job.status.final for job in jobs),
+        pending_by_queue=dict(pending),
+        tasks_placed=sum(len(worker.runs) for worker in workers),
+        workers_by_state=dict(Counter(map(_worker_state, workers))),
         quarantined=tuple(
             worker_id
             for worker_id in sorted(book.workers_by_id)
             if book.health.is_quarantined(worker_id)
         ),
     )
+
+
+def _worker_state(entry: WorkerEntry) -> str:
+    if not entry.registered:
+        return "gone"
+    if not entry.reachable:
+        return "unreachable"
+    if entry.worker.state is WorkerState.DRAINING:
+        return "draining"
+    return "ready" if entry.listed else "not_listed"
--- a/pistachiolift/workflows/state.py
+++ b/pistachiolift/workflows/state.py
@@ -127,6 +127,10 @@
         """Whether all tasks have succeeded."""
         return len(self.finished) == self.step.count
 
+    def failure_slot(self, index: int) -> int:
+        """Return the index under which the failed runs of a task stand."""
+        return 0 if self.step.gang else index
+
     def checkpoint(self, index: int) -> str:
         """Return the position from which a task resumes; a gang shares one."""
         if self.step.gang:
--- a/pistachiolift/workflows/tests/test_standing.py
+++ b/pistachiolift/workflows/tests/test_standing.py
@@ -2,11 +2,10 @@
 
 import pytest
 
-from pistachiolift.common import JobId
+from pistachiolift.common import JobId, WaitReason
 from pistachiolift.workflows import (
     AdvicePolicy,
     JobStatus,
-    WaitReason,
     describe_book,
     describe_job,
 )
