Start an instance without the frameworks that only other commands need

Cause: a start cost about 0.95 s of processor, nearly all of it imports: klein and werkzeug, TLS below Twisted, treq, and modules compiled anew.

--- a/pistachiolift/backends/http.py
+++ b/pistachiolift/backends/http.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 
-import treq
 from twisted.internet import defer, error
 from twisted.internet.interfaces import IReactorTime
 from twisted.web.client import (
@@ -11,7 +10,9 @@
     RequestNotSent,
     RequestTransmissionFailed,
     ResponseFailed,
+    readBody,
 )
+from twisted.web.http_headers import Headers
 
 from ..common import PistachioliftError
 from .body import BytesProducer
@@ -119,16 +120,14 @@
     async def _exchange(
         self, method: str, path: str, body: bytes | None, headers: dict[str, str]
     ) -> tuple[int, bytes]:
-        response = await treq.request(
-            method,
-            self._base_url + path,
-            data=None if body is None else BytesProducer(body),
-            headers=headers,
-            agent=self._agent,
-            reactor=self._reactor,
-            unbuffered=True,
+        # Agent is used directly because treq parses and normalises each URL again.
+        response = await self._agent.request(
+            method.encode("ascii"),
+            (self._base_url + path).encode("ascii"),
+            Headers({name: [value] for name, value in headers.items()}),
+            None if body is None else BytesProducer(body),
         )
-        return response.code, await treq.content(response)
+        return response.code, await readBody(response)
 
     async def close(self) -> None:
         """Close the idle connections."""
--- a/pistachiolift/bench/relay.py
+++ b/pistachiolift/bench/relay.py
@@ -26,7 +26,7 @@
 
 from ..backends import AttemptOrder, HttpUpstreamClient
 from ..common import AttemptId, Epoch, Metrics, RequestId
-from ..listener import CallerAnswer, StreamingSite, parse_head
+from ..listener import CallerAnswer, StreamingSite, klein_resource, parse_head
 
 __all__ = ["RelayCost", "RelayVariant", "bare_relay", "measure_relay"]
 
@@ -256,7 +256,7 @@
     if variant is RelayVariant.BARE:
         site = Site(app.resource())
     else:
-        site = StreamingSite(app, metrics=Metrics(), reactor=reactor)
+        site = StreamingSite(klein_resource(app), metrics=Metrics(), reactor=reactor)
     port = reactor.listenTCP(0, site, interface=HOST)
     click.echo(port.getHost().port)
     reactor.run()
--- a/pistachiolift/cli/node.py
+++ b/pistachiolift/cli/node.py
@@ -58,6 +58,8 @@
     )
     # Most objects live as long as their jobs; frequent collections only cost time.
     gc.set_threshold(GC_ALLOCATIONS, 20, 50)
+    # Modules and classes live as long as the process.
+    gc.freeze()
     file = SettingsFile(
         reactor,
         settings_file,
--- a/pistachiolift/common/__init__.py
+++ b/pistachiolift/common/__init__.py
@@ -7,6 +7,7 @@
 from .identity import is_process_identity, new_process_identity, platform_instance_id
 from .ids import *  # noqa: F403
 from .ids import __all__ as _id_names
+from .lazy_exports import lazy_exports
 from .logs import configure_logging, log_event
 from .metrics import Metrics
 from .rendezvous import rendezvous_ranking, stable_hash
@@ -27,6 +28,7 @@
     "decode_json",
     "encode_json",
     "is_process_identity",
+    "lazy_exports",
     "log_event",
     "new_process_identity",
     "platform_instance_id",
--- a/pistachiolift/common/metrics.py
+++ b/pistachiolift/common/metrics.py
@@ -4,8 +4,10 @@
 from bisect import bisect_left
 from collections import Counter
 from itertools import accumulate
+from typing import TYPE_CHECKING
 
-import statsd
+if TYPE_CHECKING:
+    import statsd
 
 __all__ = ["Histogram", "Metrics"]
 
@@ -50,8 +52,10 @@
         self.histograms_by_name: dict[str, Histogram] = {}
         self._unsent_by_name: Counter[str] = Counter()
         self._unsent_timings: list[tuple[str, float]] = []
-        self._client: statsd.StatsClient | None = None
+        self._client: "statsd.StatsClient | None" = None
         if address is not None:
+            import statsd
+
             self._client = statsd.StatsClient(*address, prefix=prefix)
 
     def count(self, name: str, value: int = 1) -> None:
--- a/pistachiolift/entry/instance.py
+++ b/pistachiolift/entry/instance.py
@@ -41,7 +41,7 @@
     StoreListener,
     StoreSession,
 )
-from ..listener import Listener, StreamingSite
+from ..listener import Listener, StreamingSite, klein_resource
 from ..ownership import (
     DirectorySeen,
     InstancesLeaving,
@@ -267,7 +267,9 @@
     def _listener(
         self, app, port: int, *, finish_timeout_s: float | None = None
     ) -> Listener:
-        site = StreamingSite(app, metrics=self.metrics, reactor=self._reactor)
+        site = StreamingSite(
+            klein_resource(app), metrics=self.metrics, reactor=self._reactor
+        )
         return Listener(
             site,
             reactor=self._reactor,
--- a/pistachiolift/listener/listener.py
+++ b/pistachiolift/listener/listener.py
@@ -3,16 +3,18 @@
 import select
 from collections.abc import Callable
 from pathlib import Path
+from typing import TYPE_CHECKING
 
-from OpenSSL import crypto
 from twisted.internet.defer import Deferred, TimeoutError, maybeDeferred
 from twisted.internet.interfaces import IListeningPort, IReactorCore
-from twisted.internet.ssl import CertificateOptions
 from twisted.internet.task import deferLater
 
 from ..common import InvalidInputError
 from .site import StreamingSite
 
+if TYPE_CHECKING:
+    from twisted.internet.ssl import CertificateOptions
+
 __all__ = ["Listener", "load_certificate"]
 
 # Connections that the kernel queues while the process is busy. A load balancer opens
@@ -26,13 +28,17 @@
 PEM_END = b"-----END CERTIFICATE-----"
 
 
-def load_certificate(key_file: Path, certificate_file: Path) -> CertificateOptions:
+def load_certificate(key_file: Path, certificate_file: Path) -> "CertificateOptions":
     """Return the TLS settings for a key and a certificate chain in PEM format.
 
     :param key_file: the private key.
     :param certificate_file: the certificate, followed by its issuers if any.
     :raises InvalidInputError: if a file cannot be read or does not parse.
     """
+    # Instances that serve plain HTTP are deployed without the TLS libraries.
+    from OpenSSL import crypto
+    from twisted.internet.ssl import CertificateOptions
+
     try:
         key = crypto.load_privatekey(crypto.FILETYPE_PEM, key_file.read_bytes())
         parts = certificate_file.read_bytes().split(PEM_END)[:-1]
--- a/pistachiolift/listener/request.py
+++ b/pistachiolift/listener/request.py
@@ -7,12 +7,9 @@
 from twisted.python.failure import Failure
 from twisted.web.http import NO_BODY_CODES, RESPONSES
 from twisted.web.server import Request
-from werkzeug.exceptions import HTTPException
 
 from ..common import (
     ErrorCode,
-    InvalidInputError,
-    NotFoundError,
     Outcome,
     PistachioliftError,
     encode_json,
@@ -23,7 +20,6 @@
 
 __all__ = [
     "StreamingRequest",
-    "error_from_http_exception",
     "render_error",
     "render_refusal",
 ]
@@ -72,20 +68,6 @@
     return b"\r\n".join(lines)
 
 
-def error_from_http_exception(failure: HTTPException) -> PistachioliftError:
-    """Return the typed error for an exception of klein's routing.
-
-    :param failure: an exception of werkzeug, such as that for an unknown path.
-    """
-    message = f"{failure.code} {failure.name}"
-    # A redirect to a similar path is answered like an unknown path.
-    if failure.code is None or failure.code < 400 or failure.code == 404:
-        return NotFoundError(message)
-    error = InvalidInputError(message)
-    error.http_status = failure.code
-    return error
-
-
 class StreamingRequest(Request):
     """A request that provides its body as a :class:`BodySource` in ``body``."""
 
--- a/pistachiolift/listener/site.py
+++ b/pistachiolift/listener/site.py
@@ -1,23 +1,21 @@
-"""Server factory for a klein application with streamed bodies."""
+"""Server factory for resources with streamed bodies."""
 
 import logging
 import select
 
-from klein import Klein
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall
-from twisted.python.failure import Failure
 from twisted.web.http import datetimeToString
+from twisted.web.resource import IResource
 from twisted.web.server import Site
-from werkzeug.exceptions import HTTPException
 
 from ..common import Metrics, PistachioliftError, log_event
 from .budget import BufferBudget
 from .channel import StreamingChannel
 from .errors import TooManyConnectionsError
 from .limits import HttpLimits
-from .request import StreamingRequest, error_from_http_exception, render_error
+from .request import StreamingRequest
 from .timeouts import check_time
 
 __all__ = ["StreamingSite"]
@@ -33,13 +31,13 @@
 
 
 class StreamingSite(Site):
-    """Serves a klein application whose handlers start when the headers are complete.
+    """Serves a resource that is rendered when the headers are complete.
 
-    A handler gets the body as a :class:`BodySource` in ``request.body``. It answers
-    with a :class:`CallerAnswer`, by returning text or bytes like any klein handler, or
-    by raising a :class:`PistachioliftError`.
+    Its handlers get the body as a :class:`BodySource` in ``request.body``. They
+    answer with a :class:`CallerAnswer` or :meth:`StreamingRequest.send_answer`.
 
-    :param app: the application.
+    :param resource: root of the resources, such as that of a klein application from
+        :func:`klein_resource`, or a :class:`HandlerResource`.
     :param metrics: counts errors and connections closed by a limit.
     :param reactor: Twisted's reactor.
     :param limits: limits of the listener.
@@ -47,13 +45,13 @@
 
     def __init__(
         self,
-        app: Klein,
+        resource: IResource,
         *,
         metrics: Metrics,
         reactor: IReactorTime,
         limits: HttpLimits | None = None,
     ):
-        super().__init__(app.resource(), reactor=reactor, parsePOSTFormSubmission=False)
+        super().__init__(resource, reactor=reactor, parsePOSTFormSubmission=False)
         self.limits = limits or HttpLimits()
         self.metrics = metrics
         self.budget = BufferBudget(self.limits.buffered_bytes)
@@ -64,7 +62,6 @@
         self.date = datetimeToString()
         self._sweeping: LoopingCall | None = None
         self._closed_waiters: list[Deferred[None]] = []
-        app.handle_errors(HTTPException)(_render_http_exception)
 
     def buildProtocol(self, addr) -> StreamingChannel:  # noqa: N802
         """Create the protocol of a new connection."""
@@ -206,14 +203,3 @@
         if self.draining and not self.channels and self._sweeping is not None:
             sweeping, self._sweeping = self._sweeping, None
             sweeping.stop()
-
-
-def _render_http_exception(request: StreamingRequest, failure: Failure) -> bytes:
-    error = error_from_http_exception(failure.value)
-    headers, body = render_error(error)
-    request.setResponseCode(error.http_status)
-    for name, value in headers:
-        request.setHeader(name, value)
-    request.setHeader(b"Content-Length", b"%d" % len(body))
-    request.site.count_error(error, peer=request.client, request=request)
-    return body
--- a/pistachiolift/listener/tests/listener_server.py
+++ b/pistachiolift/listener/tests/listener_server.py
@@ -15,7 +15,7 @@
 from twisted.protocols.basic import LineReceiver
 
 from pistachiolift.common import Metrics
-from pistachiolift.listener import HttpLimits, Listener, StreamingSite
+from pistachiolift.listener import HttpLimits, Listener, StreamingSite, klein_resource
 
 BUSY_S = 1.0
 
@@ -57,7 +57,9 @@
     # The connection of an idle TLS caller that does not answer the closure alert is
     # aborted after progress_s.
     limits = HttpLimits(progress_s=1)
-    site = StreamingSite(app, metrics=Metrics(), reactor=reactor, limits=limits)
+    site = StreamingSite(
+        klein_resource(app), metrics=Metrics(), reactor=reactor, limits=limits
+    )
     stdio.StandardIO(Orders())
     async with Listener(
         site,
--- a/pistachiolift/listener/tests/support.py
+++ b/pistachiolift/listener/tests/support.py
@@ -9,7 +9,7 @@
 from twisted.python.failure import Failure
 
 from pistachiolift.common import Metrics
-from pistachiolift.listener import HttpLimits, StreamingSite
+from pistachiolift.listener import HttpLimits, StreamingSite, klein_resource
 
 
 class Sink:
@@ -79,7 +79,10 @@
         self.clock = Clock()
         self.metrics = Metrics()
         self.site = StreamingSite(
-            app, metrics=self.metrics, reactor=self.clock, limits=limits or HttpLimits()
+            klein_resource(app),
+            metrics=self.metrics,
+            reactor=self.clock,
+            limits=limits or HttpLimits(),
         )
         self.site.startFactory()
 
--- a/pistachiolift/node/instance.py
+++ b/pistachiolift/node/instance.py
@@ -4,10 +4,10 @@
 import uuid
 from collections.abc import Callable
 
-from klein import Klein
 from twisted.internet.defer import Deferred, DeferredList, ensureDeferred
 from twisted.internet.interfaces import IListeningPort, IReactorCore
 from twisted.internet.task import deferLater
+from twisted.web.resource import IResource
 from twisted.web.server import Site
 
 from ..common import Clock, Metrics, log_event
@@ -15,7 +15,7 @@
 from .interfaces import AdviserClient, CoordinationStore, PlatformAdapter, QueueTable
 from .job_router import JobRouter
 from .member_registry import MemberRegistry
-from .operator_api import make_operator_app
+from .operator_api import make_operator_api
 from .ownership import OwnerRecord
 from .partition import InstanceContext, Partition
 from .partition_map import PartitionMap, PartitionNumber
@@ -60,7 +60,7 @@
 class NodeInstance:
     """Runs all components of an instance on one event loop.
 
-    :param make_caller_api: returns the klein application for callers.
+    :param make_caller_api: returns the resource for callers.
     """
 
     def __init__(
@@ -73,7 +73,7 @@
         store: CoordinationStore,
         adapter: PlatformAdapter,
         adviser: AdviserClient,
-        make_caller_api: Callable[["NodeInstance"], Klein],
+        make_caller_api: Callable[["NodeInstance"], IResource],
     ):
         self._reactor = reactor
         self.settings = settings
@@ -158,7 +158,7 @@
         ready_host, _, ready_port = self.settings.ready_address.rpartition(":")
         self._ready_port = self._reactor.listenTCP(
             int(ready_port),
-            Site(make_operator_app(self).resource()),
+            Site(make_operator_api(self)),
             interface=ready_host,
         )
         peer_host, _, peer_port = self.settings.peer_address.rpartition(":")
--- a/pistachiolift/node/operator_api.py
+++ b/pistachiolift/node/operator_api.py
@@ -1,9 +1,9 @@
 """The read-only HTTP interface for operators, readiness checks and metrics."""
 
-from collections.abc import Awaitable
 from typing import TYPE_CHECKING
+from urllib.parse import unquote
 
-from klein import Klein
+from twisted.web.iweb import IRequest
 
 from ..common import (
     JobId,
@@ -12,77 +12,74 @@
     PistachioliftError,
     encode_json,
 )
-from ..listener import render_error
+from ..listener import HandlerResource, render_error
 from ..workflows import JobDetails, PartitionStatistics
-from .metrics_text import render_metrics
 from .partition_map import PartitionNumber
 from .peer_messages import JobAnswer, JobOutcome
 
 if TYPE_CHECKING:
     from .instance import NodeInstance
 
-__all__ = ["make_operator_app"]
+__all__ = ["make_operator_api"]
 
 # Long enough for a takeover, which takes about 2 s.
 CALL_TIMEOUT_S = 2.0
 RETRY_AFTER_S = 1.0
 
 
-def make_operator_app(instance: "NodeInstance") -> Klein:
-    """Return the application for readiness checks, metrics and operators."""
-    app = Klein()
-
-    async def answer(request, document: Awaitable[object]) -> bytes:
-        request.setHeader("Content-Type", "application/json")
-        try:
-            return encode_json(await document)
-        except PistachioliftError as error:
-            headers, body = render_error(error)
-            request.setResponseCode(error.http_status)
-            for name, value in headers:
-                request.setHeader(name, value)
-            return body
-
-    @app.route("/metrics")
-    def metrics(request):
-        request.setHeader("Content-Type", "text/plain; version=0.0.4")
-        return render_metrics(instance.metrics)
-
-    @app.route("/v1/status")
-    async def status(request):
-        return await answer(request, _status(instance))
-
-    @app.route("/v1/partitions/<name>")
-    async def partition(request, name: str):
-        return await answer(request, _partition(instance, name))
-
-    @app.route("/v1/jobs/<job_id>")
-    async def job(request, job_id: str):
-        return await answer(request, _job(instance, JobId(job_id)))
-
-    @app.route("/v1/<path:_rest>")
-    async def unknown(request, _rest: str):
-        return await answer(request, _unknown())
-
-    @app.route("/", branch=True)
-    def ready(request):
-        reason = instance.not_ready()
-        if reason:
-            request.setResponseCode(503)
-            return reason
-        return b""
-
-    return app
+def make_operator_api(instance: "NodeInstance") -> HandlerResource:
+    """Return the resource for readiness checks, metrics and operators.
 
+    Paths other than ``/metrics`` and those below ``/v1/`` answer the readiness check.
+    """
 
-async def _unknown() -> None:
+    async def handle(request: IRequest) -> None:
+        path = request.path.decode("latin-1")
+        if path == "/metrics":
+            # Loaded at the first use, which small instances may never see.
+            from .metrics_text import render_metrics
+
+            request.setHeader("Content-Type", "text/plain; version=0.0.4")
+            request.write(render_metrics(instance.metrics))
+        elif path.startswith("/v1/"):
+            request.write(await _answer(instance, request, path.removeprefix("/v1/")))
+        else:
+            reason = instance.not_ready()
+            if reason:
+                request.setResponseCode(503)
+            request.write(reason.encode())
+        request.finish()
+
+    return HandlerResource(handle)
+
+
+async def _answer(instance: "NodeInstance", request: IRequest, path: str) -> bytes:
+    request.setHeader("Content-Type", "application/json")
+    try:
+        return encode_json(await _document(instance, path))
+    except PistachioliftError as error:
+        headers, body = render_error(error)
+        request.setResponseCode(error.http_status)
+        for name, value in headers:
+            request.setHeader(name, value)
+        return body
+
+
+async def _document(instance: "NodeInstance", path: str) -> dict[str, object]:
+    match [unquote(part) for part in path.split("/")]:
+        case ["status"]:
+            return _status(instance)
+        case ["partitions", name]:
+            return await _partition(instance, name)
+        case ["jobs", job_id]:
+            return await _job(instance, JobId(job_id))
     raise NotFoundError(
         "unknown path; an instance serves /v1/status, /v1/partitions/NUMBER and "
         "/v1/jobs/JOB_ID"
     )
 
 
-async def _status(instance: "NodeInstance") -> dict[str, object]:
+def _status(instance: "NodeInstance") -> dict[str, object]:
     owners = {
         str(each.number): {
             "owner": each.ownership.owner and each.ownership.owner.instance_id,
--- a/pistachiolift/platform/caller_api.py
+++ b/pistachiolift/platform/caller_api.py
@@ -5,8 +5,6 @@
 import re
 from dataclasses import dataclass
 
-from klein import Klein
-
 from ..common import (
     Clock,
     InvalidInputError,
@@ -15,7 +13,7 @@
     PistachioliftError,
     log_event,
 )
-from ..listener import StreamingRequest
+from ..listener import HandlerResource, StreamingRequest
 from ..node.instance import NodeInstance
 from ..node.peer_messages import JobAnswer, JobOutcome
 from ..workflows import JobGraph, Queue, validate_graph
@@ -46,12 +44,10 @@
     retry_after_s: float = 0.0
 
 
-def make_caller_api(instance: NodeInstance) -> Klein:
-    """Return the application for callers of an instance."""
-    app = Klein()
+def make_caller_api(instance: NodeInstance) -> HandlerResource:
+    """Return the resource for callers of an instance."""
 
-    @app.route("/", branch=True)
-    async def handle(request: StreamingRequest):
+    async def handle(request: StreamingRequest) -> None:
         try:
             reply = await _handle(instance, request)
         except PistachioliftError as error:
@@ -70,7 +66,7 @@
             headers.append((b"Retry-After", b"%d" % seconds))
         request.send_answer(reply.status, headers, reply.body)
 
-    return app
+    return HandlerResource(handle)
 
 
 async def _handle(instance: NodeInstance, request: StreamingRequest) -> _Reply:
