Send ordered speeds to workers again

Cause: found by reading. Since the limiter of polls had the name of the method that sends a speed, so that every ordered speed of a filling task failed with a TypeError in the owner's pass.

Change: the limiter has a name of its own; a scan of all classes for attributes that hide a method of their class found no other.

Result: the new test failed with the TypeError before and passes now.

--- a/pistachiolift/node/tests/test_worker_driver.py
+++ b/pistachiolift/node/tests/test_worker_driver.py
@@ -47,6 +47,7 @@
         self.polls = []
         self.starts = []
         self.stops = []
+        self.speeds = []
         self.poll_outcomes = []
         self.start_outcomes = []
 
@@ -71,7 +72,7 @@
         self.stops.append((task, number))
 
     async def set_speed(self, task, number, *, percent, fence):
-        pass
+        self.speeds.append((task, number, percent))
 
     async def close(self):
         pass
@@ -283,3 +284,10 @@
     )
     def test_polls_wait_longer_with_more_workers(self, workers, wait_s):
         assert PollLimiter(lambda: workers).wait_s == pytest.approx(wait_s)
+
+
+class TestSpeeds:
+    def test_an_ordered_speed_is_sent_to_the_worker(self):
+        harness = Harness()
+        harness.driver.set_speed(TASK, 7, 40)
+        assert harness.connection.speeds == [(TASK, 7, 40)]
--- a/pistachiolift/node/worker_driver.py
+++ b/pistachiolift/node/worker_driver.py
@@ -135,7 +135,7 @@
         self._metrics = metrics
         self._terms = terms
         self._events = events
-        self._pace = poll_limiter
+        self._poll_limiter = poll_limiter
         self._fence = fence
         self._clock_offset_ms: float | None = None
         self._clock_read_s = 0.0
@@ -189,14 +189,14 @@
             if wait_s:
                 report = await self._poll_once(wait_s)
             else:
-                report = await self._pace.run(self._poll_now)
+                report = await self._poll_limiter.run(self._poll_now)
             if self._closed:
                 return
             if report is None:
                 await self._sleep(RETRY_PAUSE_S)
                 wait_s = 0.0
                 continue
-            wait_s = self._pace.wait_s
+            wait_s = self._poll_limiter.wait_s
             if not await self._finish_poll(report):
                 wait_s = 0.0
                 await self._sleep(STALLED_PAUSE_S)
@@ -377,9 +377,9 @@
 
     def set_speed(self, task: TaskKey, number: int, percent: int) -> None:
         """Limit a run's speed; the controller repeats a command that is lost."""
-        self._spawn(self._pace(task, number, percent))
+        self._spawn(self._set_speed(task, number, percent))
 
-    async def _pace(self, task: TaskKey, number: int, percent: int) -> None:
+    async def _set_speed(self, task: TaskKey, number: int, percent: int) -> None:
         if self._closed or not self._events.may_send_commands():
             return
         with self._closing_if_replaced():
