Send JSON calls over a light HTTP/1.1 connection

Change: JsonHttpClient opens connections of its own (one request at a time, whole answers, latest used first, no repeats) instead of the agent. Streams of upstreams and watches of the own store keep the agent; their error list moved to backends/agent.py. Tests that replaced methods of the agent's pool became tests of what is sent and closed; framing, malformed answers and unasked-for data are covered anew.

--- /dev/null
+++ b/pistachiolift/backends/agent.py
@@ -0,0 +1,20 @@
+"""Errors of Twisted's HTTP agent, for the clients that stream bodies."""
+
+from twisted.web.client import (
+    RequestNotSent,
+    RequestTransmissionFailed,
+    ResponseFailed,
+)
+
+from .http import CONNECTION_ERRORS
+
+__all__ = ["AGENT_ERRORS"]
+
+# Refused, lost and timed-out connections. A request that was not sent, or not
+# completely, belongs to a connection that was lost before or meanwhile.
+AGENT_ERRORS = (
+    ResponseFailed,
+    RequestNotSent,
+    RequestTransmissionFailed,
+    *CONNECTION_ERRORS,
+)
--- a/pistachiolift/backends/etcd.py
+++ b/pistachiolift/backends/etcd.py
@@ -22,7 +22,8 @@
     ValueTooLargeError,
     VersionConflictError,
 )
-from .http import CONNECT_TIMEOUT_S, CONNECTION_ERRORS, JsonHttpClient
+from .agent import AGENT_ERRORS
+from .http import CONNECT_TIMEOUT_S, JsonHttpClient
 from .store import Entry, KeyValueStore, LeaseId, Listing, Watch, WatchEvent
 
 __all__ = ["VALUE_LIMIT_BYTES", "EtcdStore", "prefix_end"]
@@ -108,7 +109,7 @@
         )
         try:
             response = await agent_call
-        except CONNECTION_ERRORS:
+        except AGENT_ERRORS:
             self.handle_end()
             return
         if response.code != 200 or self._ended:
--- a/pistachiolift/backends/http.py
+++ b/pistachiolift/backends/http.py
@@ -1,46 +1,66 @@
 """HTTP client for JSON APIs that maps all connection failures to one error type."""
 
+import re
 from collections.abc import Callable
 
 from twisted.internet import defer, error
-from twisted.internet.interfaces import IReactorTime
-from twisted.web.client import (
-    Agent,
-    HTTPConnectionPool,
-    RequestNotSent,
-    RequestTransmissionFailed,
-    ResponseFailed,
-    readBody,
-)
-from twisted.web.http_headers import Headers
+from twisted.internet.interfaces import IConnector, IReactorTime
+from twisted.internet.protocol import ClientFactory
+from twisted.python.failure import Failure
 
-from ..common import PistachioliftError
-from .body import BytesProducer
+from ..common import InvalidInputError, PistachioliftError
+from .http_connection import HttpConnection, MalformedAnswerError
 
 __all__ = ["ClientsByAddress", "JsonHttpClient"]
 
 CONNECT_TIMEOUT_S = 0.5
 
-# Exceptions of Twisted's client for refused, lost and timed-out connections.
+# Servers close idle connections; one that is idle for longer is not used again.
+IDLE_LIMIT_S = 240.0
+
+# Exceptions of refused, lost, malformed and timed-out connections.
 CONNECTION_ERRORS = (
-    ResponseFailed,
-    # The connection was lost between two requests, or while a request was sent.
-    RequestNotSent,
-    RequestTransmissionFailed,
+    MalformedAnswerError,
     error.ConnectError,
     error.ConnectionLost,
     error.ConnectionDone,
     error.ConnectionAborted,
-    # Raised instead of a time-out error if the connection is not open by then.
-    error.ConnectingCancelledError,
     defer.CancelledError,
     OSError,
 )
 
+_BASE_URL = re.compile(r"(https?)://([A-Za-z0-9.-]+):([0-9]{1,5})")
+_TARGET = re.compile(r"/[!-~]*")
+_UNSAFE_HEADER = re.compile(r"[\r\n\0]")
+
+
+class _ConnectionFactory(ClientFactory):
+    """Opens one connection."""
+
+    noisy = False
+
+    def __init__(
+        self, connection: HttpConnection, opened: defer.Deferred[HttpConnection]
+    ):
+        self._connection = connection
+        self._opened = opened
+
+    def buildProtocol(self, _address: object) -> HttpConnection:  # noqa: N802
+        """Return the connection; see :class:`ClientFactory`."""
+        return self._connection
+
+    def clientConnectionFailed(  # noqa: N802
+        self, _connector: IConnector, reason: Failure
+    ) -> None:
+        """Report why no connection was opened; see :class:`ClientFactory`."""
+        self._opened.errback(reason)
+
 
 class JsonHttpClient:
     """Sends JSON requests over persistent connections.
 
+    Requests are never repeated, since they may not be idempotent.
+
     :param reactor: Twisted's reactor.
     :param base_url: scheme, IP address and port of the server.
     :param timeout_s: seconds after which an unanswered call fails.
@@ -57,17 +77,21 @@
         make_error: Callable[[str], PistachioliftError],
         connections: int = 4,
     ):
-        self._pool = HTTPConnectionPool(reactor)
-        self._pool.maxPersistentPerHost = connections
-        # Calls may not be idempotent, so only the caller may repeat them.
-        self._pool.retryAutomatically = False
-        self._agent = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool)
-        self._base_url = base_url
+        match = _BASE_URL.fullmatch(base_url)
+        if match is None:
+            raise InvalidInputError(
+                f"server is {base_url!r}; must be of the form http://HOST:PORT or https://HOST:PORT"
+            )
+        self._tls, self._host = match[1] == "https", match[2]
+        self._port = int(match[3])
+        self._reactor = reactor
         self._timeout_s = timeout_s
         self._make_error = make_error
-        self._reactor = reactor
+        self._max_idle = connections
+        # The connection used last is used first.
+        self._idle: list[HttpConnection] = []
 
-    async def call(
+    def call(
         self,
         method: str,
         path: str,
@@ -75,63 +99,123 @@
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
         timeout_s: float | None = None,
-    ) -> tuple[int, bytes]:
+    ) -> defer.Deferred[tuple[int, bytes]]:
         """Send a request and read the whole response.
 
         :param timeout_s: overrides the client's time-out, in seconds.
-        :returns: HTTP status and body.
-        :raises PistachioliftError: the error of ``make_error`` if no response arrives.
+        :returns: fires with the HTTP status and the body; fails with the error of
+            ``make_error`` if no response arrives.
+        :raises InvalidInputError: if the path or a header is not valid in HTTP.
         """
-        try:
-            return await self._send(method, path, body, headers or {}, timeout_s)
-        except CONNECTION_ERRORS as failure:
-            raise self._make_error(type(failure).__name__) from failure
-
-    async def _send(
-        self,
-        method: str,
-        path: str,
-        body: bytes | None,
-        headers: dict[str, str],
-        timeout_s: float | None,
-    ) -> tuple[int, bytes]:
-        call = defer.ensureDeferred(self._exchange(method, path, body, headers))
-        result: defer.Deferred[tuple[int, bytes]] = defer.Deferred()
+        request = self._encode(method, path, headers or {}, body)
+        result: defer.Deferred[tuple[int, bytes]] = defer.Deferred(self._cancel)
+        exchange = defer.ensureDeferred(self._exchange(request))
 
         # The result fails at the time-out even if the connection ignores its
         # cancellation.
         def expire() -> None:
-            result.errback(self._make_error("timeout"))
-            call.cancel()
+            if not result.called:
+                result.errback(self._make_error("timeout"))
+            exchange.cancel()
             # The idle connections may be as dead as the unanswered one.
-            self._pool.closeCachedConnections()
+            self._close_idle()
 
         timer = self._reactor.callLater(timeout_s or self._timeout_s, expire)
 
         def set_result(value: object) -> None:
             if timer.active():
                 timer.cancel()
-            if not result.called:
-                result.callback(value)
-
-        call.addBoth(set_result)
-        return await result
-
-    async def _exchange(
-        self, method: str, path: str, body: bytes | None, headers: dict[str, str]
-    ) -> tuple[int, bytes]:
-        # Agent is used directly because treq parses and normalises each URL again.
-        response = await self._agent.request(
-            method.encode("ascii"),
-            (self._base_url + path).encode("ascii"),
-            Headers({name: [value] for name, value in headers.items()}),
-            None if body is None else BytesProducer(body),
+            if result.called:
+                return
+            if isinstance(value, Failure) and value.check(*CONNECTION_ERRORS):
+                failed = self._make_error(type(value.value).__name__)
+                failed.__cause__ = value.value
+                value = Failure(failed)
+            result.callback(value)
+
+        exchange.addBoth(set_result)
+        return result
+
+    def _cancel(self, result: defer.Deferred) -> None:
+        # The server may have acted on the request, which is left to end by itself.
+        result.errback(self._make_error("CancelledError"))
+
+    def _encode(
+        self, method: str, path: str, headers: dict[str, str], body: bytes | None
+    ) -> bytes:
+        """Return the request; head and body are sent in one packet."""
+        if not _TARGET.fullmatch(path):
+            raise InvalidInputError(f"path {path[:80]!r} is not valid in HTTP")
+        lines = [f"{method} {path} HTTP/1.1\r\nHost: {self._host}:{self._port}\r\n"]
+        for name, value in headers.items():
+            if _UNSAFE_HEADER.search(value):
+                raise InvalidInputError(f"header {name} is {value[:80]!r}")
+            lines.append(f"{name}: {value}\r\n")
+        if body is not None or method in ("POST", "PUT"):
+            lines.append(f"Content-Length: {len(body or b'')}\r\n")
+        lines.append("\r\n")
+        return "".join(lines).encode("latin-1") + (body or b"")
+
+    async def _exchange(self, request: bytes) -> tuple[int, bytes]:
+        connection = self._take_idle() or await self._connect()
+        answer = connection.send(request)
+        try:
+            return await answer
+        except defer.CancelledError:
+            connection.abort()
+            raise
+
+    def _connect(self) -> defer.Deferred[HttpConnection]:
+        opened: defer.Deferred[HttpConnection] = defer.Deferred(
+            lambda _: connector.disconnect()
+        )
+        connection = HttpConnection(
+            on_open=opened.callback, on_idle=self._keep, on_lost=self._discard
         )
-        return response.code, await readBody(response)
+        factory = _ConnectionFactory(connection, opened)
+        connect, arguments = self._reactor.connectTCP, ()
+        if self._tls:
+            # Instances that call plain HTTP only are deployed without TLS libraries.
+            from twisted.internet.ssl import optionsForClientTLS
+
+            connect = self._reactor.connectSSL
+            arguments = (optionsForClientTLS(self._host),)
+        connector = connect(
+            self._host, self._port, factory, *arguments, timeout=CONNECT_TIMEOUT_S
+        )
+        return opened
+
+    # Idle connections.
+
+    def _take_idle(self) -> HttpConnection | None:
+        oldest_s = self._reactor.seconds() - IDLE_LIMIT_S
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.closed:
+                continue
+            if connection.idle_since_s >= oldest_s:
+                return connection
+            connection.abort()
+        return None
+
+    def _keep(self, connection: HttpConnection) -> None:
+        connection.idle_since_s = self._reactor.seconds()
+        self._idle.append(connection)
+        if len(self._idle) > self._max_idle:
+            self._idle.pop(0).abort()
+
+    def _discard(self, connection: HttpConnection) -> None:
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+    def _close_idle(self) -> None:
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            connection.abort()
 
     async def close(self) -> None:
         """Close the idle connections."""
-        await self._pool.closeCachedConnections()
+        self._close_idle()
 
 
 class ClientsByAddress:
--- a/pistachiolift/backends/tests/test_http.py
+++ b/pistachiolift/backends/tests/test_http.py
@@ -1,12 +1,17 @@
 """Tests of the HTTP client with servers that do not answer."""
 
 import pytest
-from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.error import (
+    ConnectionDone,
+    ConnectionLost,
+    ConnectionRefusedError,
+)
 from twisted.internet.testing import MemoryReactorClock, StringTransport
-from twisted.web.client import RequestNotSent, RequestTransmissionFailed
+from twisted.python.failure import Failure
 
 from pistachiolift.backends.http import JsonHttpClient
-from pistachiolift.common import StoreUnavailableError
+from pistachiolift.common import InvalidInputError, StoreUnavailableError
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
@@ -21,6 +26,13 @@
     )
 
 
+def connect(reactor, index=-1):
+    """Open the connection that was requested last, or with the given index."""
+    protocol = reactor.tcpClients[index][2].buildProtocol(None)
+    protocol.makeConnection(StringTransport())
+    return protocol
+
+
 class TestTimeLimits:
     @pytest.mark.parametrize("timeout_s", [0.3, 0.9])
     def test_a_connection_that_does_not_open_in_time_fails_the_call(self, timeout_s):
@@ -35,24 +47,29 @@
         assert len(failures) == 1
         assert failures[0].check(StoreUnavailableError)
 
-    def test_a_call_that_ignores_its_cancellation_fails_in_time(self, monkeypatch):
+    def test_a_call_whose_connection_ignores_its_end_fails_in_time(self):
+        """The transport of the test never reports the end of the connection."""
         reactor = MemoryReactorClock()
         client = make_client(reactor)
-
-        async def exchange(*arguments):
-            while True:
-                try:
-                    await Deferred()
-                except CancelledError:
-                    continue
-
-        monkeypatch.setattr(client, "_exchange", exchange)
         failures = []
         ensureDeferred(client.call("GET", "/")).addErrback(failures.append)
+        connect(reactor)
         reactor.advance(0.4)
         assert len(failures) == 1
         assert failures[0].check(StoreUnavailableError)
 
+    def test_a_caller_that_leaves_gets_the_error_of_the_client(self):
+        reactor = MemoryReactorClock()
+        call = make_client(reactor).call("GET", "/")
+        failures = []
+        call.addErrback(failures.append)
+        connection = connect(reactor)
+        call.cancel()
+        assert failures[0].check(StoreUnavailableError)
+        connection.dataReceived(ANSWER)
+        reactor.advance(1.0)
+        assert not reactor.getDelayedCalls()
+
 
 class TestRequests:
     def test_head_and_body_are_sent_in_one_packet(self):
@@ -87,30 +104,167 @@
 
 
 class TestSilentConnections:
-    def test_an_unanswered_call_closes_the_idle_connections(self, monkeypatch):
+    def test_an_unanswered_call_closes_the_idle_connections(self):
         """Guards against further calls on dead connections after a network fault."""
         reactor = MemoryReactorClock()
         client = make_client(reactor)
-        closed = []
-        monkeypatch.setattr(
-            client._pool, "closeCachedConnections", lambda: closed.append(True)
-        )
-        ensureDeferred(client.call("GET", "/")).addErrback(lambda failure: None)
+        calls = [client.call("GET", "/") for _ in range(2)]
+        used, idle = connect(reactor, 0), connect(reactor, 1)
+        idle.dataReceived(ANSWER)
+        assert calls[1].result == (200, b"")
+        calls[0].addErrback(lambda failure: None)
         reactor.advance(0.2)
-        assert not closed
+        assert not idle.transport.disconnecting
         reactor.advance(0.2)
-        assert closed
+        assert used.transport.disconnected and idle.transport.disconnected
+        client.call("GET", "/").addErrback(lambda failure: None)
+        assert len(reactor.tcpClients) == 3
+
+    def test_a_connection_that_was_idle_for_long_is_not_used_again(self):
+        reactor = MemoryReactorClock()
+        client = make_client(reactor)
+        client.call("GET", "/")
+        connect(reactor).dataReceived(ANSWER)
+        reactor.advance(300.0)
+        client.call("GET", "/").addErrback(lambda failure: None)
+        assert len(reactor.tcpClients) == 2
 
 
 class TestLostConnections:
-    @pytest.mark.parametrize("error", [RequestNotSent(), RequestTransmissionFailed([])])
-    def test_a_request_that_was_not_sent_fails_the_call(self, error, monkeypatch):
-        client = make_client(MemoryReactorClock())
+    def test_a_refused_connection_is_the_cause_of_the_error(self):
+        reactor = MemoryReactorClock()
+        failures = []
+        make_client(reactor).call("GET", "/").addErrback(failures.append)
+        refused = Failure(ConnectionRefusedError())
+        reactor.tcpClients[0][2].clientConnectionFailed(reactor.connectors[0], refused)
+        assert failures[0].check(StoreUnavailableError)
+        assert isinstance(failures[0].value.__cause__, ConnectionRefusedError)
+
+    @pytest.mark.parametrize(
+        "received", [b"", b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\na"]
+    )
+    def test_a_connection_lost_before_the_whole_answer_fails_the_call(self, received):
+        reactor = MemoryReactorClock()
+        client = make_client(reactor)
+        failures = []
+        client.call("GET", "/").addErrback(failures.append)
+        connection = connect(reactor)
+        if received:
+            connection.dataReceived(received)
+        connection.connectionLost(Failure(ConnectionDone()))
+        assert failures[0].check(StoreUnavailableError)
+        assert not reactor.getDelayedCalls()
+
+    def test_a_connection_lost_while_idle_is_not_used_again(self):
+        reactor = MemoryReactorClock()
+        client = make_client(reactor)
+        client.call("GET", "/")
+        connection = connect(reactor)
+        connection.dataReceived(ANSWER)
+        connection.connectionLost(Failure(ConnectionLost()))
+        client.call("GET", "/").addErrback(lambda failure: None)
+        assert len(reactor.tcpClients) == 2
+
+
+class TestAnswers:
+    """Answers of all forms, received in one part or byte by byte."""
+
+    FORMS = {
+        "length": b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nabcde",
+        "chunked": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"2\r\nab\r\n3\r\ncde\r\n0\r\n\r\n",
+        "interim": b"HTTP/1.1 100 Continue\r\n\r\n"
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcde",
+        "to the end": b"HTTP/1.0 200 OK\r\n\r\nabcde",
+    }
+
+    @pytest.mark.parametrize("form", FORMS)
+    @pytest.mark.parametrize("size", [1, 1000])
+    def test_the_body_is_read(self, form, size):
+        reactor = MemoryReactorClock()
+        call = make_client(reactor).call("GET", "/")
+        connection = connect(reactor)
+        data = self.FORMS[form]
+        for start in range(0, len(data), size):
+            connection.dataReceived(data[start : start + size])
+        if form == "to the end":
+            connection.connectionLost(Failure(ConnectionDone()))
+        assert call.result == (200, b"abcde")
 
-        async def exchange(*arguments):
-            raise error
+    def test_an_answer_without_a_body_is_complete_at_its_head(self):
+        reactor = MemoryReactorClock()
+        call = make_client(reactor).call("GET", "/")
+        connect(reactor).dataReceived(b"HTTP/1.1 204 No Content\r\n\r\n")
+        assert call.result == (204, b"")
 
-        monkeypatch.setattr(client, "_exchange", exchange)
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"junk\r\n\r\n",
+            b"HTTP/1.1 2000 OK\r\n\r\n",
+            b"HTTP/1.1 101 Switching\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nno colon\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+            b"HTTP/1.1 200 OK\r\n" + b"a: b\r\n" * 5000,
+        ],
+    )
+    def test_an_invalid_answer_fails_the_call_and_closes_the_connection(self, data):
+        reactor = MemoryReactorClock()
         failures = []
-        ensureDeferred(client.call("GET", "/")).addErrback(failures.append)
+        make_client(reactor).call("GET", "/").addErrback(failures.append)
+        connection = connect(reactor)
+        connection.dataReceived(data)
         assert failures[0].check(StoreUnavailableError)
+        assert connection.transport.disconnected
+
+    @pytest.mark.parametrize(
+        "answer",
+        [
+            b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+            ANSWER + b"more",
+        ],
+    )
+    def test_a_connection_with_an_unclear_end_is_not_used_again(self, answer):
+        reactor = MemoryReactorClock()
+        client = make_client(reactor)
+        call = client.call("GET", "/")
+        connect(reactor).dataReceived(answer)
+        assert call.result == (200, b"")
+        client.call("GET", "/").addErrback(lambda failure: None)
+        assert len(reactor.tcpClients) == 2
+
+    def test_data_that_was_not_asked_for_closes_an_idle_connection(self):
+        """Guards against an answer that is taken for that of the next request."""
+        reactor = MemoryReactorClock()
+        client = make_client(reactor)
+        client.call("GET", "/")
+        connection = connect(reactor)
+        connection.dataReceived(ANSWER)
+        connection.dataReceived(ANSWER)
+        assert connection.transport.disconnected
+        call = client.call("GET", "/")
+        call.addErrback(lambda failure: None)
+        assert len(reactor.tcpClients) == 2
+
+
+class TestInvalidRequests:
+    @pytest.mark.parametrize("path", ["x", "/a b", "/a\r\nX: y", "/\u00e9"])
+    def test_a_path_that_is_not_valid_is_not_sent(self, path):
+        client = make_client(MemoryReactorClock())
+        with pytest.raises(InvalidInputError):
+            client.call("GET", path)
+
+    def test_a_header_with_a_line_break_is_not_sent(self):
+        client = make_client(MemoryReactorClock())
+        with pytest.raises(InvalidInputError):
+            client.call("GET", "/", headers={"X": "a\r\nY: b"})
+
+    @pytest.mark.parametrize("url", ["ftp://a:1", "http://a", "http://a:1/path"])
+    def test_a_server_address_without_a_port_is_rejected(self, url):
+        with pytest.raises(InvalidInputError):
+            JsonHttpClient(
+                MemoryReactorClock(), url, timeout_s=1, make_error=StoreUnavailableError
+            )
--- a/pistachiolift/backends/upstream.py
+++ b/pistachiolift/backends/upstream.py
@@ -11,7 +11,6 @@
 from twisted.web.client import (
     Agent,
     HTTPConnectionPool,
-    RequestTransmissionFailed,
     ResponseDone,
     readBody,
 )
@@ -29,8 +28,9 @@
     UpstreamUnreachableError,
     decode_json,
 )
+from .agent import AGENT_ERRORS
 from .body import BytesProducer
-from .http import CONNECT_TIMEOUT_S, CONNECTION_ERRORS, ClientsByAddress
+from .http import CONNECT_TIMEOUT_S, ClientsByAddress
 
 __all__ = [
     "AnswerSink",
@@ -249,7 +249,7 @@
             raise UpstreamUnreachableError(
                 type(failure).__name__, outcome=Outcome.REFUSED
             ) from failure
-        except (*CONNECTION_ERRORS, RequestTransmissionFailed) as failure:
+        except AGENT_ERRORS as failure:
             raise UpstreamUnreachableError(type(failure).__name__) from failure
 
     async def _check_end(self, reader: _BodyReader) -> None:
