Place tasks with work that grows with what fits

Cause: the profile of the owner of 176 workers had 28% of its time in dispatching: each task of a step compared all workers again, gangs that cannot fit were sorted over all workers at each pass, critical paths were worked out for each rank, and the hashes of all peers for each pass.

Change: a heap of the workers with room per step; no sort for a gang whose room does not suffice; critical paths are kept with the job; peers are counted at each tick.

--- a/pistachiolift/bench/suite.py
+++ b/pistachiolift/bench/suite.py
@@ -6,6 +6,7 @@
 
 from .entry_cpu import measure_cpu
 from .footprint import measure_memory
+from .owner_load import SCHEDULER_US_PER_RUN_TARGET, measure_owner_load
 from .placement import (
     DECISION_P99_TARGET_S,
     DECISIONS_PER_S_TARGET,
@@ -17,6 +18,7 @@
 )
 from .queueing import measure_flood_waits, measure_goodput, measure_shares
 from .report import Measure
+from .start import START_TARGET_S, measure_start
 from .store_calls import measure_store_calls
 from .takeover import measure_ownership, measure_requests_under_faults
 from .waits import measure_waits
@@ -140,6 +142,38 @@
     return [*rows, *measure_requests_under_faults(seed=seed)]
 
 
+def _owner(*, seed: int) -> list[Measure]:
+    small = measure_owner_load(seed=seed, workers=44)
+    result = measure_owner_load(seed=seed)
+    return [
+        Measure(
+            name="owner",
+            measure=f"processor time of the scheduler for each run, {result.workers} "
+            f"workers, {result.runs} runs",
+            value=f"{result.us_per_run:.0f} us",
+            baseline=f"{small.workers} workers under the same load: "
+            f"{small.us_per_run:.0f} us",
+            target=f"at most {SCHEDULER_US_PER_RUN_TARGET:.0f} us",
+            met=result.met,
+            figures={"passes": result.passes, "processor_s": result.processor_s},
+        )
+    ]
+
+
+def _start(*, seed: int) -> list[Measure]:
+    result = measure_start()
+    return [
+        Measure(
+            name="start",
+            measure="processor time to load the program of 'node'",
+            value=f"{result.processor_s:.2f} s, {result.memory_mb:.0f} MB",
+            baseline=f"an interpreter that loads nothing: {result.interpreter_s:.2f} s",
+            target=f"at most {START_TARGET_S} s",
+            met=result.met,
+        )
+    ]
+
+
 MEASUREMENTS = {
     name: Measurement(description=description, run=run)
     for name, description, run in (
@@ -154,5 +188,7 @@
         ("store", "store calls per request and per task start", measure_store_calls),
         ("memory", "memory and control traffic of serve", measure_memory),
         ("ownership", "time without an owner; requests under faults", _ownership),
+        ("owner", "processor time of an owner on the users' platform", _owner),
+        ("start", "processor time of a start of 'node'", _start),
     )
 }
--- a/pistachiolift/bench/tests/test_measurements.py
+++ b/pistachiolift/bench/tests/test_measurements.py
@@ -5,7 +5,9 @@
 
 from pistachiolift.bench.forwarder import CountingForwarder
 from pistachiolift.bench.load import LoadResult, SentRequest
+from pistachiolift.bench.owner_load import measure_owner_load
 from pistachiolift.bench.report import Measure, percentile
+from pistachiolift.bench.start import measure_start
 from pistachiolift.bench.suite import MEASUREMENTS, Measurement
 from pistachiolift.bench.takeover import judge
 from pistachiolift.cli import main
@@ -103,3 +105,19 @@
         result = self.invoke(monkeypatch, None, "other")
         assert result.exit_code == 2
         assert "placement" in result.output
+
+
+class TestOwnerLoad:
+    def test_all_kinds_of_jobs_are_started(self):
+        """Guards against a measurement of a scheduler that has nothing to do."""
+        result = measure_owner_load(seed=2, workers=60, duration_s=3.0)
+        assert set(result.waiting_ms) == {"survey", "calculation", "check"}
+        assert result.runs > 300
+        assert result.processor_s > 0
+
+
+class TestStart:
+    def test_the_program_takes_more_than_the_interpreter(self):
+        result = measure_start(starts=1)
+        assert result.processor_s > result.interpreter_s > 0
+        assert result.memory_mb > 0
--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -161,6 +161,7 @@
         self.ledger.adopt(log, self._compact)
         for entry in list(self.scheduler.state.workers_by_id.values()):
             self._ensure_driver(entry.worker)
+        self._advice_service.update_instance_count(self.scheduler)
         self.ready = True
         self._ticking.start(TICK_INTERVAL_S, now=False)
         log_event(
@@ -221,7 +222,6 @@
             return
         if self.may_send_commands():
             now_s, wall_ms = self._now()
-            self._advice_service.update_instance_count(self.scheduler)
             self.scheduler.dispatch(now_s=now_s, wall_ms=wall_ms)
         self._execute_decisions()
 
@@ -291,6 +291,7 @@
     def _tick(self) -> None:
         if self.ledger.stalled_s > STALLED_LIMIT_S:
             self.calls.refuse_unsent()
+        self._advice_service.update_instance_count(self.scheduler)
         self.scheduler.tick(self._clock.monotonic_s())
         self._close_unused_drivers()
         self._restore_workers()
--- a/pistachiolift/workflows/dispatch.py
+++ b/pistachiolift/workflows/dispatch.py
@@ -5,7 +5,7 @@
 from .decisions import StartRun
 from .lifecycle import Lifecycle
 from .model import PoolId, TaskRunStatus
-from .placement import choose_worker, eligible_workers, plan_gang, room_for_step
+from .placement import WorkerChoice, eligible_workers, plan_gang, room_for_step
 from .records import RunPlaced
 from .scheduler_state import SchedulerState
 from .state import StepEntry, TaskRun, WorkerEntry
@@ -107,8 +107,11 @@
             for entry in eligible_workers(step, usable_by_id, now_s)
             if entry.worker_id not in blocked and room_for_step(step, entry)
         ]
+        if not candidates:
+            return
+        choice = WorkerChoice(step, candidates, self._state.health)
         for index in sorted(step.waiting):
-            worker = choose_worker(step, index, candidates, self._state.health)
+            worker = choice.choose(index)
             if worker is None:
                 return
             number = step.next_number([index], self._state.fence * RUNS_PER_FENCE)
--- a/pistachiolift/workflows/placement.py
+++ b/pistachiolift/workflows/placement.py
@@ -2,13 +2,14 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from heapq import heapify, heappop, heappush
 
 from ..common import RackId, WorkerHealth, WorkerId
 from .state import StepEntry, WorkerEntry
 
 __all__ = [
     "GangPlan",
-    "choose_worker",
+    "WorkerChoice",
     "eligible_workers",
     "plan_gang",
     "room_for_step",
@@ -77,35 +78,74 @@
     return max(0, room)
 
 
-def choose_worker(
-    step: StepEntry, index: int, workers: list[WorkerEntry], health: WorkerHealth
-) -> WorkerEntry | None:
-    """Return the worker for one task, or ``None`` if it fits nowhere.
+class WorkerChoice:
+    """Chooses the workers of a step's single tasks, one after the other.
 
     Prefers, in this order, workers on which the task has not failed, workers that are
     not suspected of failing all tasks, workers on the rack of the data, fast workers,
     and workers with little free capacity, so that whole workers stay free for gangs.
+
+    The preferred workers are kept in a heap, since a placement changes one of them.
+
+    :param workers: workers that the step may use.
     """
-    step_spec = step.step
-    if step_spec.fills:
-        return _choose_for_fill(step, workers)
-    failed_on = step.failed_on_by_index.get(index, ())
-    best = None
-    best_key = None
-    for entry in workers:
-        if room_for_step(step, entry) < 1:
-            continue
-        far = bool(step_spec.data_rack) and entry.worker.rack != step_spec.data_rack
-        key = (
-            entry.worker_id in failed_on,
-            _is_suspect(health, entry),
-            far,
+
+    def __init__(
+        self, step: StepEntry, workers: list[WorkerEntry], health: WorkerHealth
+    ):
+        self._step = step
+        self._workers = workers
+        self._health = health
+        self._heap: list[tuple] = []
+        # The item of the worker that the last task was placed on.
+        self._last: tuple | None = None
+        if not step.step.fills:
+            self._heap = [
+                self._item(order, entry)
+                for order, entry in enumerate(workers)
+                if room_for_step(step, entry)
+            ]
+            heapify(self._heap)
+
+    def _item(self, order: int, entry: WorkerEntry) -> tuple:
+        near = self._step.step.data_rack
+        return (
+            _is_suspect(self._health, entry),
+            bool(near) and entry.worker.rack != near,
             entry.speed.bucket,
             entry.free_cpu_milli,
+            order,
+            entry,
         )
-        if best_key is None or key < best_key:
-            best, best_key = entry, key
-    return best
+
+    def choose(self, index: int) -> WorkerEntry | None:
+        """Return the worker for a task, or ``None`` if it fits nowhere.
+
+        :param index: index of the task; it must be placed before the next call.
+        """
+        if self._step.step.fills:
+            return _choose_for_fill(self._step, self._workers)
+        self._return_last()
+        avoided = []
+        failed_on = self._step.failed_on_by_index.get(index, ())
+        while self._heap and self._heap[0][-1].worker_id in failed_on:
+            avoided.append(heappop(self._heap))
+        if self._heap:
+            self._last = heappop(self._heap)
+        elif avoided:
+            self._last = avoided.pop(0)
+        for item in avoided:
+            heappush(self._heap, item)
+        return None if self._last is None else self._last[-1]
+
+    def _return_last(self) -> None:
+        """Return the worker that got the last task to the heap, if it has room."""
+        if self._last is None:
+            return
+        *_, order, entry = self._last
+        self._last = None
+        if room_for_step(self._step, entry):
+            heappush(self._heap, self._item(order, entry))
 
 
 def _is_suspect(health: WorkerHealth, entry: WorkerEntry) -> bool:
@@ -174,9 +214,11 @@
     A failed member ends the whole gang, so the workers that are least likely to fail
     are used first.
     """
+    room = [(entry, room_for_step(step, entry)) for entry in workers]
+    if sum(count for _, count in room) < step.step.count:
+        return ()
     near = step.step.data_rack
     failed_on = set().union(*step.failed_on_by_index.values())
-    room = [(entry, room_for_step(step, entry)) for entry in workers]
     room.sort(
         key=lambda item: (
             item[0].worker_id in failed_on,
--- a/pistachiolift/workflows/scheduler_state.py
+++ b/pistachiolift/workflows/scheduler_state.py
@@ -84,13 +84,15 @@
         self, pool_id: PoolId, now_s: float
     ) -> dict[WorkerId, WorkerEntry]:
         """Return the workers of a pool that may get new runs, by identifier."""
+        accepts = self.health.accepts
+        committed = self.committed
         return {
             worker_id: entry
             for worker_id, entry in self.workers_by_id.items()
-            if entry.worker.pool_id == pool_id
-            and entry.usable(now_s)
-            and entry.use_record <= self.committed
-            and self.health.accepts(worker_id, now_s)
+            if entry.usable(now_s)
+            and entry.worker.pool_id == pool_id
+            and entry.use_record <= committed
+            and accepts(worker_id, now_s)
         }
 
     def run(self, worker_id: WorkerId, key: tuple) -> TaskRun | None:
--- a/pistachiolift/workflows/state.py
+++ b/pistachiolift/workflows/state.py
@@ -34,6 +34,8 @@
 PRIOR_SAMPLES = 3
 # Speeds are compared in buckets of one sixth of a natural logarithm.
 BUCKETS_PER_E = 6
+# Room for tasks that reserve nothing.
+UNLIMITED_ROOM = 1_000_000
 
 
 @dataclass(slots=True)
@@ -205,6 +207,8 @@
     has_started: bool = False
     accepted_record: int = 0
     last_record: int = 0
+    # Lengths of critical paths, by the step at which they start.
+    path_s_by_step: dict[int, float] = field(default_factory=dict)
 
     def steps(self) -> list[StepEntry]:
         """Return the steps of all occurrences."""
@@ -268,16 +272,21 @@
     def room_for(self, size: Size) -> int:
         """Return how many tasks of a size fit into the free capacity."""
         capacity = self.worker.capacity
-        counts = []
+        count = UNLIMITED_ROOM
+        # Most workers are full, so each resource can end the calculation.
         if size.cpu_milli:
-            counts.append((capacity.cpu_milli - self.used_cpu_milli) // size.cpu_milli)
+            count = (capacity.cpu_milli - self.used_cpu_milli) // size.cpu_milli
+            if count < 1:
+                return 0
         if size.memory_mb:
-            counts.append((capacity.memory_mb - self.used_memory_mb) // size.memory_mb)
+            free_mb = capacity.memory_mb - self.used_memory_mb
+            count = min(count, free_mb // size.memory_mb)
+            if count < 1:
+                return 0
         if size.accelerators:
-            counts.append(
-                (capacity.accelerators - self.used_accelerators) // size.accelerators
-            )
-        return max(0, min(counts, default=1_000_000))
+            free = capacity.accelerators - self.used_accelerators
+            count = min(count, free // size.accelerators)
+        return max(0, count)
 
     def reserve(self, run: TaskRun) -> None:
         """Add a run and reserve its resources."""
--- a/pistachiolift/workflows/tests/test_orders.py
+++ b/pistachiolift/workflows/tests/test_orders.py
@@ -10,7 +10,7 @@
 
 from pistachiolift.workflows import JobStatus, dispatch
 from pistachiolift.workflows.model import AdvicePolicy
-from pistachiolift.workflows.placement import choose_worker, room_for_step
+from pistachiolift.workflows.placement import WorkerChoice, room_for_step
 from pistachiolift.workflows.urgency import critical_path_s, objective_s, rank
 
 from .virtual_cell import VirtualCell, make_graph, make_queue, make_step
@@ -107,18 +107,24 @@
 # Placement functions.
 
 
-def emptiest_first(step, index, workers, health):
-    fitting = [entry for entry in workers if room_for_step(step, entry)]
-    return max(fitting, key=lambda entry: entry.free_cpu_milli, default=None)
+class EmptiestFirst:
+    """Chooses the worker with the most free processors."""
 
+    def __init__(self, step, workers, health):
+        self._step, self._workers = step, workers
 
-PLACEMENTS = {"emptiest first": emptiest_first, "in use": choose_worker}
+    def choose(self, index):
+        fitting = [each for each in self._workers if room_for_step(self._step, each)]
+        return max(fitting, key=lambda entry: entry.free_cpu_milli, default=None)
+
+
+PLACEMENTS = {"emptiest first": EmptiestFirst, "in use": WorkerChoice}
 
 
 def run_burst(monkeypatch, order, placement, burst_of):
     """Run a burst of one kind; return the earned share of the worth by kind."""
     monkeypatch.setattr(dispatch, "rank", ORDERS[order])
-    monkeypatch.setattr(dispatch, "choose_worker", PLACEMENTS[placement])
+    monkeypatch.setattr(dispatch, "WorkerChoice", PLACEMENTS[placement])
     cell = VirtualCell(workers=24, cpu=32_000, memory=65_536)
     cell.scheduler.advice.instances = 9
     cell.scheduler.set_queues([each.queue for each in KINDS])
--- a/pistachiolift/workflows/urgency.py
+++ b/pistachiolift/workflows/urgency.py
@@ -1,5 +1,6 @@
 """Order in which waiting steps are placed."""
 
+from .model import Step
 from .state import JobEntry, StepEntry
 
 __all__ = ["critical_path_s", "objective_s", "rank"]
@@ -13,7 +14,14 @@
 
     :param from_step: index of the step at which the paths start.
     """
-    steps = entry.graph.steps
+    known_s = entry.path_s_by_step.get(from_step)
+    if known_s is None:
+        known_s = _measure_path(entry.graph.steps, from_step)
+        entry.path_s_by_step[from_step] = known_s
+    return known_s
+
+
+def _measure_path(steps: tuple[Step, ...], from_step: int) -> float:
     ends: list[float] = []
     starts_here = [False] * len(steps)
     longest = 0.0
