Keep in mind that an earlier attempt may have run

Cause: an attempt that was not started, or found no upstream, marked its request as one of which no attempt has run, although an earlier attempt may have: all upstreams of a data centre are killed, the first attempt is lost with its upstream, the second finds nobody listening, and when the home is then silent the caller is told 'not run'.

Change: such an attempt restores what was known before it.

Result: test_attempts.py (hypothesis over sequences of ends) failed with [answered, not_started] and passes now.

--- a/pistachiolift/entry/attempts.py
+++ b/pistachiolift/entry/attempts.py
@@ -112,6 +112,7 @@
 
     def _start(self, session: RequestSession, grant: AttemptGranted) -> None:
         session.last_contact_s = self._clock.monotonic_s()
+        earlier_may_have_run = session.granted_before
         session.granted_before = True
         session.held_attempt = HeldAttempt(
             session.describe(session.last_contact_s),
@@ -121,10 +122,16 @@
             grant.address,
         )
         self._address_by_attempt[grant.attempt_id] = grant.address
-        ensureDeferred(self._run(session, session.caller_with_body(), grant))
+        ensureDeferred(
+            self._run(session, session.caller_with_body(), grant, earlier_may_have_run)
+        )
 
     async def _run(
-        self, session: RequestSession, caller: Caller, grant: AttemptGranted
+        self,
+        session: RequestSession,
+        caller: Caller,
+        grant: AttemptGranted,
+        earlier_may_have_run: bool,
     ) -> None:
         order = AttemptOrder(
             attempt_id=grant.attempt_id,
@@ -146,7 +153,7 @@
         self._address_by_attempt.pop(grant.attempt_id, None)
         session.held_attempt = None
         if outcome.end in (AttemptEnd.NOT_STARTED, AttemptEnd.UNREACHABLE):
-            session.granted_before = False
+            session.granted_before = earlier_may_have_run
         if outcome.end is AttemptEnd.ANSWERED:
             self._on_answered(session, caller, outcome)
         self._report(session, grant, outcome)
