Do not pass on 'not run' from an owner that may not know an attempt

Change: sessions keep the epoch of the latest grant whose attempt may have run. Of a later owner's outcome only what holds in either case is passed on.

Result: the new tests of TestHomeAfterTakeover failed before and pass.

--- a/pistachiolift/entry/attempts.py
+++ b/pistachiolift/entry/attempts.py
@@ -112,8 +112,8 @@
 
     def _start(self, session: RequestSession, grant: AttemptGranted) -> None:
         session.last_contact_s = self._clock.monotonic_s()
-        earlier_may_have_run = session.granted_before
-        session.granted_before = True
+        earlier = session.granted_before, session.granted_epoch
+        session.granted_before, session.granted_epoch = True, grant.epoch
         session.held_attempt = HeldAttempt(
             session.describe(session.last_contact_s),
             grant.attempt_id,
@@ -122,17 +122,19 @@
             grant.address,
         )
         self._address_by_attempt[grant.attempt_id] = grant.address
-        ensureDeferred(
-            self._run(session, session.caller_with_body(), grant, earlier_may_have_run)
-        )
+        ensureDeferred(self._run(session, session.caller_with_body(), grant, earlier))
 
     async def _run(
         self,
         session: RequestSession,
         caller: Caller,
         grant: AttemptGranted,
-        earlier_may_have_run: bool,
+        earlier: tuple[bool, Epoch],
     ) -> None:
+        """Run the attempt of a grant.
+
+        :param earlier: whether an earlier attempt may have run, and its epoch.
+        """
         order = AttemptOrder(
             attempt_id=grant.attempt_id,
             request_id=grant.request_id,
@@ -153,7 +155,7 @@
         self._address_by_attempt.pop(grant.attempt_id, None)
         session.held_attempt = None
         if outcome.end in (AttemptEnd.NOT_STARTED, AttemptEnd.UNREACHABLE):
-            session.granted_before = earlier_may_have_run
+            session.granted_before, session.granted_epoch = earlier
         if outcome.end is AttemptEnd.ANSWERED:
             self._on_answered(session, caller, outcome)
         self._report(session, grant, outcome)
--- a/pistachiolift/entry/request_service.py
+++ b/pistachiolift/entry/request_service.py
@@ -239,8 +239,10 @@
 
     def _handle_request_ended(self, message: RequestEnded) -> None:
         error = _error_from_message(message)
-        self._cancellations.complete(message.request_id, error)
         session = self.sessions.get(message.request_id)
+        if session is not None and self._is_unaware_of_attempt(session):
+            error.outcome = _without_knowledge_of_runs(error.outcome)
+        self._cancellations.complete(message.request_id, error)
         if session is None or session.held_attempt is not None:
             return
         self.sessions.remove(message.request_id)
@@ -250,6 +252,15 @@
             else:
                 send_stored_answer(caller, message.answer)
 
+    def _is_unaware_of_attempt(self, session: RequestSession) -> bool:
+        """Whether the home may not know an attempt that an earlier owner granted."""
+        ownership = self._map.ownership(session.partition_id)
+        return (
+            session.granted_before
+            and ownership is not None
+            and ownership.epoch > session.granted_epoch
+        )
+
     # Time
 
     def _sweep(self) -> None:
@@ -296,6 +307,13 @@
             caller.answer.fail(error)
 
 
+def _without_knowledge_of_runs(outcome: Outcome) -> Outcome:
+    """Return the outcome that holds whether or not the request has run."""
+    if outcome is Outcome.CANCELLED_NOT_RUN:
+        return Outcome.CANCELLED_MAY_HAVE_RUN
+    return Outcome.UNKNOWN if outcome.certainly_not_run else outcome
+
+
 def _error_from_message(message: RequestEnded) -> PistachioliftError:
     code = ErrorCode(message.code) if message.code else ErrorCode.ALREADY_DONE
     retry_after_s = message.retry_after_ms / 1000
--- a/pistachiolift/entry/session.py
+++ b/pistachiolift/entry/session.py
@@ -37,6 +37,7 @@
     :param min_epoch: grants of lower epochs are rejected.
     :param resubmitted: whether the caller has sent the identifier before.
     :param granted_before: whether an attempt was started that may have run.
+    :param granted_epoch: epoch of the latest grant of such an attempt.
     :param last_contact_s: monotonic time of the home's last message, in seconds.
     :param submitted_s: monotonic time of the last submission to the home, in seconds.
     :param held_attempt: the attempt in flight.
@@ -55,6 +56,7 @@
     min_epoch: Epoch = Epoch(0)
     submitted_s: float = 0.0
     granted_before: bool = False
+    granted_epoch: Epoch = Epoch(0)
     resubmitted: bool = False
     held_attempt: HeldAttempt | None = None
 
--- a/pistachiolift/entry/tests/test_request_service.py
+++ b/pistachiolift/entry/tests/test_request_service.py
@@ -5,6 +5,7 @@
 
 from pistachiolift.common import (
     CustomerId,
+    Epoch,
     InstanceId,
     KindId,
     ManualClock,
@@ -20,6 +21,7 @@
 )
 from pistachiolift.entry.session import Caller, RequestSession
 from pistachiolift.home import PartitionMap
+from pistachiolift.peers import RequestEnded
 
 
 class Answer:
@@ -43,11 +45,12 @@
 
     def __init__(self):
         self.reactor, self.clock = ReactorClock(), ManualClock()
+        self.partition_map = PartitionMap()
         self.service = RequestService(
             self.reactor,
             clock=self.clock,
             self_id=InstanceId("entry"),
-            partition_map=PartitionMap(),
+            partition_map=self.partition_map,
             dispatcher=None,
             metrics=Metrics(),
             send=lambda instance_id, message: False,
@@ -120,3 +123,52 @@
             entry.advance(1.0)
         [error] = answer.errors
         assert error.outcome is Outcome.REFUSED
+
+
+class TestHomeAfterTakeover:
+    """Guards against "not run" from an owner that does not know an earlier attempt.
+
+    Pattern: the owner is killed after an attempt was lost with its upstream; the next
+    owner, whose slots are all in use, refuses the request that is sent to it again.
+    """
+
+    def end(self, *, home_epoch, outcome, **changes):
+        entry = Entry()
+        answer = entry.submit(30.0, **changes)
+        entry.partition_map.record_owner(
+            PartitionId("p"), InstanceId("home"), Epoch(home_epoch)
+        )
+        entry.service.handle(
+            RequestEnded(
+                sender=InstanceId("home"),
+                partition_id=PartitionId("p"),
+                request_id=RequestId("c/1"),
+                outcome=outcome.value,
+                code="queue_full",
+                message="",
+            )
+        )
+        [error] = answer.errors
+        return error.outcome
+
+    @pytest.mark.parametrize(
+        "outcome, expected",
+        [
+            (Outcome.REFUSED, Outcome.UNKNOWN),
+            (Outcome.EXPIRED, Outcome.UNKNOWN),
+            (Outcome.CANCELLED_NOT_RUN, Outcome.CANCELLED_MAY_HAVE_RUN),
+            (Outcome.FAILED, Outcome.FAILED),
+        ],
+    )
+    def test_a_later_owner_cannot_say_that_nothing_ran(self, outcome, expected):
+        ran = {"granted_before": True, "granted_epoch": Epoch(3)}
+        assert self.end(home_epoch=4, outcome=outcome, **ran) is expected
+
+    def test_the_owner_that_granted_the_attempt_knows_its_end(self):
+        ran = {"granted_before": True, "granted_epoch": Epoch(3)}
+        outcome = self.end(home_epoch=3, outcome=Outcome.REFUSED, **ran)
+        assert outcome is Outcome.REFUSED
+
+    def test_a_request_that_no_attempt_was_started_for_has_not_run(self):
+        outcome = self.end(home_epoch=4, outcome=Outcome.REFUSED)
+        assert outcome is Outcome.REFUSED
