Let repeated requests wait for upstreams that a new owner has not seen

Cause: after a takeover an owner granted slots once a second had passed, although a silent upstream (cut off, or too busy to answer within that second) may still run attempts of the earlier owner. A caller that repeats its request then got a second attempt beside the first.

Change: requests that may have run before (marked as repeated, or started by their entry instance) are accepted once every upstream of the takeover has listed its attempts, has refused a connection, has left, or an attempt can no longer run. New requests start as before.

--- a/pistachiolift/home/home_partition.py
+++ b/pistachiolift/home/home_partition.py
@@ -324,6 +324,11 @@
         spec = spec_from_description(
             message.request, message.sender, self._context.policies, now_s=self.now_s
         )
+        repeated = message.request.resubmitted or message.granted_before
+        if repeated and self.upstreams.may_run_unseen(spec.max_run_s):
+            # The entry instance repeats its message until the request is accepted.
+            self._context.metrics.count("retry.submit.upstream_silent")
+            return
         self._decide(
             lambda now_s: self.requests.submit(
                 spec, now_s, granted_before=message.granted_before
--- a/pistachiolift/home/upstream_registry.py
+++ b/pistachiolift/home/upstream_registry.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from twisted.internet.defer import ensureDeferred
+from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import deferLater
 
@@ -22,7 +23,8 @@
     No slot is granted before all upstreams have reported their running attempts,
     because a request whose attempt runs on one must not start on another. An upstream
     that does not answer delays this by a second at most; it gets no work until it
-    answers.
+    answers. Requests that may have run before wait for it longer, until it has answered
+    or :meth:`may_run_unseen` excludes a run.
 
     :param has_authority: returns whether decisions may be made now.
     :param adopt_running: called with an upstream and each attempt that it runs.
@@ -53,6 +55,8 @@
         self._verified: set[UpstreamId] = set()
         self._verifying: set[UpstreamId] = set()
         self._timeout_at_s = float("inf")
+        # Upstreams that may run attempts of earlier owners.
+        self._unseen: set[UpstreamId] = set()
         self._closed = False
 
     def close(self) -> None:
@@ -65,9 +69,20 @@
         has_timed_out = self._clock.monotonic_s() >= self._timeout_at_s
         return has_timed_out or self._verified >= set(self._entries_by_id)
 
+    def may_run_unseen(self, run_limit_s: float) -> bool:
+        """Whether an attempt of an earlier owner may run on a silent upstream.
+
+        :param run_limit_s: time after which the attempt has ended in any case.
+        """
+        if not self._unseen:
+            return False
+        begun_s = self._timeout_at_s - VERIFY_TIMEOUT_S
+        return self._clock.monotonic_s() < begun_s + run_limit_s
+
     def start_grant_timeout(self) -> None:
         """Start the timeout for the answers; called when authority begins."""
         self._timeout_at_s = self._clock.monotonic_s() + VERIFY_TIMEOUT_S
+        self._unseen = set(self._entries_by_id) - self._verified
         self._reactor.callLater(VERIFY_TIMEOUT_S, self._add_verified_to_pool)
 
     def update_upstream(self, entry: DirectoryEntry) -> None:
@@ -84,6 +99,7 @@
         """Remove an upstream that has left the directory or the partition."""
         self._entries_by_id.pop(upstream_id, None)
         self._verified.discard(upstream_id)
+        self._unseen.discard(upstream_id)
         self._pool.remove(upstream_id)
 
     async def _verify(self, upstream_id: UpstreamId) -> None:
@@ -93,6 +109,9 @@
                 running = await self._upstreams.list_running(entry.address)
             except PistachioliftError as error:
                 self._metrics.count(f"retry.verify_upstream.{error.code.value}")
+                if isinstance(error.__cause__, ConnectionRefusedError):
+                    # Its process has ended, and all attempts with it.
+                    self._unseen.discard(upstream_id)
                 await deferLater(self._reactor, RETRY_INTERVAL_S)
                 continue
             self._record_answer(upstream_id, running)
@@ -105,6 +124,7 @@
         if self._closed or upstream_id not in self._entries_by_id:
             return
         self._verified.add(upstream_id)
+        self._unseen.discard(upstream_id)
         for attempt in running:
             self._adopt_running(upstream_id, attempt)
         if self.may_grant:
