--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,10 @@
 demo: $(VENV)/.installed
 	$(RUN) -m pistachiolift --log-level ERROR demo
 
+# The features start hundreds of processes, which would each compile the modules again
+# where Python may not write them.
 test: $(VENV)/.installed
+	$(RUN) -m compileall -q pistachiolift
 	$(RUN) -m pytest -n $(TEST_JOBS) --dist worksteal --ignore pistachiolift/tests
 	$(RUN) -m pytest -n $(TEST_JOBS) --dist worksteal pistachiolift/tests
 
