Find the attempts that an earlier owner ran on lent slots

With all slots in use an owner borrows slots of another partition. Its successor listed the attempts of its own upstreams only; if the earlier owner was the entry instance too, nobody held the borrowed attempts, and a caller that repeated its request got a second one beside them.

Change: after a takeover the successor asks the upstreams of the other partitions once for attempts of its partition, 32 at a time, and adopts those with the upstream's address; repeated requests wait for the answers as for those of its own upstreams. An upstream that leaves the partition but not the directory still counts as unseen.

--- a/pistachiolift/home/home_partition.py
+++ b/pistachiolift/home/home_partition.py
@@ -11,6 +11,7 @@
 
 from ..backends import (
     AttemptState,
+    DirectoryEntry,
     KeyValueStore,
     RunningAttempt,
     UpstreamClient,
@@ -167,6 +168,7 @@
             pool=self.requests.pool,
             upstreams=context.upstreams,
             metrics=context.metrics,
+            partition_id=partition_id,
             has_authority=lambda: self.has_authority,
             adopt_running=self._adopt_orphan,
             on_slots_available=self._on_slots_available,
@@ -287,14 +289,15 @@
 
     # Upstreams
 
-    def _adopt_orphan(self, upstream_id: UpstreamId, attempt: RunningAttempt) -> None:
+    def _adopt_orphan(self, upstream: DirectoryEntry, attempt: RunningAttempt) -> None:
         self._apply_or_defer(
             lambda now_s: self.requests.adopt_orphan(
                 attempt.request_id,
                 attempt.attempt_id,
-                upstream_id,
+                UpstreamId(upstream.id),
                 ORPHAN_RUN_LIMIT_S,
                 now_s,
+                address=upstream.address,
             )
         )
 
--- a/pistachiolift/home/service.py
+++ b/pistachiolift/home/service.py
@@ -128,6 +128,8 @@
         home.load_intents()
         for upstream in self._upstreams_by_id.values():
             self._update_upstream(home, upstream)
+        if recovery is not None and epoch > 1:
+            home.upstreams.look_for_lent(self._upstreams_of_others(partition_id))
         home.jobs.sync_workers(self._workers_of(partition_id))
         home.resume()
 
@@ -259,7 +261,7 @@
             for entry in changed:
                 self._update_upstream(home, entry)
             for upstream_id in removed:
-                home.upstreams.remove(upstream_id)
+                home.upstreams.remove(upstream_id, gone=True)
             home.grant_free_slots()
 
     def workers_changed(
@@ -310,6 +312,13 @@
         else:
             home.upstreams.remove(UpstreamId(entry.id))
 
+    def _upstreams_of_others(self, partition_id: PartitionId) -> list[DirectoryEntry]:
+        return [
+            entry
+            for entry in self._upstreams_by_id.values()
+            if self._map.member_partition(entry.data_centre, entry.id) != partition_id
+        ]
+
     def partition_loads(self) -> list[PartitionLoad]:
         """Return the load of each partition, for heartbeats."""
         now_s = self._context.clock.monotonic_s()
--- a/pistachiolift/home/tests/test_upstream_registry.py
+++ b/pistachiolift/home/tests/test_upstream_registry.py
@@ -15,6 +15,7 @@
     AttemptId,
     ManualClock,
     Metrics,
+    PartitionId,
     RequestId,
     UpstreamId,
     UpstreamUnreachableError,
@@ -57,7 +58,7 @@
 class Owner:
     """A registry of two upstreams right after a takeover."""
 
-    def __init__(self, **outcomes):
+    def __init__(self, *, foreign=(), **outcomes):
         self.reactor, self.clock = ReactorClock(), ManualClock()
         self.client = Upstreams()
         self.client.outcomes_by_address = {
@@ -71,12 +72,14 @@
             pool=UpstreamPool(),
             upstreams=self.client,
             metrics=Metrics(),
+            partition_id=PartitionId("p"),
             has_authority=lambda: True,
             adopt_running=lambda upstream, attempt: self.adopted.append(attempt),
             on_slots_available=self._count,
         )
         for name in ("a", "b"):
             self.registry.update_upstream(entry(name))
+        self.registry.look_for_lent([entry(name) for name in foreign])
         self.registry.start_grant_timeout()
 
     def _count(self):
@@ -132,10 +135,49 @@
 
     def test_an_upstream_that_leaves_the_directory_is_not_waited_for(self):
         owner = Owner(a=[[]])
-        owner.registry.remove(UpstreamId("b"))
+        owner.registry.remove(UpstreamId("b"), gone=True)
         assert not owner.may_run_unseen()
 
     def test_an_upstream_that_joins_later_is_not_waited_for(self):
         owner = Owner(a=[[]], b=[[]])
         owner.registry.update_upstream(entry("c"))
         assert not owner.may_run_unseen()
+
+
+def running(attempt):
+    return RunningAttempt(attempt_id=AttemptId(attempt), request_id=RequestId("c/1"))
+
+
+class TestLentSlots:
+    """Guards against a second attempt beside one on a slot of another partition.
+
+    Pattern: an owner with all slots in use has borrowed some, and is killed while its
+    attempts run there; the callers send their requests again.
+    """
+
+    def test_the_successor_adopts_its_attempts_on_upstreams_of_others(self):
+        found = [running("p.1.1"), running("q.1.1")]
+        owner = Owner(foreign=["f"], a=[[]], b=[[]], f=[found])
+        assert owner.adopted == found[:1]
+        assert not owner.may_run_unseen()
+
+    def test_repeated_requests_wait_for_a_silent_upstream_of_another(self):
+        owner = Owner(foreign=["f"], a=[[]], b=[[]])
+        owner.advance(VERIFY_TIMEOUT_S + 0.1)
+        assert owner.registry.may_grant
+        assert owner.may_run_unseen()
+        owner.advance(RUN_LIMIT_S)
+        assert not owner.may_run_unseen()
+
+    def test_an_upstream_that_does_not_answer_is_asked_again(self):
+        failure = UpstreamUnreachableError("timeout")
+        found = running("p.1.1")
+        owner = Owner(foreign=["f"], a=[[]], b=[[]], f=[failure, [found]])
+        assert owner.adopted == []
+        owner.advance(RETRY_INTERVAL_S)
+        assert owner.adopted == [found]
+
+    def test_an_upstream_that_leaves_the_partition_may_still_run_attempts(self):
+        owner = Owner(a=[[]])
+        owner.registry.remove(UpstreamId("b"))
+        assert owner.may_run_unseen()
--- a/pistachiolift/home/trace.py
+++ b/pistachiolift/home/trace.py
@@ -332,9 +332,9 @@
             lines.with_short_digest(spec), attempt_id, upstream_id, run_limit_s
         ),
     ),
-    "adopt_orphan": lambda request_id, attempt_id, upstream_id, run_limit_s, now_s: (
+    "adopt_orphan": lambda request_id, attempt_id, upstream_id, limit_s, now_s, **_: (
         now_s,
-        lines.OrphanAdopted(request_id, attempt_id, upstream_id, run_limit_s),
+        lines.OrphanAdopted(request_id, attempt_id, upstream_id, limit_s),
     ),
     "forget_before": lambda now_s: (now_s, lines.MemoryBegan()),
     "restore_ended": lambda ended: (None, lines.describe_ended(ended)),
--- a/pistachiolift/home/upstream_registry.py
+++ b/pistachiolift/home/upstream_registry.py
@@ -1,20 +1,22 @@
 """The upstreams of a partition, used only once their running attempts are known."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
-from twisted.internet.defer import ensureDeferred
+from twisted.internet.defer import DeferredSemaphore, ensureDeferred
 from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import deferLater
 
 from ..backends import DirectoryEntry, InstanceState, RunningAttempt, UpstreamClient
-from ..common import Clock, Metrics, PistachioliftError, UpstreamId
+from ..common import Clock, Metrics, PartitionId, PistachioliftError, UpstreamId
 from ..requests import UpstreamPool
 
 __all__ = ["UpstreamRegistry"]
 
 RETRY_INTERVAL_S = 0.5
 VERIFY_TIMEOUT_S = 1.0
+# Limit of concurrent calls to upstreams of other partitions.
+FOREIGN_CALLS = 32
 
 
 class UpstreamRegistry:
@@ -27,7 +29,12 @@
     or :meth:`may_run_unseen` excludes a run.
 
     :param has_authority: returns whether decisions may be made now.
-    :param adopt_running: called with an upstream and each attempt that it runs.
+    Attempts on slots that another partition had lent run on upstreams that are not
+    this partition's; a successor looks for them once, see :meth:`look_for_lent`.
+
+    :param partition_id: the partition, with which its attempts' identifiers begin.
+    :param adopt_running: called with an upstream's directory entry and each attempt
+        that it runs.
     :param on_slots_available: called when slots have become available.
     """
 
@@ -39,8 +46,9 @@
         pool: UpstreamPool,
         upstreams: UpstreamClient,
         metrics: Metrics,
+        partition_id: PartitionId,
         has_authority: Callable[[], bool],
-        adopt_running: Callable[[UpstreamId, RunningAttempt], None],
+        adopt_running: Callable[[DirectoryEntry, RunningAttempt], None],
         on_slots_available: Callable[[], None],
     ):
         self._reactor = reactor
@@ -48,6 +56,7 @@
         self._pool = pool
         self._upstreams = upstreams
         self._metrics = metrics
+        self._partition_id = partition_id
         self._has_authority = has_authority
         self._adopt_running = adopt_running
         self._on_slots_available = on_slots_available
@@ -57,6 +66,9 @@
         self._timeout_at_s = float("inf")
         # Upstreams that may run attempts of earlier owners.
         self._unseen: set[UpstreamId] = set()
+        # Other partitions' upstreams that are still to list their attempts.
+        self._foreign: set[UpstreamId] = set()
+        self._foreign_calls = DeferredSemaphore(FOREIGN_CALLS)
         self._closed = False
 
     def close(self) -> None:
@@ -82,7 +94,7 @@
     def start_grant_timeout(self) -> None:
         """Start the timeout for the answers; called when authority begins."""
         self._timeout_at_s = self._clock.monotonic_s() + VERIFY_TIMEOUT_S
-        self._unseen = set(self._entries_by_id) - self._verified
+        self._unseen = (set(self._entries_by_id) - self._verified) | self._foreign
         self._reactor.callLater(VERIFY_TIMEOUT_S, self._add_verified_to_pool)
 
     def update_upstream(self, entry: DirectoryEntry) -> None:
@@ -95,11 +107,15 @@
             self._verifying.add(upstream_id)
             ensureDeferred(self._verify(upstream_id))
 
-    def remove(self, upstream_id: UpstreamId) -> None:
-        """Remove an upstream that has left the directory or the partition."""
+    def remove(self, upstream_id: UpstreamId, *, gone: bool = False) -> None:
+        """Remove an upstream that has left the partition.
+
+        :param gone: whether it has left the directory, so that nothing runs there.
+        """
         self._entries_by_id.pop(upstream_id, None)
         self._verified.discard(upstream_id)
-        self._unseen.discard(upstream_id)
+        if gone:
+            self._record_seen(upstream_id)
         self._pool.remove(upstream_id)
 
     async def _verify(self, upstream_id: UpstreamId) -> None:
@@ -111,22 +127,56 @@
                 self._metrics.count(f"retry.verify_upstream.{error.code.value}")
                 if isinstance(error.__cause__, ConnectionRefusedError):
                     # Its process has ended, and all attempts with it.
-                    self._unseen.discard(upstream_id)
+                    self._record_seen(upstream_id)
                 await deferLater(self._reactor, RETRY_INTERVAL_S)
                 continue
             self._record_answer(upstream_id, running)
             break
         self._verifying.discard(upstream_id)
 
+    # Upstreams of other partitions.
+
+    def look_for_lent(self, entries: Iterable[DirectoryEntry]) -> None:
+        """Adopt the attempts that an earlier owner runs on slots lent to it.
+
+        :param entries: the upstreams of all other partitions.
+        """
+        for entry in entries:
+            self._foreign.add(UpstreamId(entry.id))
+            ensureDeferred(self._list_foreign(entry))
+
+    async def _list_foreign(self, entry: DirectoryEntry) -> None:
+        upstream_id = UpstreamId(entry.id)
+        while not self._closed and upstream_id in self._foreign:
+            try:
+                running = await self._foreign_calls.run(
+                    lambda: ensureDeferred(self._upstreams.list_running(entry.address))
+                )
+            except PistachioliftError as error:
+                self._metrics.count(f"retry.look_for_lent.{error.code.value}")
+                if isinstance(error.__cause__, ConnectionRefusedError):
+                    break
+                await deferLater(self._reactor, RETRY_INTERVAL_S)
+                continue
+            for attempt in running:
+                if attempt.attempt_id.startswith(f"{self._partition_id}."):
+                    self._adopt_running(entry, attempt)
+            break
+        self._record_seen(upstream_id)
+
+    def _record_seen(self, upstream_id: UpstreamId) -> None:
+        self._unseen.discard(upstream_id)
+        self._foreign.discard(upstream_id)
+
     def _record_answer(
         self, upstream_id: UpstreamId, running: list[RunningAttempt]
     ) -> None:
         if self._closed or upstream_id not in self._entries_by_id:
             return
         self._verified.add(upstream_id)
-        self._unseen.discard(upstream_id)
+        self._record_seen(upstream_id)
         for attempt in running:
-            self._adopt_running(upstream_id, attempt)
+            self._adopt_running(self._entries_by_id[upstream_id], attempt)
         if self.may_grant:
             self._add_verified_to_pool()
 
--- a/pistachiolift/requests/scheduler.py
+++ b/pistachiolift/requests/scheduler.py
@@ -281,11 +281,13 @@
         upstream_id: UpstreamId,
         run_limit_s: float,
         now_s: float,
+        *,
+        address: str = "",
     ) -> list[Decision]:
         """Adopt an orphaned attempt; see :meth:`Takeover.adopt_orphan`."""
         self._begin_event(now_s)
         self._takeover.adopt_orphan(
-            request_id, attempt_id, upstream_id, run_limit_s, now_s
+            request_id, attempt_id, upstream_id, run_limit_s, now_s, address=address
         )
         return self._finish_event(now_s)
 
--- a/pistachiolift/requests/takeover.py
+++ b/pistachiolift/requests/takeover.py
@@ -72,16 +72,21 @@
         upstream_id: UpstreamId,
         run_limit_s: float,
         now_s: float,
+        *,
+        address: str = "",
     ) -> None:
         """Adopt an attempt that runs on an upstream but that no entry instance holds.
 
         The request is repeatable unless an intent is known for it. Another attempt
         starts only after this one is confirmed to have ended. If another partition has
         borrowed the slot, only the slot is counted and the attempt is not stopped.
+
+        :param address: address of the upstream, which may belong to another partition.
         """
         table = self._table
         if attempt_id in table.attempts_by_id:
             return
+        table.pool.adopt(attempt_id, upstream_id, address=address)
         request = table.requests_by_id.get(request_id)
         borrowed = not attempt_id.startswith(f"{table.partition_id}.")
         if not borrowed and request is not None:
--- a/pistachiolift/requests/tests/test_lost_entries.py
+++ b/pistachiolift/requests/tests/test_lost_entries.py
@@ -8,7 +8,7 @@
 
 from pistachiolift.bench.request_replay import Workload
 from pistachiolift.common import Urgency
-from pistachiolift.requests import EndRequest, Grant
+from pistachiolift.requests import AttemptResult, ConfirmAttempt, EndRequest, Grant
 
 from .home import Home
 
@@ -46,3 +46,28 @@
         """Guards against unlimited retries at upstreams whose answers are lost."""
         home.advance(1.0, 40.0)
         assert len(home.decisions_of_type(EndRequest)) > REQUESTS / 2
+
+
+class TestAttemptsOnLentSlots:
+    """An earlier owner's attempt runs on an upstream of another partition.
+
+    Its caller sends the request again, while no entry instance holds the attempt.
+    """
+
+    def test_the_request_starts_again_once_the_attempt_has_ended(self):
+        home = Home(WORK, slots=1, deadline_s=DEADLINE_S)
+        orphan = "p.1.7"
+        home.decisions += home.scheduler.adopt_orphan(
+            "c/1", orphan, "lent", 30.0, 0.0, address="192.0.2.9:80"
+        )
+        [question] = home.decisions_of_type(ConfirmAttempt)
+        assert question.attempt_id == orphan
+        assert question.address == "192.0.2.9:80"
+        home.submit("c/1", 0.1)
+        home.advance(0.1, 2.0)
+        assert home.grants("c/1") == []
+        home.decisions += home.scheduler.attempt_confirmed(
+            orphan, AttemptResult.STOPPED, 2.0
+        )
+        home.advance(2.0, 4.0)
+        assert len(home.grants("c/1")) == 1
