Hold back only requests whose attempt may be unknown

Cause: read through: a repeated request whose result or attempt the new owner knows, or that an intent protects, waited for silent upstreams too, although it can be answered.

Change: only repeatable requests that are neither open nor ended wait.

Result: test_home_partition.py submits through the owner's side, with a silent upstream.

--- a/pistachiolift/home/home_partition.py
+++ b/pistachiolift/home/home_partition.py
@@ -49,6 +49,7 @@
     PolicySource,
     RecordOutcome,
     RequestScheduler,
+    RequestSpec,
     StopAttempt,
     WriteIntent,
 )
@@ -327,8 +328,7 @@
         spec = spec_from_description(
             message.request, message.sender, self._context.policies, now_s=self.now_s
         )
-        repeated = message.request.resubmitted or message.granted_before
-        if repeated and self.upstreams.may_run_unseen(spec.max_run_s):
+        if self._may_run_unseen(spec, message):
             # The entry instance repeats its message until the request is accepted.
             self._context.metrics.count("retry.submit.upstream_silent")
             return
@@ -348,6 +348,20 @@
                 ),
             )
 
+    def _may_run_unseen(self, spec: RequestSpec, message: SubmitRequest) -> bool:
+        """Whether an attempt of an earlier owner may run that is not known here.
+
+        Intents protect the requests that must not be repeated.
+        """
+        repeated = message.request.resubmitted or message.granted_before
+        return (
+            spec.repeatable
+            and repeated
+            and not self.requests.is_open(spec.request_id)
+            and self.requests.ended_request(spec.request_id) is None
+            and self.upstreams.may_run_unseen(spec.max_run_s)
+        )
+
     def attempt_ended(self, message: AttemptEnded) -> None:
         """Record an entry instance's report that an attempt has ended."""
         answer = message.answer
