--- a/pistachiolift/home/tests/test_home_partition.py
+++ b/pistachiolift/home/tests/test_home_partition.py
@@ -5,7 +5,6 @@
 import pytest
 from twisted.internet.task import Clock as ReactorClock
 
-from pistachiolift.backends import Capacity, DirectoryEntry, InstanceRole
 from pistachiolift.bench.request_replay import StaticPolicies, Workload
 from pistachiolift.common import (
     CustomerId,
@@ -23,22 +22,11 @@
 from pistachiolift.peers import AttemptGranted, RequestDescription, SubmitRequest
 
 from .test_home_jobs import NoQuotas, Store
-from .test_upstream_registry import Upstreams
+from .test_upstream_registry import Upstreams, entry
 
 WORK = Workload(kind_id="k", urgency=Urgency.DEFERRABLE, load=1, run_s=4.0)
 
 
-def upstream(name):
-    return DirectoryEntry(
-        id=name,
-        role=InstanceRole.UPSTREAM,
-        address=f"{name}:1",
-        data_centre="d",
-        rack="r",
-        capacity=Capacity(slots=8),
-    )
-
-
 class Successor:
     """A new owner of a partition with an upstream that answers and a silent one."""
 
@@ -67,8 +55,8 @@
         self.home = HomePartition(
             context, partition_id=PartitionId("p"), epoch=Epoch(2)
         )
-        self.home.upstreams.update_upstream(upstream("answers"))
-        self.home.upstreams.update_upstream(upstream("silent"))
+        self.home.upstreams.update_upstream(entry("answers"))
+        self.home.upstreams.update_upstream(entry("silent"))
         self.home.resume()
         self.advance(1.2)
 
