Take a connection that was cancelled while opening for an unreachable upstream

Cause: found by reading, after the JSON client had got connections of its own: the error that the agent raises when a call's time ends while its connection is opening was no longer among those that count as unreachable, so that an attempt ended as an internal error and a watch of the store with an unhandled one.

Change: the error is in the list of the clients that use the agent.

Result: test_upstream.py covers it.

--- a/pistachiolift/backends/agent.py
+++ b/pistachiolift/backends/agent.py
@@ -1,5 +1,6 @@
 """Errors of Twisted's HTTP agent, for the clients that stream bodies."""
 
+from twisted.internet.error import ConnectingCancelledError
 from twisted.web.client import (
     RequestNotSent,
     RequestTransmissionFailed,
@@ -16,5 +17,7 @@
     ResponseFailed,
     RequestNotSent,
     RequestTransmissionFailed,
+    # Raised instead of a time-out error if the connection is not open by then.
+    ConnectingCancelledError,
     *CONNECTION_ERRORS,
 )
