Do not take refused connections for the end of a worker's process

Callers saw: tasks that must run once had two runs at the same time.

Cause: after two refused connections the driver reported the process as ended, so the scheduler ended its runs and started them elsewhere. A network cut may refuse or reset connections while the worker runs on, so that no number of refusals is proof; the class of fault is missing evidence taken for evidence of an end.

Change: such a worker is lost, like one that does not answer. Its runs end with its lease, or when a later process answers. The error's attribute for refusals is gone.

Tests: test_its_tasks_are_not_started_elsewhere_before_their_lease_ends and test_refused_connections_do_not_mean_that_the_process_has_ended fail on the old driver. The latter replaces a test that demanded the fault (two refusals end the process); it checks twenty refusals, that the driver goes on, and that no lease is renewed. test_a_worker_that_counted_as_dead_is_polled_again_when_its_entry_changes now has another process answer, since refusals no longer make a worker count as dead.

--- a/pistachiolift/node/interfaces.py
+++ b/pistachiolift/node/interfaces.py
@@ -78,16 +78,13 @@
 class WorkerUnavailableError(PistachioliftError):
     """A worker did not answer; a command may have been carried out.
 
-    :param refused: whether the connection was refused, so no process is listening.
+    This does not prove that its process has ended, even if the connection was refused
+    or reset: a network failure may have the same effect.
     """
 
     code = ErrorCode.UPSTREAM_UNREACHABLE
     http_status = 502
 
-    def __init__(self, message: str, *, refused: bool = False):
-        super().__init__(message)
-        self.refused = refused
-
 
 class WorkerReplacedError(PistachioliftError):
     """A later process of the worker answered; the expected one has ended."""
--- a/pistachiolift/node/worker_driver.py
+++ b/pistachiolift/node/worker_driver.py
@@ -33,8 +33,6 @@
 # A start that is not answered after this many attempts is blocked by a stop.
 MAX_START_ATTEMPTS = 5
 STOP_RETRY_S = 0.4
-# Consecutive refused connections after which the worker's process counts as ended.
-REFUSED_LIMIT = 2
 # A worker's clock may run slower than this instance's clock by this share.
 CLOCK_DRIFT = 0.02
 
@@ -140,7 +138,6 @@
         self._clock_offset_ms: float | None = None
         self._clock_read_s = 0.0
         self._last_end = 0
-        self._refused = 0
         self._reachable = True
         self._closed = False
 
@@ -230,7 +227,6 @@
                 self._handle_no_answer(error, sent_s)
         if report is None:
             return None
-        self._refused = 0
         self._record_clock(report.clock_ms)
         if not self._reachable:
             self._reachable = True
@@ -253,10 +249,6 @@
         return True
 
     def _handle_no_answer(self, error: WorkerUnavailableError, sent_s: float) -> None:
-        self._refused = self._refused + 1 if error.refused else 0
-        if self._refused >= REFUSED_LIMIT:
-            self._end("connection_refused")
-            return
         if self._reachable:
             self._reachable = False
             log_event(
--- a/pistachiolift/platform/workers.py
+++ b/pistachiolift/platform/workers.py
@@ -1,7 +1,6 @@
 """Commands to workers and their run reports, over HTTP."""
 
 import msgspec
-from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.interfaces import IReactorTime
 
 from ..backends.http import JsonHttpClient
@@ -93,18 +92,13 @@
     async def _call(
         self, path: str, body: dict, *, timeout_s: float | None = None
     ) -> tuple[int, bytes]:
-        try:
-            status, answer = await self._client.call(
-                "POST",
-                path,
-                body=encode_json(body),
-                headers=self._headers,
-                timeout_s=timeout_s,
-            )
-        except WorkerUnavailableError as error:
-            cause = error.__cause__
-            error.refused = isinstance(cause, ConnectionRefusedError)
-            raise
+        status, answer = await self._client.call(
+            "POST",
+            path,
+            body=encode_json(body),
+            headers=self._headers,
+            timeout_s=timeout_s,
+        )
         if status == 421:
             raise WorkerReplacedError(
                 f"worker {self._worker.worker_id}: another process answered"
