Keep the failures of other jobs when a worker's quarantine is lifted

Cause: when a job proves faulty, the quarantines that it led to are lifted. This dropped the whole record of the worker, with the failures of the other jobs, as only a success should. A worker that fails everything was therefore trusted with tasks of three more jobs instead of one.

Change: a release keeps the failures of other jobs; the length of the next quarantine starts from the base again, as before.

Result: both new tests fail before (0 failing jobs instead of 2; not in quarantine after the third sound job) and pass after. Tests of jobs, common, workflows and replay pass.

--- a/pistachiolift/common/worker_health.py
+++ b/pistachiolift/common/worker_health.py
@@ -26,7 +26,7 @@
 
     A job that has failed on several workers and succeeded on none is faulty: its
     failures no longer count against workers, and quarantines that are due to it are
-    lifted.
+    lifted. The failures of other jobs count until the worker's next success.
 
     :param quarantine_base_s: duration of a worker's first quarantine, in seconds;
         it doubles with each further one.
@@ -130,7 +130,9 @@
                 record.quarantined_until_s is not None
                 and len(record.failing_jobs) < QUARANTINE_FAILING_JOBS
             ):
-                del self._workers_by_id[worker_id]
+                # The failures of other jobs still count: a release is no success.
+                failing_jobs = record.failing_jobs
+                self._workers_by_id[worker_id] = _WorkerRecord(failing_jobs)
                 released.append(worker_id)
         return released
 
--- a/pistachiolift/jobs/tests/test_health.py
+++ b/pistachiolift/jobs/tests/test_health.py
@@ -4,6 +4,7 @@
 
 from pistachiolift.common import InvalidInputError, WorkerHealth
 from pistachiolift.jobs import (
+    EndReason,
     NoPlacementReason,
     PolicyName,
     QuotaTable,
@@ -41,6 +42,48 @@
         assert all(health.job_fails_everywhere(job_id) for job_id in ("j1", "j2"))
         assert all(health.accepts(w, 0.0) for w in ("w1", "w2", "w3"))
 
+    def test_release_keeps_the_failures_of_other_jobs(self):
+        """Guards against a faulty worker that a faulty job's end clears.
+
+        The worker fails every task. A job that fails everywhere is among the three
+        that led to the quarantine, so this is lifted; the two others still count.
+        """
+        health = WorkerHealth()
+        for job_id in ("faulty", "j1", "j2"):
+            health.record_failure("w1", job_id, 0.0)
+        assert health.is_quarantined("w1")
+        assert health.record_failure("w2", "faulty", 1.0) == []
+        assert health.record_failure("w3", "faulty", 2.0) == ["w1"]
+        assert health.accepts("w1", 2.0)
+        assert health.failing_job_count("w1") == 2
+        assert health.record_failure("w1", "j2", 3.0) == []
+        assert health.record_failure("w1", "j3", 3.0) == ["w1"]
+        assert health.quarantined_until_s("w1") == 33.0, "the lifted one counts"
+
+    def test_quarantine_lifted_in_a_cell(self):
+        """Guards against a faulty worker that keeps its tasks after a release."""
+        cell = Cell()
+        for number in range(3):
+            cell.add_worker(number)
+        cell.settle()
+        for job_id in ("faulty", "j1", "j2"):
+            cell.call("submit_job", make_spec(job_id))
+            cell.settle()
+            assert cell.running()[f"{job_id}.0.1"] == "w0"
+            cell.finish(f"{job_id}.0.1", ReportedState.FAILED)
+        assert cell.scheduler.status().quarantined == ["w0"]
+        for attempt in (2, 3):
+            cell.advance(2)
+            cell.finish(f"faulty.0.{attempt}", ReportedState.FAILED)
+        cell.settle()
+        assert cell.ended["faulty"].reason is EndReason.FAILED
+        assert not cell.scheduler.status().quarantined
+        cell.call("submit_job", make_spec("j3"))
+        cell.settle()
+        assert cell.running()["j3.0.1"] == "w0"
+        cell.finish("j3.0.1", ReportedState.FAILED)
+        assert cell.scheduler.status().quarantined == ["w0"]
+
     def test_quarantine_and_probe_in_a_cell(self):
         """Guards against a quarantined worker that is never used again."""
         cell = Cell()
