Judge the quarantine of a failing worker by the sound jobs that failed on it

Cause: the expectation depended on the order of events. If the faulty job is among the three whose failures led to the quarantine, this is lifted when the job has failed on a third worker. If only two sound jobs failed on the worker until then and the others found room elsewhere, no quarantine is what is intended: two jobs may fail by chance. The times between are those of jittered retries and of reports.

Change: the test waits for the end of the faulty job. While fewer than three sound jobs have run on the worker and it is not in quarantine, it submits another sound job, at most three, each of which must succeed. The worker, and no other, must then be in quarantine. This is as strict as before: all sound jobs must succeed, and from the third sound job that failed on it, the worker must be in quarantine.

--- a/pistachiolift/tests/test_job_guarantees.py
+++ b/pistachiolift/tests/test_job_guarantees.py
@@ -24,6 +24,9 @@
 SETTLE_S = 5.0
 # Bound from the task: a job that cannot be stored is refused within about 3 s.
 REFUSAL_TARGET_S = 3.5
+SOUND_JOBS = 6
+# Different jobs that fail on a worker before it is quarantined.
+QUARANTINE_JOBS = 3
 
 
 @pytest.fixture
@@ -48,18 +51,41 @@
     cell.set_faults(bad, fail_all=True)
     shape = ("batch", 1, [1000, 1000, 0], 0.2)
     submit(cell, document("ikeja:failing", shape, payload={"fails": True}))
-    for number in range(6):
-        shape = ("batch", 4, [1000, 1000, 0], 0.2)
-        submit(cell, document(f"ikeja:sound-{number}", shape))
+    for number in range(SOUND_JOBS):
+        submit_sound_job(cell, number)
+
+
+def submit_sound_job(cell, number):
+    shape = ("batch", 4, [1000, 1000, 0], 0.2)
+    submit(cell, document(f"ikeja:sound-{number}", shape))
+
+
+def check_sound_job(cell, number):
+    assert wait_for_end(cell, f"ikeja:sound-{number}")["end_reason"] == "succeeded"
+
+
+def quarantined_workers(cell):
+    status = cell.operate("GET", "/v1/partitions/ikeja-0").json()
+    return status["jobs"]["quarantined"]
 
 
 @then("the worker is quarantined and the sound jobs succeed")
 def quarantined(cell):
     bad = next(n for n, w in cell.workers.items() if w.entry["data_centre"] == "ikeja")
-    for number in range(6):
-        assert wait_for_end(cell, f"ikeja:sound-{number}")["end_reason"] == "succeeded"
-    status = cell.operate("GET", "/v1/partitions/ikeja-0").json()
-    assert status["jobs"]["quarantined"] == [bad]
+    for number in range(SOUND_JOBS):
+        check_sound_job(cell, number)
+    wait_for_end(cell, "ikeja:failing")
+    # If the failing job was among the three that led to the quarantine, this is lifted
+    # when the job proves faulty: two sound jobs may have failed by chance. From the
+    # third sound job that failed on the worker, it must be in quarantine.
+    for number in range(SOUND_JOBS, SOUND_JOBS + QUARANTINE_JOBS):
+        runs = [r for r in cell.task_runs() if r["worker"] == bad]
+        sound = {r["job_id"] for r in runs} - {"ikeja:failing"}
+        if quarantined_workers(cell) or len(sound) >= QUARANTINE_JOBS:
+            break
+        submit_sound_job(cell, number)
+        check_sound_job(cell, number)
+    assert quarantined_workers(cell) == [bad]
 
 
 @then("the failing job ends with a typed error")
