Keep the runs of a worker whose directory entry is read late

Cause: incarnations were compared for equality, although only an older process has ended. A new owner whose directory is older than its predecessor's (a watch that hears nothing and then loses its history) took the runs of a worker's newer process for ended and placed their tasks again, also when the worker was cut off and could not be listed. An older entry that reached a working owner did the same, and replaced the driver.

Evidence: TestOldDirectoryEntries in workflows/tests fails before the change with "runs twice" for an older entry at a working owner and for a new owner with an older directory and a worker that is cut off; both tests of the same name in node/tests/test_owner.py fail as well (a driver for the older process).

Change: an entry of an older incarnation is ignored, both by the fleet and for the driver. A process in the ledger that is newer than its entry is added like one that has left the directory: its runs are kept until it is listed or its lease ends, and it gets no new ones until its entry is read. Of two records of a worker the newer incarnation counts, whatever their order. A worker that started again with an earlier time is still found: its answer names another incarnation, which removes the entry.

--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -319,9 +319,10 @@
         self._schedule_pass()
 
     def update_worker(self, worker: Worker) -> None:
-        """Apply a worker's directory entry."""
+        """Apply a worker's directory entry, unless a newer process is known."""
         self.scheduler.fleet.update_worker(worker, now_s=self._clock.monotonic_s())
-        self._ensure_driver(worker)
+        entry = self.scheduler.state.workers_by_id[worker.worker_id]
+        self._ensure_driver(entry.worker)
         self._schedule_pass()
 
     def _restore_workers(self) -> None:
--- a/pistachiolift/node/tests/test_owner.py
+++ b/pistachiolift/node/tests/test_owner.py
@@ -12,6 +12,7 @@
 from pistachiolift.node.advice_service import AdviceService
 from pistachiolift.node.interfaces import (
     PlatformAdapter,
+    Put,
     QueueTable,
     WorkerReplacedError,
     WorkerUnavailableError,
@@ -19,6 +20,8 @@
 from pistachiolift.node.owner import Owner
 from pistachiolift.node.partition_map import PartitionKeys, PartitionNumber
 from pistachiolift.node.worker_driver import LeaseTerms
+from pistachiolift.workflows import encode_batch
+from pistachiolift.workflows.records import WorkerInUse
 from pistachiolift.workflows.tests.virtual_cell import make_graph, make_queue, make_step
 
 from .fake_store import FakeStore
@@ -170,3 +173,35 @@
         harness.advance(0.3)
         assert self._worker_of_task(harness) == WorkerId("other")
         harness.owner.close()
+
+
+class TestOldDirectoryEntries:
+    def test_an_entry_of_an_older_process_does_not_replace_the_driver(self):
+        """Guards against calls to a process that has ended.
+
+        The directory may be read late.
+        """
+        harness = Harness()
+        ensureDeferred(harness.owner.recover())
+        older = msgspec.structs.replace(
+            WORKER, incarnation=WORKER.incarnation - 1, address="127.0.0.1:9"
+        )
+        harness.owner.update_worker(older)
+        assert harness.adapter.made == [WORKER]
+        harness.owner.close()
+
+    def test_a_process_on_record_that_is_newer_than_the_directory_is_polled(self):
+        newer = msgspec.structs.replace(
+            WORKER, incarnation=WORKER.incarnation + 1, address="127.0.0.1:9"
+        )
+        harness = Harness()
+        use = WorkerInUse(newer.worker_id, newer.address, newer.incarnation)
+        key = f"{PartitionKeys(PartitionNumber(0)).log_prefix}1"
+        write = harness.store.transact(
+            expected={}, puts={key: Put(encode_batch([use]))}
+        )
+        ensureDeferred(write)
+        ensureDeferred(harness.owner.recover())
+        [made] = harness.adapter.made
+        assert (made.incarnation, made.address) == (newer.incarnation, newer.address)
+        harness.owner.close()
--- a/pistachiolift/workflows/fleet.py
+++ b/pistachiolift/workflows/fleet.py
@@ -42,11 +42,19 @@
         ] = {}
 
     def update_worker(self, worker: Worker, *, now_s: float) -> None:
-        """Apply a directory entry; a new incarnation ends all runs of the old one."""
+        """Apply a directory entry; a newer incarnation ends all runs of the old one.
+
+        An entry of an older incarnation is ignored, since the directory may be read
+        late.
+        """
         entry = self._state.workers_by_id.get(worker.worker_id)
-        if entry is not None and entry.worker.incarnation != worker.incarnation:
-            self.remove_worker(worker.worker_id, now_s=now_s, replaced=True)
-            entry = None
+        if entry is not None:
+            known = entry.worker.incarnation
+            if worker.incarnation < known:
+                return
+            if worker.incarnation > known:
+                self.remove_worker(worker.worker_id, now_s=now_s, replaced=True)
+                entry = None
         if entry is None:
             entry = self._state.workers_by_id[worker.worker_id] = WorkerEntry(worker)
             self._advice.discard_approvals(worker.worker_id)
--- a/pistachiolift/workflows/replay.py
+++ b/pistachiolift/workflows/replay.py
@@ -81,7 +81,10 @@
             case JobForgotten():
                 self._state.drop_job(record.job_id)
             case WorkerInUse():
-                self._in_use[record.worker_id] = record
+                # Compaction may move the record of an older process behind a newer one.
+                known = self._in_use.get(record.worker_id)
+                if known is None or known.incarnation <= record.incarnation:
+                    self._in_use[record.worker_id] = record
             case WorkerReleased():
                 known = self._in_use.get(record.worker_id)
                 if known is not None and known.incarnation == record.incarnation:
@@ -141,10 +144,11 @@
 
     def _add_worker(self, use: WorkerInUse, lease_end_s: float) -> None:
         entry = self._state.workers_by_id.get(use.worker_id)
-        if entry is not None and entry.worker.incarnation != use.incarnation:
+        if entry is not None and entry.worker.incarnation > use.incarnation:
             # The process in use was replaced and has ended.
             return
-        if entry is None:
+        if entry is None or entry.worker.incarnation < use.incarnation:
+            # The process has left the directory, or its entry has not been read yet.
             gone = Worker(
                 worker_id=use.worker_id,
                 address=use.address,
@@ -169,6 +173,7 @@
         if task.index in step.finished or last >= placed.run:
             return
         if worker.worker.incarnation != placed.incarnation:
+            # An older process has ended; a newer one was released after its runs.
             step.last_run_by_index[task.index] = placed.run
             return
         run = TaskRun(
--- /dev/null
+++ b/pistachiolift/workflows/tests/test_incarnations.py
@@ -0,0 +1,95 @@
+"""Directory entries that are older than what the owner knows about a worker."""
+
+import msgspec
+import pytest
+
+from pistachiolift.workflows import JobStatus, WorkerState
+
+from .virtual_cell import VirtualCell, make_graph, make_queue, make_step
+
+
+class RestartedWorkerScenario:
+    """A job that runs on the second process of the only worker of a cell."""
+
+    def __init__(self, **step):
+        self.cell = cell = VirtualCell(workers=1)
+        self.first = cell.workers_by_id["w0"].worker
+        cell.crash("w0")
+        self.restarted = cell.add_worker(0, incarnation=2)
+        self.job = cell.submit(
+            "a", make_queue(), make_graph(make_step(1, estimate_s=5.0, **step))
+        )
+        cell.run(1.0)
+        # The run could be repeated here.
+        cell.add_worker(1)
+
+    @property
+    def runs(self):
+        return self.cell.runs_by_job[self.job]
+
+
+class TestOldDirectoryEntries:
+    """Guards against ending the runs of a process because of an older entry.
+
+    A directory may be read late. The cell checks at each start that no task runs twice.
+    """
+
+    def test_an_older_entry_does_not_end_the_runs_of_a_newer_process(self):
+        scenario = RestartedWorkerScenario()
+        cell = scenario.cell
+        cell.scheduler.fleet.update_worker(scenario.first, now_s=cell.now_s)
+        assert cell.scheduler.state.workers_by_id["w0"].worker.incarnation == 2
+        cell.run(6.0)
+        assert len(scenario.runs) == 1
+        assert cell.status(scenario.job) is JobStatus.COMPLETED
+
+    @pytest.mark.parametrize("cut", [False, True])
+    def test_a_new_owner_with_an_older_directory_keeps_the_runs(self, cut):
+        scenario = RestartedWorkerScenario()
+        cell = scenario.cell
+        scenario.restarted.cut = cut
+        cell.replace_owner(directory=[scenario.first, cell.workers_by_id["w1"].worker])
+        cell.run(0.5)
+        assert len(scenario.runs) == 1
+        scenario.restarted.cut = False
+        cell.run(5.5)
+        assert len(scenario.runs) == 1
+        assert cell.status(scenario.job) is JobStatus.COMPLETED
+
+    def test_a_process_that_is_newer_than_the_directory_is_used_once_listed(self):
+        scenario = RestartedWorkerScenario()
+        cell = scenario.cell
+        cell.replace_owner(directory=[scenario.first])
+        entry = cell.scheduler.state.workers_by_id["w0"]
+        assert entry.worker.state is WorkerState.DRAINING
+        cell.scheduler.fleet.update_worker(scenario.restarted.worker, now_s=cell.now_s)
+        assert cell.scheduler.state.workers_by_id["w0"] is entry
+        assert entry.registered
+        assert entry.worker == scenario.restarted.worker
+
+    def test_a_newer_entry_ends_the_runs_on_record(self):
+        scenario = RestartedWorkerScenario()
+        cell = scenario.cell
+        third = msgspec.structs.replace(scenario.first, incarnation=3)
+        scenario.restarted.running.clear()
+        scenario.restarted.worker = third
+        cell.replace_owner()
+        cell.run(0.5)
+        assert len(scenario.runs) == 2
+
+    def test_the_record_of_an_older_process_does_not_replace_a_newer_one(self):
+        scenario = RestartedWorkerScenario()
+        cell = scenario.cell
+        [first_use] = [
+            r
+            for r in cell.committed
+            if getattr(r, "address", None) and r.incarnation == 1
+            if r.worker_id == "w0"
+        ]
+        cell.committed = [
+            *(r for r in cell.committed if getattr(r, "incarnation", None) != 1),
+            first_use,
+        ]
+        scenario.restarted.cut = True
+        cell.replace_owner(directory=[])
+        assert cell.scheduler.state.workers_by_id["w0"].worker.incarnation == 2
--- a/pistachiolift/workflows/tests/virtual_cell.py
+++ b/pistachiolift/workflows/tests/virtual_cell.py
@@ -475,16 +475,21 @@
         self.scheduler.fleet.remove_worker(WorkerId(worker_id), now_s=self.now_s)
         self._decide()
 
-    def replace_owner(self) -> None:
-        """Replace the owner by one that takes over from the durable records."""
+    def replace_owner(self, directory: list[Worker] | None = None) -> None:
+        """Replace the owner by one that takes over from the durable records.
+
+        :param directory: entries that the new owner reads, by default the current ones.
+        """
+        if directory is None:
+            directory = [fake.worker for fake in self.workers_by_id.values()]
         self._fence += 1
         queues = list(self.scheduler.state.queues_by_id.values())
         self.scheduler = GraphScheduler(fence=self._fence, keep_final_s=60.0)
         self.scheduler.set_queues(queues)
         self._held.clear()
         self._unwritten.clear()
-        for fake in self.workers_by_id.values():
-            self.scheduler.fleet.update_worker(fake.worker, now_s=self.now_s)
+        for worker in directory:
+            self.scheduler.fleet.update_worker(worker, now_s=self.now_s)
         self.scheduler.replay(
             self.committed,
             lease_end_s=self.now_s + LEASE_S,
