Tell a proven death of an owner from refused connections

Cause: after two refused connections the owner counted as ended, and its successor took all leases for ended about 5 s later. A network cut may refuse connections while the owner runs on, and such an owner renews leases for up to 10 s. A task on a worker that only the earlier owner reaches was then placed again beside its run.

Evidence: test_a_dead_owner_is_replaced_before_its_lease_ends with refused connections fails with the earlier rule ("assert True is False": the earlier owner is said to have stopped).

Change: the link to the owner passes on what it has seen. The claim is made at once in both cases, since it is fenced; that the earlier owner sends no more commands is assumed only if another process of its instance has answered, also when this becomes known while the claim is tried again. After the kill of an owner, tasks on workers that cannot be listed wait up to 10 s longer; all others are not affected.

--- a/pistachiolift/node/owner_link.py
+++ b/pistachiolift/node/owner_link.py
@@ -7,7 +7,7 @@
 from twisted.internet.interfaces import IReactorTCP
 
 from ..common import log_event
-from .ownership import OwnerRecord
+from .ownership import DeathEvidence, OwnerRecord
 from .peer_link import PeerConnection, connect_peer
 
 __all__ = ["OwnerLink"]
@@ -15,7 +15,7 @@
 logger = logging.getLogger(__name__)
 
 RECONNECT_INTERVAL_S = 0.12
-# Consecutive refused connections after which the owner's process counts as ended.
+# Consecutive refused connections after which the owner is taken for dead.
 REFUSED_LIMIT = 2
 
 
@@ -25,7 +25,8 @@
     :param make: returns a new connection with the callbacks ``on_open`` and
         ``on_close``.
     :param own_id: identifier of this instance, which needs no connection to itself.
-    :param on_died: called when the owner's process has ended.
+    :param on_died: called with the evidence when the owner's process seems to have
+        ended.
     :param on_unreachable: called when the connection is lost or cannot be opened.
     """
 
@@ -34,7 +35,7 @@
         reactor: IReactorTCP,
         make: Callable[..., PeerConnection],
         own_id: str,
-        on_died: Callable[[OwnerRecord], None],
+        on_died: Callable[[OwnerRecord, DeathEvidence], None],
         on_unreachable: Callable[[], None],
     ):
         self._reactor = reactor
@@ -96,7 +97,7 @@
         refused = failure.check(ConnectionRefusedError) is not None
         self._refused = self._refused + 1 if refused else 0
         if self._refused >= REFUSED_LIMIT and target == self._target:
-            self._on_died(target)
+            self._on_died(target, DeathEvidence.REFUSED)
         log_event(
             logger,
             "owner_link_failed",
@@ -117,7 +118,7 @@
             connection.peer.instance_id == target.instance_id
             and connection.peer.incarnation != target.incarnation
         ):
-            self._on_died(target)
+            self._on_died(target, DeathEvidence.REPLACED)
 
     def _handle_close(self, connection: PeerConnection) -> None:
         if connection is self._current:
--- a/pistachiolift/node/ownership.py
+++ b/pistachiolift/node/ownership.py
@@ -3,6 +3,7 @@
 import logging
 import random
 from collections.abc import Callable, Coroutine
+from enum import Enum
 
 import msgspec
 from twisted.internet.interfaces import IReactorTime
@@ -28,7 +29,7 @@
 )
 from .partition_map import PartitionKeys
 
-__all__ = ["OwnerRecord", "Ownership", "decode_owner_record"]
+__all__ = ["DeathEvidence", "OwnerRecord", "Ownership", "decode_owner_record"]
 
 logger = logging.getLogger(__name__)
 
@@ -44,6 +45,15 @@
 RECORD_LIMIT_BYTES = 4_096
 
 
+class DeathEvidence(Enum):
+    """Why an owner's process is taken for dead."""
+
+    # Another process of the instance answers, so that the owner's has ended.
+    REPLACED = "replaced"
+    # A network cut may refuse connections while the owner runs on.
+    REFUSED = "connection_refused"
+
+
 class OwnerRecord(msgspec.Struct, frozen=True, kw_only=True):
     """Record of an instance, stored as a partition's owner or in the registry.
 
@@ -121,7 +131,9 @@
         self.failing_since_s = 0.0
         self._lost_since_s: float | None = None
         self._checking_store = False
+        # The last owner that was taken for dead, and the last one that was proven so.
         self._dead_owner: OwnerRecord | None = None
+        self._ended_owner: OwnerRecord | None = None
         self._renewing = LoopingCall(self._renew)
         self._renewing.clock = reactor
 
@@ -266,13 +278,25 @@
 
     # Claims.
 
-    def handle_owner_death(self, record: OwnerRecord) -> None:
-        """Claim the ownership at once from an owner whose process has ended."""
-        if record != self.owner or record == self._dead_owner or self.fence is not None:
+    def handle_owner_death(self, record: OwnerRecord, evidence: DeathEvidence) -> None:
+        """Claim the ownership at once from an owner whose process seems to have ended.
+
+        The claim fences an owner that is only cut off. Such an owner may renew leases
+        for a while, so that its commands count as ended only if its death is proven.
+        """
+        if record != self.owner or self.fence is not None:
+            return
+        if evidence is DeathEvidence.REPLACED:
+            self._ended_owner = record
+        if record == self._dead_owner:
             return
         self._dead_owner = record
         log_event(
-            logger, "owner_died", partition=self._keys.number, owner=record.instance_id
+            logger,
+            "owner_died",
+            partition=self._keys.number,
+            owner=record.instance_id,
+            evidence=evidence.value,
         )
         self._spawn(self._replace_dead_owner(record))
 
@@ -281,7 +305,8 @@
         # The store may be unreachable when the owner dies.
         while self.owner == record and self.fence is None and not self._retiring:
             if self._may_claim() and not self._claiming:
-                await self._try_claim(self._owner_version)
+                stopped = record == self._ended_owner
+                await self._try_claim(self._owner_version, stopped=stopped)
             await deferLater(self._reactor, RETRY_INTERVAL_S)
 
     async def take_over(self, fence: int) -> bool:
@@ -292,30 +317,32 @@
         """
         if self._claiming or self.fence is not None or not self._able_to_claim():
             return self.fence is not None
-        return await self._try_claim(fence, key_expected=True)
+        return await self._try_claim(fence, stopped=True, key_expected=True)
 
-    async def _try_claim(self, fence: int, *, key_expected: bool = False) -> bool:
+    async def _try_claim(
+        self, fence: int, *, stopped: bool, key_expected: bool = False
+    ) -> bool:
         self._claiming = True
         try:
             # Saves a call to the store if the owner's lease has not ended.
             if key_expected and await self._replace_claim(
-                fence, owner_version=fence, stopped=True
+                fence, owner_version=fence, stopped=stopped
             ):
                 return True
-            return await self._replace_owner(fence)
+            return await self._replace_owner(fence, stopped=stopped)
         except StoreUnavailableError:
             self._metrics.count("ownership.claim_failed")
             return False
         finally:
             self._claiming = False
 
-    async def _replace_owner(self, fence: int) -> bool:
+    async def _replace_owner(self, fence: int, *, stopped: bool) -> bool:
         """Replace the owner that made a claim, even if its lease has not ended."""
         entry = await self.store.get(self._keys.owner)
         if entry is not None and entry.version != fence:
             return False
         return await self._replace_claim(
-            fence, owner_version=fence if entry else 0, stopped=True
+            fence, owner_version=fence if entry else 0, stopped=stopped
         )
 
     def _able_to_claim(self) -> bool:
--- a/pistachiolift/node/partition.py
+++ b/pistachiolift/node/partition.py
@@ -102,7 +102,7 @@
             reactor,
             lambda **callbacks: context.connect(number, **callbacks),
             context.own_record.instance_id,
-            on_died=lambda record: self.ownership.handle_owner_death(record),
+            on_died=lambda *args: self.ownership.handle_owner_death(*args),
             on_unreachable=lambda: self.ownership.check_store(),
         )
         self.ownership = Ownership(
--- a/pistachiolift/node/tests/test_ownership.py
+++ b/pistachiolift/node/tests/test_ownership.py
@@ -1,10 +1,11 @@
 """Claims of several instances with expired leases, dead owners and handovers."""
 
+import pytest
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import Clock as ReactorClock
 
 from pistachiolift.common import ManualClock, Metrics
-from pistachiolift.node.ownership import OwnerRecord, Ownership
+from pistachiolift.node.ownership import DeathEvidence, OwnerRecord, Ownership
 from pistachiolift.node.partition_map import PartitionKeys, PartitionNumber
 
 from .fake_store import FakeStore
@@ -115,17 +116,22 @@
 
 
 class TestDeathAndHandover:
-    def test_a_dead_owner_is_replaced_before_its_lease_ends(self):
+    @pytest.mark.parametrize(
+        "evidence, proven",
+        [(DeathEvidence.REPLACED, True), (DeathEvidence.REFUSED, False)],
+    )
+    def test_a_dead_owner_is_replaced_before_its_lease_ends(self, evidence, proven):
+        """Guards against ending leases that an owner in a network cut still renews."""
         cell = Cell(instances=3)
         cell.advance(1.0)
         old, record = cell.kill_owner()
         others = [o for i, o in enumerate(cell.ownerships) if i != old]
         for other in others:
-            other.handle_owner_death(record)
+            other.handle_owner_death(record, evidence)
         cell.advance(0.5)
         claims = [event for event in cell.events if event[0] == "claimed"]
         assert len(claims) == 2
-        assert claims[-1][3] is True
+        assert claims[-1][3] is proven
 
     def test_an_owner_that_dies_in_an_outage_is_replaced_when_the_store_is_back(self):
         cell = Cell(instances=3)
@@ -134,7 +140,7 @@
         cell.store.down = True
         cell.store.wake()
         for index in {0, 1, 2} - {old}:
-            cell.ownerships[index].handle_owner_death(record)
+            cell.ownerships[index].handle_owner_death(record, DeathEvidence.REFUSED)
         cell.advance(4.0)
         assert cell.owners() == []
         cell.store.down = False
@@ -142,6 +148,20 @@
         cell.advance(0.5)
         assert len(cell.owners()) == 1
 
+    def test_a_death_that_is_proven_during_an_outage_counts_as_proven(self):
+        cell = Cell(instances=2)
+        cell.advance(1.0)
+        old, record = cell.kill_owner()
+        cell.store.down = True
+        cell.store.wake()
+        other = cell.ownerships[1 - old]
+        other.handle_owner_death(record, DeathEvidence.REFUSED)
+        cell.advance(1.0)
+        other.handle_owner_death(record, DeathEvidence.REPLACED)
+        cell.store.down = False
+        cell.advance(0.5)
+        assert cell.events[-1][3] is True
+
     def test_a_silent_store_is_detected_while_a_watch_waits(self):
         cell = Cell(instances=2)
         cell.advance(1.0)
@@ -160,7 +180,8 @@
         cell = Cell(instances=2)
         cell.advance(1.0)
         stale = OwnerRecord(instance_id="x", incarnation="y", address="127.0.0.1:9")
-        cell.ownerships[1 - cell.owner()].handle_owner_death(stale)
+        other = cell.ownerships[1 - cell.owner()]
+        other.handle_owner_death(stale, DeathEvidence.REPLACED)
         cell.advance(0.5)
         assert len([e for e in cell.events if e[0] == "claimed"]) == 1
 
