Wait for leases of the owner before the last one

The predecessor itself may have replaced an owner that was only cut off, which renews leases for up to 10 s; what the predecessor knew of this was lost with it.

Evidence: TestEarlierOwners.test_the_next_owner_dies fails with the earlier rule ("7.5 < 0.0": nothing is waited for).

Change: a claim carries the time for which earlier owners may still renew leases instead of a yes or no. After a proven death it is what is left of 10 s since the dead owner was first seen to own; a hand-over passes on what the owner itself still waits for, so that a chain of planned hand-overs costs nothing once the first wait is over.

--- a/pistachiolift/node/handover.py
+++ b/pistachiolift/node/handover.py
@@ -180,7 +180,8 @@
             lease_id = self._ownership.lease_id
             # No commands are sent from here on, so that the peer may claim.
             self._ownership.give_up(reason.value)
-            if await self._call(peer, TakeOver(fence), TAKE_OVER_TIMEOUT_S):
+            message = TakeOver(fence, self._ownership.earlier_authority_s)
+            if await self._call(peer, message, TAKE_OVER_TIMEOUT_S):
                 return True
             await self._ownership.revoke_owner_lease(lease_id)
             return False
--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -28,11 +28,12 @@
 from .interfaces import CoordinationStore, PlatformAdapter, QueueTable, RunReport
 from .job_calls import STALLED_LIMIT_S, JobCalls
 from .ledger import Ledger, read_ledger
+from .ownership import AUTHORITY_S
 from .partition_map import PartitionKeys
 from .poll_limiter import PollLimiter
 from .worker_driver import LeaseTerms, WorkerDriver, WorkerEvents
 
-__all__ = ["AUTHORITY_S", "Owner"]
+__all__ = ["Owner"]
 
 logger = logging.getLogger(__name__)
 
@@ -40,11 +41,6 @@
 PASS_INTERVAL_S = 0.004
 TICK_INTERVAL_S = 0.1
 
-# Leases are renewed for this long without the store, so that an outage does not end
-# running tasks. Nothing is started meanwhile, since no placement can be made durable.
-# If only this owner is cut off, its successor fences it at the workers.
-AUTHORITY_S = 10.0
-
 # The directory removes the entries of dead workers within this time.
 DEAD_ENTRY_LIMIT_S = 6.0
 
@@ -64,7 +60,7 @@
     :param on_failed_call: called when a call to the store was not answered.
     :param table: returns the configuration in force.
     :param directory: returns the partition's workers that are in the directory.
-    :param authority_s: time for which an earlier owner may still renew leases.
+    :param authority_s: time for which earlier owners may still renew leases.
     """
 
     def __init__(
--- a/pistachiolift/node/ownership.py
+++ b/pistachiolift/node/ownership.py
@@ -29,10 +29,21 @@
 )
 from .partition_map import PartitionKeys
 
-__all__ = ["DeathEvidence", "OwnerRecord", "Ownership", "decode_owner_record"]
+__all__ = [
+    "AUTHORITY_S",
+    "DeathEvidence",
+    "OwnerRecord",
+    "Ownership",
+    "decode_owner_record",
+]
 
 logger = logging.getLogger(__name__)
 
+# Leases are renewed for this long without the store, so that an outage does not end
+# running tasks. Nothing is started meanwhile, since no placement can be made durable.
+# If only this owner is cut off, its successor fences it at the workers.
+AUTHORITY_S = 10.0
+
 # A lost owner is detected after this time; the store's shortest lease is 1 s.
 LEASE_TTL_S = 1.5
 RENEW_INTERVAL_S = 0.35
@@ -83,7 +94,7 @@
     :param on_owner: called with the owner's record in the store, or ``None``.
     :param on_claimed: called when this instance has become the owner, or has claimed
         again without another owner in between. The arguments are the fencing token, and
-        whether the previous owner is known to send no more commands.
+        the time for which earlier owners may still renew leases.
     :param on_lost: called with a reason when this instance has lost the ownership.
     :param fitness: how well this instance can own, 0 to 1; the fittest claims first.
     :param extra_claim_delay_s: returns the additional delay of this instance's claims,
@@ -101,7 +112,7 @@
         metrics: Metrics,
         may_claim: Callable[[], bool],
         on_owner: Callable[[OwnerRecord | None], None],
-        on_claimed: Callable[[int, bool], None],
+        on_claimed: Callable[[int, float], None],
         on_lost: Callable[[str], None],
         fitness: float = 1.0,
         extra_claim_delay_s: Callable[[], float] = lambda: 0.0,
@@ -126,7 +137,9 @@
         self.last_contact_s = float("-inf")
         self.claimed_s = float("-inf")
         self.owner: OwnerRecord | None = None
+        self._owner_since_s = 0.0
         self._owner_version = 0
+        self._earlier_authority_end_s = float("-inf")
         self.failed_calls = 0
         self.failing_since_s = 0.0
         self._lost_since_s: float | None = None
@@ -142,6 +155,11 @@
         """Version of the newest claim known to this instance."""
         return self._owner_version
 
+    @property
+    def earlier_authority_s(self) -> float:
+        """Time for which owners before this instance may still renew leases."""
+        return max(0.0, self._earlier_authority_end_s - self._clock.monotonic_s())
+
     @property
     def store_age_s(self) -> float:
         """Seconds since the last answered call to the store was sent, at most 999."""
@@ -243,7 +261,7 @@
             self._owner_version = entry.version
         if record == self.owner:
             return
-        self.owner = record
+        self._set_owner(record)
         log_event(
             logger,
             "owner_changed",
@@ -264,7 +282,7 @@
         if fence <= self._owner_version or record == self._own_record:
             return
         self._owner_version = fence
-        self.owner = record
+        self._set_owner(record)
         log_event(
             logger,
             "owner_announced",
@@ -276,6 +294,10 @@
             self._lose("another_owner")
         self._on_owner(record)
 
+    def _set_owner(self, record: OwnerRecord | None) -> None:
+        self.owner = record
+        self._owner_since_s = self._clock.monotonic_s()
+
     # Claims.
 
     def handle_owner_death(self, record: OwnerRecord, evidence: DeathEvidence) -> None:
@@ -305,44 +327,52 @@
         # The store may be unreachable when the owner dies.
         while self.owner == record and self.fence is None and not self._retiring:
             if self._may_claim() and not self._claiming:
-                stopped = record == self._ended_owner
-                await self._try_claim(self._owner_version, stopped=stopped)
+                authority_s = self._authority_after_death_s(record)
+                await self._try_claim(self._owner_version, authority_s)
             await deferLater(self._reactor, RETRY_INTERVAL_S)
 
-    async def take_over(self, fence: int) -> bool:
+    def _authority_after_death_s(self, record: OwnerRecord) -> float:
+        """Return the time for which the dead owner or earlier ones may renew leases."""
+        if record != self._ended_owner:
+            return AUTHORITY_S
+        # The owner before the dead one may have been only cut off.
+        return max(0.0, self._owner_since_s + AUTHORITY_S - self._clock.monotonic_s())
+
+    async def take_over(self, fence: int, authority_s: float) -> bool:
         """Claim the ownership from an owner that has given it up.
 
         :param fence: version of that owner's claim.
+        :param authority_s: time for which earlier owners may still renew leases.
         :returns: whether this instance owns the partition.
         """
         if self._claiming or self.fence is not None or not self._able_to_claim():
             return self.fence is not None
-        return await self._try_claim(fence, stopped=True, key_expected=True)
+        return await self._try_claim(fence, authority_s, key_expected=True)
 
     async def _try_claim(
-        self, fence: int, *, stopped: bool, key_expected: bool = False
+        self, fence: int, authority_s: float, *, key_expected: bool = False
     ) -> bool:
         self._claiming = True
         try:
             # Saves a call to the store if the owner's lease has not ended.
             if key_expected and await self._replace_claim(
-                fence, owner_version=fence, stopped=stopped
+                fence, owner_version=fence, authority_s=authority_s
             ):
                 return True
-            return await self._replace_owner(fence, stopped=stopped)
+            return await self._replace_owner(fence, authority_s)
         except StoreUnavailableError:
             self._metrics.count("ownership.claim_failed")
             return False
         finally:
             self._claiming = False
 
-    async def _replace_owner(self, fence: int, *, stopped: bool) -> bool:
+    async def _replace_owner(self, fence: int, authority_s: float) -> bool:
         """Replace the owner that made a claim, even if its lease has not ended."""
         entry = await self.store.get(self._keys.owner)
         if entry is not None and entry.version != fence:
             return False
         return await self._replace_claim(
-            fence, owner_version=fence if entry else 0, stopped=stopped
+            fence, owner_version=fence if entry else 0, authority_s=authority_s
         )
 
     def _able_to_claim(self) -> bool:
@@ -369,13 +399,17 @@
             self._claiming = False
 
     async def _replace_claim(
-        self, claim_version: int, *, owner_version: int = 0, stopped: bool = False
+        self,
+        claim_version: int,
+        *,
+        owner_version: int = 0,
+        authority_s: float = AUTHORITY_S,
     ) -> bool:
         """Claim the ownership on the condition that no newer claim exists.
 
         :param claim_version: version of the claim that is replaced.
         :param owner_version: version of the owner's key, 0 if it does not exist.
-        :param stopped: whether the previous owner is known to send no more commands.
+        :param authority_s: time for which earlier owners may still renew leases.
         :returns: whether this instance is the owner.
         """
         sent_s = self._clock.monotonic_s()
@@ -405,6 +439,9 @@
         if self._retiring:
             await self.revoke_owner_lease(lease_id)
             return False
+        if self.fence is None:
+            end_s = self._clock.monotonic_s() + authority_s
+            self._earlier_authority_end_s = end_s
         self._lease_id = lease_id
         self.fence = fence
         self.claimed_s = self._clock.monotonic_s()
@@ -418,7 +455,7 @@
             fence=fence,
             over=claim_version,
         )
-        self._on_claimed(fence, stopped)
+        self._on_claimed(fence, authority_s)
         if not self._renewing.running:
             self._renewing.start(RENEW_INTERVAL_S, now=False)
         return True
@@ -426,7 +463,7 @@
     def _record_own_claim(self) -> None:
         self._owner_version = self.fence
         if self.owner != self._own_record:
-            self.owner = self._own_record
+            self._set_owner(self._own_record)
             self._on_owner(self._own_record)
 
     async def _find_claim(self, claim_version: int) -> int | None:
--- a/pistachiolift/node/partition.py
+++ b/pistachiolift/node/partition.py
@@ -16,7 +16,7 @@
 from .job_service import JobService
 from .ledger import commit_interval_s
 from .member_registry import MemberRegistry
-from .owner import AUTHORITY_S, Owner
+from .owner import Owner
 from .owner_link import OwnerLink
 from .ownership import OwnerRecord, Ownership
 from .partition_map import PartitionKeys, PartitionMap, PartitionNumber
@@ -202,7 +202,7 @@
         if record is not None:
             self._context.members.register()
 
-    def _become_owner(self, fence: int, stopped: bool) -> None:
+    def _become_owner(self, fence: int, authority_s: float) -> None:
         self._handover.start()
         if self._owner is not None:
             self._owner.renew_fence(fence)
@@ -227,7 +227,7 @@
             on_failed_call=self.ownership.record_failed_call,
             table=context.table,
             directory=self._workers,
-            authority_s=0.0 if stopped else AUTHORITY_S,
+            authority_s=authority_s,
         )
         self._owner = owner
         self._directory = DirectoryWatch(
@@ -335,7 +335,10 @@
             case ProbeStore():
                 return Acknowledgement(await self._can_own())
             case TakeOver():
-                return Acknowledgement(await self.ownership.take_over(message.fence))
+                taken = await self.ownership.take_over(
+                    message.fence, message.authority_s
+                )
+                return Acknowledgement(taken)
         owner = self.current_owner()
         if owner is None:
             return JobAnswer(JobOutcome.NOT_OWNER)
--- a/pistachiolift/node/peer_messages.py
+++ b/pistachiolift/node/peer_messages.py
@@ -181,9 +181,11 @@
     """Asks an instance to claim the ownership from an owner that has given it up.
 
     :param fence: version of the claim to replace.
+    :param authority_s: time for which owners before that one may still renew leases.
     """
 
     fence: int
+    authority_s: float
 
 
 class Advise(msgspec.Struct, frozen=True, tag="advise", array_like=True):
--- a/pistachiolift/node/tests/test_handover.py
+++ b/pistachiolift/node/tests/test_handover.py
@@ -32,6 +32,7 @@
     reaches_store: bool = True
     takes_over: bool = True
     calls: list = field(default_factory=list)
+    last_message: object = None
 
     @property
     def peer(self):
@@ -45,6 +46,7 @@
 
     def call(self, message, *, timeout_s):
         self.calls.append(type(message))
+        self.last_message = message
         probe = isinstance(message, ProbeStore)
         done = self.reaches_store if probe else self.takes_over
         return succeed(Acknowledgement(done))
@@ -59,6 +61,7 @@
         self.failed_calls = 0
         self.failing_since_s = 0.0
         self.lease_id = 5
+        self.earlier_authority_s = 3.0
         self.lost = []
         self.revoked = []
 
@@ -162,6 +165,7 @@
         cell = Cell(peers, fitness=0.25)
         assert cell.hand_over()
         assert peers[1].calls == [ProbeStore, TakeOver]
+        assert peers[1].last_message == TakeOver(7, 3.0)
 
     def test_the_lease_is_revoked_if_the_peer_does_not_claim(self):
         cell = Cell([Peer("other", takes_over=False)], fitness=0.25)
--- a/pistachiolift/node/tests/test_ownership.py
+++ b/pistachiolift/node/tests/test_ownership.py
@@ -5,7 +5,12 @@
 from twisted.internet.task import Clock as ReactorClock
 
 from pistachiolift.common import ManualClock, Metrics
-from pistachiolift.node.ownership import DeathEvidence, OwnerRecord, Ownership
+from pistachiolift.node.ownership import (
+    AUTHORITY_S,
+    DeathEvidence,
+    OwnerRecord,
+    Ownership,
+)
 from pistachiolift.node.partition_map import PartitionKeys, PartitionNumber
 
 from .fake_store import FakeStore
@@ -32,8 +37,8 @@
             address=f"127.0.0.1:{index}",
         )
 
-        def claimed(fence, stopped):
-            self.events.append(("claimed", index, fence, stopped))
+        def claimed(fence, authority_s):
+            self.events.append(("claimed", index, fence, authority_s))
 
         def lost(reason):
             self.events.append(("lost", index, reason))
@@ -117,13 +122,15 @@
 
 class TestDeathAndHandover:
     @pytest.mark.parametrize(
-        "evidence, proven",
-        [(DeathEvidence.REPLACED, True), (DeathEvidence.REFUSED, False)],
+        "evidence, authority_s",
+        [(DeathEvidence.REPLACED, 0.0), (DeathEvidence.REFUSED, AUTHORITY_S)],
     )
-    def test_a_dead_owner_is_replaced_before_its_lease_ends(self, evidence, proven):
+    def test_a_dead_owner_is_replaced_before_its_lease_ends(
+        self, evidence, authority_s
+    ):
         """Guards against ending leases that an owner in a network cut still renews."""
         cell = Cell(instances=3)
-        cell.advance(1.0)
+        cell.advance(AUTHORITY_S + 1.0)
         old, record = cell.kill_owner()
         others = [o for i, o in enumerate(cell.ownerships) if i != old]
         for other in others:
@@ -131,7 +138,7 @@
         cell.advance(0.5)
         claims = [event for event in cell.events if event[0] == "claimed"]
         assert len(claims) == 2
-        assert claims[-1][3] is proven
+        assert claims[-1][3] == authority_s
 
     def test_an_owner_that_dies_in_an_outage_is_replaced_when_the_store_is_back(self):
         cell = Cell(instances=3)
@@ -150,7 +157,7 @@
 
     def test_a_death_that_is_proven_during_an_outage_counts_as_proven(self):
         cell = Cell(instances=2)
-        cell.advance(1.0)
+        cell.advance(AUTHORITY_S + 1.0)
         old, record = cell.kill_owner()
         cell.store.down = True
         cell.store.wake()
@@ -160,7 +167,7 @@
         other.handle_owner_death(record, DeathEvidence.REPLACED)
         cell.store.down = False
         cell.advance(0.5)
-        assert cell.events[-1][3] is True
+        assert cell.events[-1][3] == 0.0
 
     def test_a_silent_store_is_detected_while_a_watch_waits(self):
         cell = Cell(instances=2)
@@ -192,7 +199,7 @@
         fence = cell.ownerships[old].fence
         chosen = (old + 1) % 3
         cell.ownerships[old].give_up("store_out_of_reach")
-        result = ensureDeferred(cell.ownerships[chosen].take_over(fence))
+        result = ensureDeferred(cell.ownerships[chosen].take_over(fence, 0.0))
         assert result.result is True
         cell.advance(1.0)
         assert cell.owners() == [chosen]
@@ -201,7 +208,7 @@
         cell = Cell(instances=2)
         cell.advance(1.0)
         other = 1 - cell.owner()
-        result = ensureDeferred(cell.ownerships[other].take_over(3))
+        result = ensureDeferred(cell.ownerships[other].take_over(3, 0.0))
         assert result.result is False
         assert len(cell.owners()) == 1
 
@@ -213,7 +220,7 @@
         fence = cell.ownerships[old].fence
         cell.ownerships[old].give_up("planned_stop")
         cell.store.get = None
-        result = ensureDeferred(cell.ownerships[1 - old].take_over(fence))
+        result = ensureDeferred(cell.ownerships[1 - old].take_over(fence, 0.0))
         assert result.result is True
 
     def test_a_handover_after_the_lease_has_ended(self):
@@ -224,7 +231,7 @@
         cell.ownerships[old].give_up("planned_stop")
         # The watches have not reported the deletion yet.
         del cell.store.entries[KEYS.owner]
-        result = ensureDeferred(cell.ownerships[1 - old].take_over(fence))
+        result = ensureDeferred(cell.ownerships[1 - old].take_over(fence, 0.0))
         assert result.result is True
 
     def test_a_claim_in_flight_when_the_stop_begins_is_abandoned(self):
@@ -249,3 +256,51 @@
         ensureDeferred(cell.ownerships[old].release())
         cell.advance(1.0)
         assert cell.owners() == [1 - old]
+
+
+class TestEarlierOwners:
+    """Guards against ending leases that the owner before the last one still renews.
+
+    It may be cut off from the store while the ownership changes hands twice.
+    """
+
+    def make_cell(self):
+        """Return a cell whose owner has replaced one that is only cut off."""
+        cell = Cell(instances=3)
+        cell.advance(AUTHORITY_S + 1.0)
+        record = cell.ownerships[cell.owner()].owner
+        cut = cell.owner()
+        for index in {0, 1, 2} - {cut}:
+            cell.ownerships[index].handle_owner_death(record, DeathEvidence.REFUSED)
+        cell.advance(0.5)
+        assert cell.owner() != cut
+        # Claims no more.
+        cell.ownerships[cut].stop_claiming()
+        return cell
+
+    def test_the_next_owner_dies(self):
+        cell = self.make_cell()
+        cell.advance(1.0)
+        _, record = cell.kill_owner()
+        for ownership in cell.ownerships:
+            ownership.handle_owner_death(record, DeathEvidence.REPLACED)
+        cell.advance(0.5)
+        assert AUTHORITY_S - 2.5 < cell.events[-1][3] < AUTHORITY_S
+
+    def test_the_next_owner_hands_over(self):
+        cell = self.make_cell()
+        cell.advance(1.0)
+        next_owner = cell.ownerships[cell.owner()]
+        assert AUTHORITY_S - 2.5 < next_owner.earlier_authority_s < AUTHORITY_S
+        cell.advance(AUTHORITY_S)
+        assert next_owner.earlier_authority_s == 0.0
+
+    def test_the_owner_that_takes_over_waits_for_them(self):
+        cell = self.make_cell()
+        old = cell.owner()
+        fence = cell.ownerships[old].fence
+        cell.ownerships[old].give_up("planned_stop")
+        other = next(o for o in cell.ownerships if o.fence is None and not o._retiring)
+        assert ensureDeferred(other.take_over(fence, 8.0)).result is True
+        assert cell.events[-1][3] == 8.0
+        assert other.earlier_authority_s == 8.0
