Wait for the lease that a start brings to a worker's next process

Cause: a start names the end of the lease on the clock of the process that it is meant for. A worker that restarts under the same identifier accepts it and, since its clock has begun again, cuts that time to the longest lease (10 s). The owner counted only the leases of 4.5 s that it had sent to the new process itself. If the worker was cut off soon after, its tasks were placed elsewhere while they still ran.

Evidence: TestStartsThatReachTheNextProcess fails before the change with "runs twice".

Change: when starts may have reached the next process, its lease counts as the longest one that a worker accepts, from the time at which the new process is known.

--- a/pistachiolift/bench/owner_load.py
+++ b/pistachiolift/bench/owner_load.py
@@ -139,7 +139,9 @@
         self._submitted_s: dict[JobId, tuple[str, float]] = {}
         self.waits_s: dict[str, list[float]] = {}
         self._pending: list[StartRun] = []
-        self.scheduler = GraphScheduler(fence=1, keep_final_s=10.0)
+        self.scheduler = GraphScheduler(
+            fence=1, keep_final_s=10.0, longest_lease_s=10.0
+        )
         self.scheduler.set_queues([kind.queue for kind in KINDS])
         for index in range(workers):
             worker = Worker(
--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -99,7 +99,11 @@
         self._earlier_authority_s = authority_s
         self._newest_table = table
         self._directory = directory
-        self.scheduler = GraphScheduler(fence=fence, keep_final_s=keep_final_s)
+        self.scheduler = GraphScheduler(
+            fence=fence,
+            keep_final_s=keep_final_s,
+            longest_lease_s=terms.longest_s,
+        )
         self.ledger = Ledger(
             reactor,
             store,
--- a/pistachiolift/node/partition.py
+++ b/pistachiolift/node/partition.py
@@ -209,6 +209,7 @@
             return
         context = self._context
         settings = context.settings()
+        limit_s = settings.lease_limit_ms / 1000
         owner = Owner(
             context.reactor,
             context.store,
@@ -218,7 +219,7 @@
             keys=self._keys,
             fence=fence,
             commit_interval_s=self._commit_interval_s,
-            terms=LeaseTerms(lease_s=min(LEASE_S, settings.lease_limit_ms / 1000)),
+            terms=LeaseTerms(lease_s=min(LEASE_S, limit_s), limit_s=limit_s),
             keep_final_s=settings.keep_final_s,
             advice_service=self._advice_service,
             last_contact_s=lambda: self.ownership.last_contact_s,
--- a/pistachiolift/node/tests/test_job_calls.py
+++ b/pistachiolift/node/tests/test_job_calls.py
@@ -22,7 +22,9 @@
 
     def __init__(self):
         super().__init__()
-        self.scheduler = GraphScheduler(fence=1, keep_final_s=60.0)
+        self.scheduler = GraphScheduler(
+            fence=1, keep_final_s=60.0, longest_lease_s=10.0
+        )
         self.last_contact_s = self.clock.monotonic_s()
         self.calls = JobCalls(
             self.scheduler,
--- a/pistachiolift/node/tests/test_owner.py
+++ b/pistachiolift/node/tests/test_owner.py
@@ -68,7 +68,7 @@
             keys=keys,
             fence=1,
             commit_interval_s=lambda: 0.015,
-            terms=LeaseTerms(lease_s=4.5),
+            terms=LeaseTerms(lease_s=4.5, limit_s=10.0),
             keep_final_s=60.0,
             advice_service=AdviceService(None, peers=lambda: [], **common),
             last_contact_s=self.clock.monotonic_s,
--- a/pistachiolift/node/tests/test_worker_driver.py
+++ b/pistachiolift/node/tests/test_worker_driver.py
@@ -141,7 +141,7 @@
             self.connection,
             clock=self.clock,
             metrics=Metrics(),
-            terms=LeaseTerms(lease_s=4.0),
+            terms=LeaseTerms(lease_s=4.0, limit_s=10.0),
             events=self.events,
             poll_limiter=PollLimiter(lambda: 1),
             fence=lambda: 3,
--- a/pistachiolift/node/worker_driver.py
+++ b/pistachiolift/node/worker_driver.py
@@ -41,11 +41,13 @@
     """Length of the leases of workers' runs.
 
     :param lease_s: length of a lease, in seconds.
+    :param limit_s: length of the longest lease that a worker accepts, in seconds.
     :param slack_s: margin after which a lease counts as expired, in seconds.
     """
 
-    def __init__(self, *, lease_s: float, slack_s: float = 0.3):
+    def __init__(self, *, lease_s: float, limit_s: float, slack_s: float = 0.3):
         self.lease_s = lease_s
+        self.limit_s = limit_s
         self.slack_s = slack_s
 
     def end_s(self, sent_s: float) -> float:
@@ -53,7 +55,15 @@
 
         :param sent_s: time at which the lease was sent.
         """
-        return sent_s + self.lease_s * (1 + 2 * CLOCK_DRIFT) + self.slack_s
+        return sent_s + self._expired_after_s(self.lease_s)
+
+    @property
+    def longest_s(self) -> float:
+        """Time by which the longest lease has certainly expired, in seconds."""
+        return self._expired_after_s(self.limit_s)
+
+    def _expired_after_s(self, lease_s: float) -> float:
+        return lease_s * (1 + 2 * CLOCK_DRIFT) + self.slack_s
 
 
 class WorkerEvents(ABC):
--- a/pistachiolift/workflows/fleet.py
+++ b/pistachiolift/workflows/fleet.py
@@ -26,14 +26,22 @@
     :param state: the owner's jobs and workers.
     :param lifecycle: ends the runs of lost workers.
     :param advice: discards the approvals of replaced workers.
+    :param longest_lease_s: time by which the longest lease that a worker accepts has
+        certainly expired, in seconds.
     """
 
     def __init__(
-        self, state: SchedulerState, lifecycle: Lifecycle, advice: AdvicePlanner
+        self,
+        state: SchedulerState,
+        lifecycle: Lifecycle,
+        advice: AdvicePlanner,
+        *,
+        longest_lease_s: float,
     ):
         self._state = state
         self._lifecycle = lifecycle
         self._advice = advice
+        self._longest_lease_s = longest_lease_s
         self._report_handler = RunReportHandler(state, lifecycle)
         # Runs whose start may have reached the replacement of a worker process, with
         # the time at which they are ended if the replacement does not appear.
@@ -58,14 +66,20 @@
         if entry is None:
             entry = self._state.workers_by_id[worker.worker_id] = WorkerEntry(worker)
             self._advice.discard_approvals(worker.worker_id)
-            for run in self._uncertain_starts_by_worker.pop(
-                worker.worker_id, (0.0, [])
-            )[1]:
-                self._lifecycle.block_uncertain_start(run, entry)
+            self._block_uncertain_starts(entry, now_s)
             return
         entry.worker = worker
         entry.registered = True
 
+    def _block_uncertain_starts(self, entry: WorkerEntry, now_s: float) -> None:
+        _, runs = self._uncertain_starts_by_worker.pop(entry.worker_id, (0.0, []))
+        for run in runs:
+            self._lifecycle.block_uncertain_start(run, entry)
+        if runs:
+            # Such a start carries the end of a lease on the clock of the old process,
+            # which the new one, whose clock has begun again, cuts to the longest lease.
+            entry.lease_end_s = now_s + self._longest_lease_s
+
     def mark_unregistered(self, worker_id: WorkerId) -> None:
         """Record that a worker is no longer in the directory."""
         entry = self._state.workers_by_id.get(worker_id)
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -60,9 +60,11 @@
 
     :param fence: this owner's fencing token.
     :param keep_final_s: retention period of finished jobs, in seconds.
+    :param longest_lease_s: time by which the longest lease that a worker accepts has
+        certainly expired, in seconds.
     """
 
-    def __init__(self, *, fence: int, keep_final_s: float):
+    def __init__(self, *, fence: int, keep_final_s: float, longest_lease_s: float):
         self.state = SchedulerState(fence=fence)
         self._keep_final_s = keep_final_s
         self._lifecycle = Lifecycle(self.state)
@@ -70,7 +72,12 @@
         self._dispatcher = Dispatcher(self.state, self._lifecycle, self.advice)
         self._progress = ProgressMonitor(self.state, self._lifecycle)
         self._sharing = SharingController(self.state)
-        self.fleet = Fleet(self.state, self._lifecycle, self.advice)
+        self.fleet = Fleet(
+            self.state,
+            self._lifecycle,
+            self.advice,
+            longest_lease_s=longest_lease_s,
+        )
 
     # Replay of the ledger.
 
--- a/pistachiolift/workflows/tests/test_incarnations.py
+++ b/pistachiolift/workflows/tests/test_incarnations.py
@@ -5,7 +5,7 @@
 
 from pistachiolift.workflows import JobStatus, WorkerState
 
-from .virtual_cell import VirtualCell, make_graph, make_queue, make_step
+from .virtual_cell import LEASE_LIMIT_S, VirtualCell, make_graph, make_queue, make_step
 
 
 class RestartedWorkerScenario:
@@ -93,3 +93,29 @@
         scenario.restarted.cut = True
         cell.replace_owner(directory=[])
         assert cell.scheduler.state.workers_by_id["w0"].worker.incarnation == 2
+
+
+class TestStartsThatReachTheNextProcess:
+    def test_the_lease_that_such_a_start_brings_is_waited_for(self):
+        """Guards against repeating tasks while the next process still runs them.
+
+        A start carries the end of the lease on the clock of the process before it,
+        which is far in the future for the next one.
+        """
+        cell = VirtualCell(workers=1)
+        cell.submit("a", make_queue(), make_graph(make_step(1, estimate_s=0.2)))
+        cell.run(0.0145)
+        fake = cell.workers_by_id["w0"]
+        fake.worker = msgspec.structs.replace(fake.worker, incarnation=2)
+        cell.scheduler.fleet.update_worker(fake.worker, now_s=cell.now_s)
+        cell.run(0.5)
+        job = cell.submit("b", make_queue(), make_graph(make_step(1, estimate_s=8.5)))
+        cell.run(0.5)
+        assert len(cell.runs_by_job[job]) == 1
+        cell.add_worker(1)
+        fake.cut = True
+        fake.lease_end_s = cell.now_s + LEASE_LIMIT_S - 1.0
+        cell.run(LEASE_LIMIT_S - 1.5)
+        assert len(cell.runs_by_job[job]) == 1
+        cell.run(LEASE_LIMIT_S)
+        assert cell.status(job) is JobStatus.COMPLETED
--- a/pistachiolift/workflows/tests/virtual_cell.py
+++ b/pistachiolift/workflows/tests/virtual_cell.py
@@ -37,6 +37,8 @@
 DECIDE_S = 0.01
 TICK_S = 0.1
 LEASE_S = 4.5
+# Longest lease that a worker accepts.
+LEASE_LIMIT_S = 10.0
 TICKET_VALID_S = 1.5
 START_TIMEOUT_S = 1.0
 STOP_RETRY_S = 0.4
@@ -105,7 +107,7 @@
         self.now_s = 100.0
         self._events: list = []
         self._order = itertools.count()
-        self.scheduler = GraphScheduler(fence=1, keep_final_s=60.0)
+        self.scheduler = self._make_scheduler(1)
         self.scheduler.set_queues(queues)
         self.workers_by_id: dict[WorkerId, FakeWorker] = {}
         self.done_tasks: set = set()
@@ -128,6 +130,12 @@
 
     # Setup.
 
+    @staticmethod
+    def _make_scheduler(fence) -> GraphScheduler:
+        return GraphScheduler(
+            fence=fence, keep_final_s=60.0, longest_lease_s=LEASE_LIMIT_S
+        )
+
     def add_worker(self, index, *, cpu=8000, memory=16_000, incarnation=1):
         """Add a worker to the directory and report its runs."""
         worker = Worker(
@@ -484,7 +492,7 @@
             directory = [fake.worker for fake in self.workers_by_id.values()]
         self._fence += 1
         queues = list(self.scheduler.state.queues_by_id.values())
-        self.scheduler = GraphScheduler(fence=self._fence, keep_final_s=60.0)
+        self.scheduler = self._make_scheduler(self._fence)
         self.scheduler.set_queues(queues)
         self._held.clear()
         self._unwritten.clear()
