Ignore answers that reach the driver of a replaced worker process

Found by reading; no run of that site has shown that this is its cause.

Cause: a driver closes only its idle connections, so that calls in flight still end after the worker's process was replaced. The answer to a stop was applied by worker and run, and the next process may hold the same run as one that it may still start: the run counted as blocked there and ended with the next report, although only the process before had confirmed the stop. A call without an answer made the next process unreachable.

Evidence: the two tests on a driver that was replaced in test_worker_driver.py fail before the change.

Change: a closed driver passes on neither.

--- a/pistachiolift/node/tests/test_worker_driver.py
+++ b/pistachiolift/node/tests/test_worker_driver.py
@@ -50,6 +50,7 @@
         self.speeds = []
         self.poll_outcomes = []
         self.start_outcomes = []
+        self.stop_outcomes = []
 
     @staticmethod
     async def _outcome(outcomes):
@@ -70,6 +71,8 @@
 
     async def stop(self, task, number, *, fence):
         self.stops.append((task, number))
+        if self.stop_outcomes:
+            await self._outcome(self.stop_outcomes)
 
     async def set_speed(self, task, number, *, percent, fence):
         self.speeds.append((task, number, percent))
@@ -251,6 +254,29 @@
         harness.advance(2.0)
         assert len(harness.connection.stops) == 2
 
+    def test_an_answer_that_arrives_after_the_driver_was_replaced_is_ignored(self):
+        """Guards against taking a run for blocked at a worker's next process.
+
+        Only the process before has confirmed the stop.
+        """
+        answer = Deferred()
+        harness = Harness(stop_outcomes=[answer])
+        command = StopRun(
+            task=TASK, number=7, worker_id=WORKER.worker_id, reason="start_unanswered"
+        )
+        harness.driver.stop(command)
+        harness.driver.close()
+        answer.callback(None)
+        assert "stop_answered" not in harness.events.log
+
+    def test_no_answer_after_the_driver_was_replaced_says_nothing(self):
+        answer = Deferred()
+        harness = Harness(poll_outcomes=[answer])
+        harness.driver.run()
+        harness.driver.close()
+        answer.errback(WorkerUnavailableError("timeout"))
+        assert "unreachable" not in harness.events.log
+
 
 class TestPollLimiter:
     """A new owner must not poll hundreds of workers at the same time."""
--- a/pistachiolift/node/worker_driver.py
+++ b/pistachiolift/node/worker_driver.py
@@ -234,7 +234,8 @@
                     wait_s=wait_s,
                 )
             except WorkerUnavailableError as error:
-                self._handle_no_answer(error, sent_s)
+                if not self._closed:
+                    self._handle_no_answer(error, sent_s)
         if report is None:
             return None
         self._record_clock(report.clock_ms)
@@ -366,7 +367,8 @@
             await self._connection.stop(
                 command.task, command.number, fence=self._fence()
             )
-            self._events.handle_stop_answer(command)
+            if not self._closed:
+                self._events.handle_stop_answer(command)
         except WorkerUnavailableError as error:
             self._metrics.count("workers.stop_unanswered")
             log_event(
