End the lease of an owner that is replaced without its knowledge

Cause: a claim moves the owner's key to the new owner's lease, but the earlier owner's lease lives on. An owner that is cut off from its peers but reaches the store goes on renewing it, which counts as contact with the store and lets it command workers, until its watch tells it of the change. The watch may hear nothing for seconds, so that the owner renews the leases of workers beyond the time for which its successor waits.

Evidence: TestReplacedOwners fails before the change with two owners ("[0, 1] == [1]") while the watch is silent.

Change: the new owner ends the earlier lease after its claim, so that the next renewal fails and the earlier owner reads the claim.

--- a/pistachiolift/node/ownership.py
+++ b/pistachiolift/node/ownership.py
@@ -371,9 +371,13 @@
         entry = await self.store.get(self._keys.owner)
         if entry is not None and entry.version != fence:
             return False
-        return await self._replace_claim(
+        claimed = await self._replace_claim(
             fence, owner_version=fence if entry else 0, authority_s=authority_s
         )
+        if claimed and entry is not None:
+            # An owner that still renews its lease learns of its replacement.
+            self._spawn(self.revoke_owner_lease(entry.lease_id))
+        return claimed
 
     def _able_to_claim(self) -> bool:
         return self._may_claim() and not self._retiring
--- a/pistachiolift/node/tests/test_ownership.py
+++ b/pistachiolift/node/tests/test_ownership.py
@@ -1,7 +1,7 @@
 """Claims of several instances with expired leases, dead owners and handovers."""
 
 import pytest
-from twisted.internet.defer import ensureDeferred
+from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.task import Clock as ReactorClock
 
 from pistachiolift.common import ManualClock, Metrics
@@ -258,6 +258,40 @@
         assert cell.owners() == [1 - old]
 
 
+class SilentWatchStore(FakeStore):
+    """Another instance's view of a store whose watches hear nothing."""
+
+    def __init__(self, store):
+        self.__dict__ = store.__dict__
+
+    async def changes(self, prefix, *, after_revision, wait_s):
+        await Deferred()
+
+
+class TestReplacedOwners:
+    def test_an_owner_that_does_not_hear_of_its_successor_steps_down(self):
+        """Guards against renewing leases after the time that successors wait.
+
+        The lease of its key lives on, although the key belongs to another one.
+        """
+        cell = Cell(instances=2)
+        cell.advance(1.0)
+        old = cell.owner()
+        ownership = cell.ownerships[old]
+        ownership.store = SilentWatchStore(cell.store)
+        cell.store.wake()
+        cell.advance(0.1)
+        cell.ownerships[1 - old].handle_owner_death(
+            ownership.owner, DeathEvidence.REFUSED
+        )
+        cell.advance(0.2)
+        assert cell.ownerships[1 - old].fence is not None
+        claimed_s = cell.clock.monotonic_s()
+        cell.advance(1.0)
+        assert cell.owners() == [1 - old]
+        assert ownership.last_contact_s < claimed_s + 0.5
+
+
 class TestEarlierOwners:
     """Guards against ending leases that the owner before the last one still renews.
 
