Accept hand-overs of instances of an earlier version

Cause: the message that hands an ownership over has got a field for the time that earlier owners may still renew leases. An instance of the version before does not send it, so that its message could not be decoded while instances are replaced one by one.

Change: without the field, the longest time counts.

Result: test_peer_messages.py fails before ("Expected array of at least length 3, got 2") and passes.

--- a/pistachiolift/node/peer_messages.py
+++ b/pistachiolift/node/peer_messages.py
@@ -14,6 +14,7 @@
     QueueId,
     StepKey,
 )
+from .ownership import AUTHORITY_S
 from .partition_map import PartitionNumber
 
 __all__ = [
@@ -181,11 +182,12 @@
     """Asks an instance to claim the ownership from an owner that has given it up.
 
     :param fence: version of the claim to replace.
-    :param authority_s: time for which owners before that one may still renew leases.
+    :param authority_s: time for which owners before that one may still renew leases;
+        an instance of an earlier version does not say.
     """
 
     fence: int
-    authority_s: float
+    authority_s: float = AUTHORITY_S
 
 
 class Advise(msgspec.Struct, frozen=True, tag="advise", array_like=True):
