Renew the tickets of over 100 approved workers without calling in a loop

Cause: a call for advice includes 100 workers at most. Once the adviser had approved more for a step, some tickets were always expired, and the time of the next renewal was the earliest end of all tickets, expired ones included: a step that waited called again as soon as it was answered.

Change: the next renewal follows the tickets of the workers that the newest calls included.

--- a/pistachiolift/workflows/advice.py
+++ b/pistachiolift/workflows/advice.py
@@ -115,6 +115,7 @@
         policy = step.job.queue.advice
         step.asked_s = now_s
         step.asked_workers.update(ids)
+        step.last_asked = ids
         for part in self._split(policy, ids):
             cost_s = policy.decide_s + policy.each_s * len(part)
             end_s = now_s + CALL_TIMEOUT_BASE_S + CALL_TIMEOUT_FACTOR * cost_s
@@ -164,9 +165,11 @@
             step.tickets_by_worker.pop(worker_id, None)
         for worker_id, ticket in tickets_by_worker.items():
             step.tickets_by_worker[worker_id] = (ticket, end_s)
+        # Calls cannot include all approved workers if these are too many, so that the
+        # tickets of the others may have expired.
         ends_s = [
             step.tickets_by_worker[worker_id][1]
-            for worker_id in step.approved
+            for worker_id in step.last_asked
             if worker_id in step.tickets_by_worker
         ]
         step.tickets_end_s = min(ends_s, default=end_s)
--- a/pistachiolift/workflows/state.py
+++ b/pistachiolift/workflows/state.py
@@ -115,6 +115,8 @@
     :param approved: workers that the adviser approved; ``None`` before its answer.
     :param asked_s: time of the advice call in flight, or ``None``.
     :param asked_workers: workers for which the adviser was called.
+    :param last_asked: workers included in the newest calls.
+    :param tickets_end_s: time at which the first ticket of those workers expires.
     """
 
     key: StepKey
@@ -131,6 +133,7 @@
     approved: frozenset[WorkerId] | None = None
     asked_s: float | None = None
     asked_workers: set[WorkerId] = field(default_factory=set)
+    last_asked: tuple[WorkerId, ...] = ()
     tickets_end_s: float = 0.0
     not_before_s: float = 0.0
 
