Withdraw held starts whose worker has shrunk

What callers would see: an executor that does not guard its capacity gets more tasks than it has room for (LIMIT), after its capacity has shrunk.

Cause: a start waits until its placement is durable, and was then sent without a look at the worker's present capacity. The store may hold it back for longer than the 4 s and one update of the directory entry after which a shrunk capacity counts.

Change: a start is sent only if its run fits beside the runs that were sent to the worker before, including those that are being stopped; otherwise it is withdrawn (event start_withdrawn) and its task is placed anew. Starts are sent in the order of their placement, so that the latest are withdrawn. The members of a gang are checked together before the first is sent.

The tests of runs on a shrunk worker, of room that grows again and of workers held for gangs passed before.

--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -1,10 +1,11 @@
 """The scheduler of one partition, called by its owner."""
 
+import logging
 from collections.abc import Iterable
 
 import msgspec
 
-from ..common import JobId, WorkerId
+from ..common import JobId, WorkerId, log_event
 from .advice import AdvicePlanner
 from .decisions import Decision, StartRun
 from .dispatch import Dispatcher
@@ -30,9 +31,12 @@
 from .replay import Replay, compact_records
 from .scheduler_state import SchedulerState
 from .sharing import SharingController
+from .state import StepEntry, TaskRun
 
 __all__ = ["GraphScheduler", "StartAnswer"]
 
+logger = logging.getLogger(__name__)
+
 # A worker that refused a start gets no new runs for this time.
 REFUSED_START_PAUSE_S = 0.5
 
@@ -199,8 +203,8 @@
     def prepare_start(self, order: StartRun, now_s: float) -> StartRun | None:
         """Mark a run as sent, unless its start is obsolete.
 
-        :returns: the start with the newest ticket, or ``None`` if the run was stopped
-            or its ticket has expired.
+        :returns: the start with the newest ticket, or ``None`` if the run was stopped,
+            its ticket has expired or its worker has shrunk.
         """
         run = self.state.run(order.worker_id, (order.task, order.number))
         if run is None or run.status is TaskRunStatus.STOPPING:
@@ -212,9 +216,48 @@
                 self._lifecycle.stop(run, "ticket_expired")
                 return None
             order = msgspec.structs.replace(order, ticket=ticket)
+        if not self._has_room_to_send(run, step):
+            self._withdraw_start(run)
+            return None
         run.sent = True
         return order
 
+    def _has_room_to_send(self, run: TaskRun, step: StepEntry | None) -> bool:
+        """Whether a run still fits; the members of a gang must fit together.
+
+        The capacity may have shrunk since the placement. Starts are sent in the order
+        of their placement, so that earlier runs keep their room.
+        """
+        runs = [run]
+        if step is not None and step.step.gang:
+            members = step.runs_by_index.values()
+            if not any(member.sent for member in members):
+                runs = list(members)
+        runs_by_worker: dict[WorkerId, list[TaskRun]] = {}
+        for each in runs:
+            runs_by_worker.setdefault(each.worker_id, []).append(each)
+        workers = self.state.workers_by_id
+        return all(
+            workers[worker_id].has_room_to_send(placed)
+            for worker_id, placed in runs_by_worker.items()
+            if worker_id in workers
+        )
+
+    def _withdraw_start(self, run: TaskRun) -> None:
+        """Place a run anew, and with it its gang, whose start is not sent."""
+        worker = self.state.workers_by_id[run.worker_id]
+        log_event(
+            logger,
+            "start_withdrawn",
+            job=run.task.job_id,
+            task=run.task.position,
+            run=run.number,
+            worker=run.worker_id,
+            free_cpu_milli=worker.free_cpu_milli,
+            reason="capacity_shrunk",
+        )
+        self._lifecycle.stop(run, "capacity_shrunk")
+
     def handle_start_answer(
         self,
         worker_id: WorkerId,
--- a/pistachiolift/workflows/state.py
+++ b/pistachiolift/workflows/state.py
@@ -1,5 +1,6 @@
 """State of jobs, steps, runs and workers at the owner."""
 
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from math import log
 
@@ -291,6 +292,32 @@
             count = min(count, free // size.accelerators)
         return max(0, count)
 
+    @property
+    def overcommitted(self) -> bool:
+        """Whether the runs reserve more than the capacity, which may have shrunk."""
+        capacity = self.worker.capacity
+        return (
+            self.used_cpu_milli > capacity.cpu_milli
+            or self.used_memory_mb > capacity.memory_mb
+            or self.used_accelerators > capacity.accelerators
+        )
+
+    def has_room_to_send(self, runs: Collection[TaskRun]) -> bool:
+        """Whether unsent runs fit into the capacity beside those that were sent.
+
+        :param runs: runs placed on the worker.
+        """
+        if not self.overcommitted:
+            return True
+        sizes = [run.size for run in self.runs.values() if run.sent]
+        sizes += [run.size for run in runs]
+        total = Size(
+            cpu_milli=sum(size.cpu_milli for size in sizes),
+            memory_mb=sum(size.memory_mb for size in sizes),
+            accelerators=sum(size.accelerators for size in sizes),
+        )
+        return self.worker.capacity.holds(total)
+
     def reserve(self, run: TaskRun) -> None:
         """Add a run and reserve its resources."""
         self.runs[run.task, run.number] = run
