Give up tasks that crash the workers that start them

The scheduler took the end of a worker's lease as an end without a result and started the task again, without any count or limit.

A run that no report has shown 0.1 s or more after its start is suspected when its worker leaves the directory or is replaced, until the same process reports again. Such tasks are started alone on a worker, on half of the workers at most. After two suspected crashes, or four of which some are of unknown cause, the job fails with workers_crashed. RunCrashed records keep the counts across owners and compaction. Runs that have survived their start never count, so that long-running tasks are not given up because workers are replaced.

--- a/pistachiolift/workflows/advice.py
+++ b/pistachiolift/workflows/advice.py
@@ -87,9 +87,12 @@
         size = step.step.reserved
         if step.step.gang:
             return True
-        # A ticket for a worker without free capacity would expire unused.
+        # A ticket for a worker that cannot take a task now would expire unused.
+        alone = step.waiting <= step.isolated
         return any(
-            entry.room_for(size)
+            not entry.isolated
+            and not (alone and entry.unproven)
+            and entry.room_for(size)
             for worker_id, entry in usable_by_id.items()
             if worker_id in step.approved or worker_id not in step.asked_workers
         )
--- /dev/null
+++ b/pistachiolift/workflows/crashes.py
@@ -0,0 +1,162 @@
+"""Finds the tasks that crash the workers on which they are started."""
+
+import logging
+from dataclasses import dataclass
+
+from ..common import WorkerId, log_event
+from .lifecycle import Lifecycle
+from .model import CrashCause, JobStatus, TaskRunStatus, Worker, WorkerState
+from .records import RunCrashed
+from .scheduler_state import SchedulerState
+from .state import StepEntry, TaskRun
+
+__all__ = ["CrashTracker"]
+
+logger = logging.getLogger(__name__)
+
+# A job fails when this many workers have crashed soon after starting one of its tasks.
+MAX_SUSPECTED_CRASHES = 2
+
+# Limit that includes the crashes of which it is unknown how long the run had existed:
+# its start had no answer, or an earlier owner had placed it.
+MAX_CRASHES = 4
+
+# A worker that was taken for crashed, but was only unreachable, reports again within
+# this time.
+RETURN_LIMIT_S = 60.0
+
+# Number of suspected tasks that a log line lists.
+MAX_LOGGED_TASKS = 8
+
+
+@dataclass(slots=True)
+class LostRuns:
+    """Runs that had not survived their start when the lease of their worker ended.
+
+    :param crashed: whether the worker counts as crashed.
+    :param forget_s: time after which a report of the worker is no longer expected.
+    """
+
+    worker: Worker
+    runs: list[TaskRun]
+    crashed: bool
+    forget_s: float
+
+
+class CrashTracker:
+    """Counts the crashes of workers against the tasks that they had just started.
+
+    A run that a report has shown some time after its start has survived its start, and
+    is not the cause of a later crash. The others are suspected. Their tasks are started
+    again one at a time on a worker, so that a second crash has one possible cause.
+
+    :param state: the owner's jobs and workers.
+    :param lifecycle: ends the jobs.
+    """
+
+    def __init__(self, state: SchedulerState, lifecycle: Lifecycle):
+        self._state = state
+        self._lifecycle = lifecycle
+        self._lost_by_worker: dict[WorkerId, LostRuns] = {}
+
+    def record_lost(self, worker: Worker, runs: list[TaskRun], now_s: float) -> None:
+        """Record that a lease has ended; the worker crashed or is unreachable."""
+        lost = [run for run in runs if run.sent and not run.survived]
+        for run in lost:
+            step = self._state.step(run.task.step_key)
+            if step is not None and _is_suspected(worker, run):
+                step.isolated.add(step.failure_slot(run.task.index))
+        known = self._lost_by_worker.get(worker.worker_id)
+        if known is not None and known.worker.incarnation == worker.incarnation:
+            known.runs += lost
+        elif lost:
+            self._lost_by_worker[worker.worker_id] = LostRuns(
+                worker, lost, False, now_s + RETURN_LIMIT_S
+            )
+
+    def record_crash(self, worker: Worker, runs: list[TaskRun], now_s: float) -> None:
+        """Count the crash of a worker against the runs that had not survived."""
+        self.record_lost(worker, runs, now_s)
+        lost = self._lost_by_worker.get(worker.worker_id)
+        if (
+            lost is None
+            or lost.crashed
+            or lost.worker.incarnation != worker.incarnation
+        ):
+            return
+        lost.crashed = True
+        suspected = [run for run in lost.runs if _is_suspected(worker, run)]
+        names = [f"{run.task.job_id}.{run.task.position}" for run in suspected]
+        log_event(
+            logger,
+            "worker_crashed",
+            worker=worker.worker_id,
+            incarnation=worker.incarnation,
+            runs=len(lost.runs),
+            suspected=len(suspected),
+            tasks=",".join(names[:MAX_LOGGED_TASKS]),
+        )
+        for run in lost.runs:
+            cause = CrashCause.SUSPECTED if run in suspected else CrashCause.UNKNOWN
+            self.record_run_crash(run, cause, now_s)
+
+    def handle_report(self, worker: Worker, now_s: float) -> None:
+        """Clear the suspicion against the lost runs of a worker that is alive."""
+        lost = self._lost_by_worker.get(worker.worker_id)
+        if lost is None or lost.worker.incarnation != worker.incarnation:
+            return
+        del self._lost_by_worker[worker.worker_id]
+        if not lost.crashed:
+            return
+        log_event(logger, "worker_crash_retracted", worker=worker.worker_id)
+        for run in lost.runs:
+            self.record_run_crash(run, CrashCause.NO_CRASH, now_s)
+
+    def record_run_crash(self, run: TaskRun, cause: CrashCause, now_s: float) -> None:
+        """Count a crash against the task of a run, and write it to the ledger."""
+        step = self._state.step(run.task.step_key)
+        if step is None or step.job.status.final or run.task.index in step.finished:
+            return
+        record = RunCrashed(run.task, run.number, cause)
+        step.job.last_record = self._state.record(record)
+        self.apply(step, record, now_s)
+
+    def apply(self, step: StepEntry, record: RunCrashed, now_s: float) -> None:
+        """Apply a counted crash to its step; also used to replay the ledger."""
+        index = record.task.index
+        last = step.last_run_by_index.get(index, 0)
+        step.last_run_by_index[index] = max(last, record.run)
+        slot = step.failure_slot(index)
+        crashes = step.crashed_runs_by_index.setdefault(slot, {})
+        if record.cause is CrashCause.NO_CRASH:
+            crashes.pop(record.run, None)
+            return
+        crashes[record.run] = record.cause
+        suspected = list(crashes.values()).count(CrashCause.SUSPECTED)
+        if suspected:
+            step.isolated.add(slot)
+        if index in step.finished:
+            return
+        if suspected >= MAX_SUSPECTED_CRASHES or len(crashes) >= MAX_CRASHES:
+            self._lifecycle.finish_job(
+                step.job, JobStatus.FAILED, "workers_crashed", now_s
+            )
+
+    def check(self, now_s: float) -> None:
+        """Forget the lost runs of workers that did not report again."""
+        for worker_id, lost in list(self._lost_by_worker.items()):
+            if now_s > lost.forget_s:
+                del self._lost_by_worker[worker_id]
+
+
+def _is_suspected(worker: Worker, run: TaskRun) -> bool:
+    """Whether a run may be the cause of the crash of its worker.
+
+    A draining worker ends by plan, and a start without an answer may never have
+    arrived.
+    """
+    return (
+        worker.state is WorkerState.READY
+        and run.confirmed_s is not None
+        and run.status is not TaskRunStatus.STARTING
+    )
--- a/pistachiolift/workflows/dispatch.py
+++ b/pistachiolift/workflows/dispatch.py
@@ -32,6 +32,9 @@
         self._state = state
         self._lifecycle = lifecycle
         self._advice = advice
+        # Workers that get no ordinary runs in the next pass, so that the runs that
+        # are started alone find a worker.
+        self._kept_free: set[WorkerId] = set()
 
     def run(self, now_s: float, wall_ms: float) -> None:
         """Place all waiting tasks that fit now.
@@ -47,6 +50,7 @@
         )
         usable_by_pool: dict[PoolId, dict[WorkerId, WorkerEntry]] = {}
         blocked: frozenset[WorkerId] = frozenset()
+        kept_free, self._kept_free = self._kept_free, set()
         waiting: list[StepEntry] = []
         for step in steps:
             if step.not_before_s > now_s:
@@ -59,7 +63,8 @@
             if step.step.gang:
                 blocked |= self._place_gang(step, usable, blocked, now_s)
             else:
-                self._place_tasks(step, usable, blocked, now_s)
+                self._place_isolated_tasks(step, usable, blocked, now_s)
+                self._place_tasks(step, usable, blocked | kept_free, now_s)
             if step.waiting and step.job.queue.advice is not None:
                 waiting.append(step)
         self._advice.plan(waiting, usable_by_pool, now_s)
@@ -84,6 +89,8 @@
             return frozenset()
         health = self._state.health
         eligible = eligible_workers(step, usable_by_id, now_s)
+        if step.is_isolated(0):
+            eligible = [entry for entry in eligible if not entry.unproven]
         plan = plan_gang(step, eligible, blocked, health)
         if not plan.worker_ids:
             approved = self._advice.approved_workers(step, usable_by_id)
@@ -111,12 +118,55 @@
             return
         choice = WorkerChoice(step, candidates, self._state.health)
         for index in sorted(step.waiting):
+            if step.is_isolated(index):
+                continue
             worker = choice.choose(index)
             if worker is None:
                 return
             number = step.next_number([index], self._state.fence * RUNS_PER_FENCE)
             self._start(step, index, number, worker, now_s)
 
+    def _place_isolated_tasks(
+        self,
+        step: StepEntry,
+        usable_by_id: dict[WorkerId, WorkerEntry],
+        blocked: frozenset[WorkerId],
+        now_s: float,
+    ) -> None:
+        """Start suspected tasks, each on a worker where all runs have survived.
+
+        They use at most half of the workers at the same time, so that the other tasks
+        do not wait for them.
+        """
+        if not step.isolated:
+            return
+        used = sum(1 for entry in usable_by_id.values() if entry.isolated)
+        spare = max(1, len(usable_by_id) // 2) - used - len(self._kept_free)
+        candidates = [
+            entry
+            for entry in eligible_workers(step, usable_by_id, now_s)
+            if entry.worker_id not in blocked and room_for_step(step, entry)
+        ]
+        proven = [entry for entry in candidates if not entry.unproven]
+        choice = WorkerChoice(step, proven, self._state.health)
+        for index in sorted(step.waiting & step.isolated):
+            if spare < 1:
+                return
+            spare -= 1
+            worker = choice.choose(index)
+            if worker is None:
+                self._keep_worker_free(candidates)
+                return
+            number = step.next_number([index], self._state.fence * RUNS_PER_FENCE)
+            self._start(step, index, number, worker, now_s)
+
+    def _keep_worker_free(self, candidates: list[WorkerEntry]) -> None:
+        """Give one of the workers no ordinary runs in the next pass."""
+        found = [entry for entry in candidates if entry.unproven and not entry.isolated]
+        if found:
+            entry = min(found, key=lambda e: (len(e.unproven), e.worker_id))
+            self._kept_free.add(entry.worker_id)
+
     def _start(
         self,
         step: StepEntry,
@@ -132,6 +182,7 @@
             size=step.step.reserved,
             status=TaskRunStatus.STARTING,
             placed_s=now_s,
+            alone=step.is_isolated(index),
         )
         self._lifecycle.add_run(step, run, worker)
         self._state.health.record_placement(worker.worker_id)
--- a/pistachiolift/workflows/fleet.py
+++ b/pistachiolift/workflows/fleet.py
@@ -2,6 +2,7 @@
 
 from ..common import WorkerId
 from .advice import AdvicePlanner
+from .crashes import CrashTracker
 from .lifecycle import Lifecycle
 from .model import EndKind, Worker
 from .records import WorkerInUse, WorkerReleased
@@ -26,6 +27,7 @@
     :param state: the owner's jobs and workers.
     :param lifecycle: ends the runs of lost workers.
     :param advice: discards the approvals of replaced workers.
+    :param crashes: counts the crashes of workers.
     :param longest_lease_s: time by which the longest lease that a worker accepts has
         certainly expired, in seconds.
     """
@@ -35,12 +37,14 @@
         state: SchedulerState,
         lifecycle: Lifecycle,
         advice: AdvicePlanner,
+        crashes: CrashTracker,
         *,
         longest_lease_s: float,
     ):
         self._state = state
         self._lifecycle = lifecycle
         self._advice = advice
+        self._crashes = crashes
         self._longest_lease_s = longest_lease_s
         self._report_handler = RunReportHandler(state, lifecycle)
         # Runs whose start may have reached the replacement of a worker process, with
@@ -97,6 +101,7 @@
         entry = self._state.workers_by_id.pop(worker_id, None)
         if entry is None:
             return
+        runs = list(entry.runs.values())
         if replaced:
             uncertain = self._lifecycle.take_uncertain_starts(entry)
             if uncertain:
@@ -105,6 +110,7 @@
                     uncertain,
                 )
         self._lifecycle.end_runs_of(entry, now_s=now_s)
+        self._crashes.record_crash(entry.worker, runs, now_s)
         self._state.health.forget_worker(worker_id)
         if entry.recorded:
             self._state.record(WorkerReleased(worker_id, entry.worker.incarnation))
@@ -148,6 +154,7 @@
         if entry is None:
             return False
         entry.reachable = True
+        self._crashes.handle_report(entry.worker, now_s)
         self._report_handler.apply(
             entry,
             running,
@@ -177,6 +184,7 @@
 
     def check(self, now_s: float) -> None:
         """End the runs of lost workers, and uncertain starts after their timeout."""
+        self._crashes.check(now_s)
         for worker_id, (end_s, runs) in list(self._uncertain_starts_by_worker.items()):
             if now_s > end_s:
                 del self._uncertain_starts_by_worker[worker_id]
@@ -201,4 +209,6 @@
         elif entry.has_reported:
             # Later reports are handled like those of a new worker.
             entry.has_reported = False
+            runs = list(entry.runs.values())
             self._lifecycle.end_runs_of(entry, now_s=now_s)
+            self._crashes.record_lost(entry.worker, runs, now_s)
--- a/pistachiolift/workflows/model.py
+++ b/pistachiolift/workflows/model.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "AdvicePolicy",
+    "CrashCause",
     "EndKind",
     "JobGraph",
     "JobStatus",
@@ -62,6 +63,15 @@
     GANG_INCOMPLETE = "gang_incomplete"
 
 
+class CrashCause(Enum):
+    """What is known of a run as the cause of the crash of its worker."""
+
+    SUSPECTED = "suspected"
+    UNKNOWN = "unknown"
+    # The worker was only unreachable.
+    NO_CRASH = "no_crash"
+
+
 class WorkerState(Enum):
     """State of a worker according to its directory entry."""
 
--- a/pistachiolift/workflows/placement.py
+++ b/pistachiolift/workflows/placement.py
@@ -72,6 +72,8 @@
 
 def room_for_step(step: StepEntry, entry: WorkerEntry) -> int:
     """Return how many more tasks of the step fit on the worker."""
+    if entry.isolated:
+        return 0
     room = entry.room_for(step.step.reserved)
     if room and step.step.max_per_worker:
         room = min(room, step.step.max_per_worker - _count_tasks(step, entry))
--- a/pistachiolift/workflows/records.py
+++ b/pistachiolift/workflows/records.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from ..common import JobId, WorkerId
-from .model import EndKind, JobGraph, JobStatus, Queue, TaskKey
+from .model import CrashCause, EndKind, JobGraph, JobStatus, Queue, TaskKey
 
 __all__ = [
     "JobAccepted",
@@ -11,6 +11,7 @@
     "JobForgotten",
     "JobFinished",
     "LedgerRecord",
+    "RunCrashed",
     "RunPlaced",
     "TaskFinished",
     "WorkerInUse",
@@ -74,6 +75,18 @@
     incarnation: int
 
 
+class RunCrashed(msgspec.Struct, frozen=True, tag="crash", array_like=True):
+    """A run whose worker crashed before the run was known to survive its start.
+
+    :param cause: whether the run may be the cause of the crash; a later record of the
+        same run replaces an earlier one.
+    """
+
+    task: TaskKey
+    run: int
+    cause: CrashCause
+
+
 class JobFinished(msgspec.Struct, frozen=True, tag="settled", array_like=True):
     """A finished job, without its graph.
 
@@ -113,6 +126,7 @@
     | JobCancelled
     | TaskFinished
     | RunPlaced
+    | RunCrashed
     | JobFinished
     | JobForgotten
     | WorkerInUse
--- a/pistachiolift/workflows/replay.py
+++ b/pistachiolift/workflows/replay.py
@@ -3,8 +3,10 @@
 from collections.abc import Iterable
 
 from ..common import JobId, WorkerId
+from .crashes import CrashTracker
 from .lifecycle import Lifecycle
 from .model import (
+    CrashCause,
     EndKind,
     JobGraph,
     JobStatus,
@@ -21,6 +23,7 @@
     JobFinished,
     JobForgotten,
     LedgerRecord,
+    RunCrashed,
     RunPlaced,
     TaskFinished,
     WorkerInUse,
@@ -36,15 +39,23 @@
     """Applies records in the order in which they were written.
 
     :param state: the state to rebuild; it holds only the workers of the directory.
+    :param crashes: counts the crashes of workers.
     :param now_s: monotonic time.
     :param wall_ms: Unix time, in milliseconds.
     """
 
     def __init__(
-        self, state: SchedulerState, lifecycle: Lifecycle, *, now_s: float, wall_ms: int
+        self,
+        state: SchedulerState,
+        lifecycle: Lifecycle,
+        crashes: CrashTracker,
+        *,
+        now_s: float,
+        wall_ms: int,
     ):
         self._state = state
         self._lifecycle = lifecycle
+        self._crashes = crashes
         self._now_s = now_s
         self._wall_ms = wall_ms
         self._in_use: dict[WorkerId, WorkerInUse] = {}
@@ -72,6 +83,10 @@
                     )
             case TaskFinished():
                 self._apply_task_end(record)
+            case RunCrashed():
+                step = self._state.step(record.task.step_key)
+                if step is not None:
+                    self._crashes.apply(step, record, self._now_s)
             case RunPlaced():
                 # After compaction, the WorkerInUse record may follow this one, so the
                 # run is added only after all records.
@@ -172,10 +187,6 @@
         last = step.last_run_by_index.get(task.index, 0)
         if task.index in step.finished or last >= placed.run:
             return
-        if worker.worker.incarnation != placed.incarnation:
-            # An older process has ended; a newer one was released after its runs.
-            step.last_run_by_index[task.index] = placed.run
-            return
         run = TaskRun(
             task=task,
             number=placed.run,
@@ -188,6 +199,11 @@
             # it rejects a delayed start of the earlier owner.
             answered_s=0.0,
         )
+        if worker.worker.incarnation != placed.incarnation:
+            # The process has ended; how long the run had existed is unknown.
+            step.last_run_by_index[task.index] = placed.run
+            self._crashes.record_run_crash(run, CrashCause.UNKNOWN, self._now_s)
+            return
         self._lifecycle.add_run(step, run, worker)
 
 
@@ -256,6 +272,11 @@
                 TaskFinished(task, number, EndKind.FAILED, "", received_ms)
                 for number in sorted(numbers)
             ]
+        for index, crashes in step.crashed_runs_by_index.items():
+            task = step.key.task(index)
+            records += [
+                RunCrashed(task, number, crashes[number]) for number in sorted(crashes)
+            ]
         records += [
             RunPlaced(
                 run.task,
--- a/pistachiolift/workflows/run_reports.py
+++ b/pistachiolift/workflows/run_reports.py
@@ -14,6 +14,10 @@
 
 logger = logging.getLogger(__name__)
 
+# A report requested this long after the start of a run shows whether the run has
+# survived its start; a task that crashes its worker does so within about 10 ms.
+SURVIVAL_S = 0.1
+
 
 class ReportedRun(msgspec.Struct, frozen=True):
     """A run that a worker reports as present.
@@ -86,11 +90,13 @@
         present = set()
         for reported in running:
             present.add((reported.task, reported.number))
-            self._apply_running(worker, reported, now_s)
+            self._apply_running(worker, reported, sent_s, now_s)
         if complete:
             self._end_missing(worker, present, sent_s, now_s)
 
-    def _apply_running(self, worker: WorkerEntry, reported: ReportedRun, now_s: float):
+    def _apply_running(
+        self, worker: WorkerEntry, reported: ReportedRun, sent_s: float, now_s: float
+    ) -> None:
         run = worker.runs.get((reported.task, reported.number))
         step = self._state.step(reported.task.step_key)
         if run is None:
@@ -103,9 +109,21 @@
         if reported.percent != run.percent:
             run.percent, run.progressed_s = reported.percent, now_s
         run.usage = reported.usage
+        self._check_survival(worker, step, run, sent_s)
         if step is not None:
             step.keep_checkpoint(reported.task.index, reported.checkpoint)
 
+    @staticmethod
+    def _check_survival(
+        worker: WorkerEntry, step: StepEntry | None, run: TaskRun, sent_s: float
+    ) -> None:
+        started_s = run.confirmed_s if run.answered_s is None else run.answered_s
+        if run.survived or started_s is None or sent_s < started_s + SURVIVAL_S:
+            return
+        worker.record_survival(run)
+        if step is not None:
+            step.record_survival(run.task.index)
+
     def _adopt(
         self,
         worker: WorkerEntry,
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -7,6 +7,7 @@
 
 from ..common import JobId, WorkerId, log_event
 from .advice import AdvicePlanner
+from .crashes import CrashTracker
 from .decisions import Decision, StartRun
 from .dispatch import Dispatcher
 from .fleet import Fleet
@@ -72,6 +73,7 @@
         self.state = SchedulerState(fence=fence)
         self._keep_final_s = keep_final_s
         self._lifecycle = Lifecycle(self.state)
+        self._crashes = CrashTracker(self.state, self._lifecycle)
         self.advice = AdvicePlanner(self.state)
         self._dispatcher = Dispatcher(self.state, self._lifecycle, self.advice)
         self._progress = ProgressMonitor(self.state, self._lifecycle)
@@ -80,6 +82,7 @@
             self.state,
             self._lifecycle,
             self.advice,
+            self._crashes,
             longest_lease_s=longest_lease_s,
         )
 
@@ -100,7 +103,13 @@
         :param lease_end_s: time by which all leases granted by earlier owners have
             expired.
         """
-        replay = Replay(self.state, self._lifecycle, now_s=now_s, wall_ms=wall_ms)
+        replay = Replay(
+            self.state,
+            self._lifecycle,
+            self._crashes,
+            now_s=now_s,
+            wall_ms=wall_ms,
+        )
         for record in records:
             replay.apply(record)
         replay.add_runs(lease_end_s)
--- a/pistachiolift/workflows/state.py
+++ b/pistachiolift/workflows/state.py
@@ -6,6 +6,7 @@
 
 from ..common import JobId, WorkerId
 from .model import (
+    CrashCause,
     JobGraph,
     JobStatus,
     Queue,
@@ -85,6 +86,8 @@
     :param speed_set_s: time of that order.
     :param percent: last reported progress.
     :param progressed_s: time at which ``percent`` last changed.
+    :param survived: whether a report has shown it some time after its start.
+    :param alone: whether its worker gets no other run until it has survived.
     """
 
     task: TaskKey
@@ -102,6 +105,13 @@
     usage: int = 0
     speed_percent: int = 100
     speed_set_s: float = 0.0
+    survived: bool = False
+    alone: bool = False
+
+    @property
+    def key(self) -> tuple[TaskKey, int]:
+        """Key of the run at its worker."""
+        return self.task, self.number
 
 
 @dataclass(slots=True, eq=False)
@@ -112,6 +122,10 @@
     :param finished: indices of tasks that succeeded.
     :param failed_runs_by_index: numbers of the failed runs; those of a gang, which
         fails as a whole, are stored under index 0.
+    :param crashed_runs_by_index: for each run whose worker crashed, whether it may be
+        the cause; indices as in ``failed_runs_by_index``.
+    :param isolated: tasks that are started alone on a worker, because a worker was
+        lost soon after their start; indices as in ``failed_runs_by_index``.
     :param tickets_by_worker: ticket and the time at which it expires.
     :param approved: workers that the adviser approved; ``None`` before its answer.
     :param asked_s: time of the advice call in flight, or ``None``.
@@ -126,6 +140,10 @@
     waiting: set[int]
     finished: set[int] = field(default_factory=set)
     failed_runs_by_index: dict[int, set[int]] = field(default_factory=dict)
+    crashed_runs_by_index: dict[int, dict[int, CrashCause]] = field(
+        default_factory=dict
+    )
+    isolated: set[int] = field(default_factory=set)
     runs_by_index: dict[int, TaskRun] = field(default_factory=dict)
     checkpoint_by_index: dict[int, str] = field(default_factory=dict)
     failed_on_by_index: dict[int, set[WorkerId]] = field(default_factory=dict)
@@ -147,6 +165,16 @@
         """Return the index under which the failed runs of a task are stored."""
         return 0 if self.step.gang else index
 
+    def is_isolated(self, index: int) -> bool:
+        """Whether a task is started alone on a worker."""
+        return self.failure_slot(index) in self.isolated
+
+    def record_survival(self, index: int) -> None:
+        """Clear the suspicion that a task crashes the workers that start it."""
+        slot = self.failure_slot(index)
+        self.isolated.discard(slot)
+        self.crashed_runs_by_index.pop(slot, None)
+
     def checkpoint(self, index: int) -> str:
         """Return the checkpoint from which a task resumes; a gang shares one."""
         if self.step.gang:
@@ -233,6 +261,8 @@
     :param paused_until_s: time before which it gets no new runs.
     :param fill_percent: share that its filling tasks may use; ``None`` without any.
     :param lease_end_s: time after which no run can still be running on the worker.
+    :param unproven: keys of the runs that have not survived their start yet.
+    :param isolated: keys of those that were started alone.
     """
 
     worker: Worker
@@ -251,6 +281,8 @@
     has_unknown_run: bool = False
     speed: SpeedEstimate = field(default_factory=SpeedEstimate)
     fill_percent: int | None = None
+    unproven: set[tuple[TaskKey, int]] = field(default_factory=set)
+    isolated: set[tuple[TaskKey, int]] = field(default_factory=set)
 
     @property
     def worker_id(self) -> WorkerId:
@@ -320,16 +352,28 @@
 
     def reserve(self, run: TaskRun) -> None:
         """Add a run and reserve its resources."""
-        self.runs[run.task, run.number] = run
+        self.runs[run.key] = run
         self._add(run.size, 1)
+        if not run.survived:
+            self.unproven.add(run.key)
+            if run.alone:
+                self.isolated.add(run.key)
+
+    def record_survival(self, run: TaskRun) -> None:
+        """Record that a run has survived its start."""
+        run.survived = True
+        self.unproven.discard(run.key)
+        self.isolated.discard(run.key)
 
     def release(self, run: TaskRun) -> bool:
         """Remove a run and free its resources.
 
         :returns: whether the worker had the run.
         """
-        if self.runs.pop((run.task, run.number), None) is None:
+        if self.runs.pop(run.key, None) is None:
             return False
+        self.unproven.discard(run.key)
+        self.isolated.discard(run.key)
         self._add(run.size, -1)
         return True
 
--- a/pistachiolift/workflows/tests/virtual_cell.py
+++ b/pistachiolift/workflows/tests/virtual_cell.py
@@ -48,6 +48,10 @@
 # Time from a shrink until no start may exceed the new capacity: 4 s and one update of
 # the directory entry.
 SHRINK_GRACE_S = 5.5
+# Time from the start of a crashing task to the crash of its worker.
+CRASH_S = 0.01
+# Time after which the directory removes the entry of a worker that crashed.
+DIRECTORY_S = 4.0
 
 
 def make_queue(name="urgent", **changes) -> Queue:
@@ -132,6 +136,11 @@
         self.advice_s = 0.0
         self.approve = lambda step, worker_id: True
         self.duration_of = lambda key, step: step.estimate_s
+        # Whether a task crashes the workers that start it.
+        self.crashes_worker = lambda task: False
+        # Time until a crashed worker is back, as a new incarnation.
+        self.restart_s = 6.0
+        self.restart_under_new_id = False
         self.store_up = True
         self._fence = 1
         self.committed: list = []
@@ -369,6 +378,8 @@
         step = self.scheduler.state.jobs_by_id[job_id].graph.steps[order.task.step]
         key = (order.task, order.number)
         fake.running[key] = self.now_s
+        if self.crashes_worker(order.task):
+            self._after(CRASH_S, self.crash_silently, fake)
         if fake.hangs or step.long_running:
             return
         duration_s = self.duration_of(order.task, step) * fake.slowness
@@ -515,6 +526,32 @@
         self.scheduler.fleet.remove_worker(WorkerId(worker_id), now_s=self.now_s)
         self._decide()
 
+    def crash_silently(self, fake: FakeWorker) -> None:
+        """End a worker process; the owner learns of it only from the silence."""
+        if not fake.alive:
+            return
+        fake.alive = False
+        fake.running.clear()
+        self._forget_unacknowledged(fake)
+        self._after(DIRECTORY_S, self._remove_entry, fake)
+        self._after(self.restart_s, self._restart, fake)
+
+    def _remove_entry(self, fake: FakeWorker) -> None:
+        self.scheduler.fleet.mark_unregistered(fake.worker.worker_id)
+        del self.workers_by_id[fake.worker.worker_id]
+
+    def _restart(self, fake: FakeWorker) -> None:
+        worker = fake.worker
+        index = int(worker.worker_id.removeprefix("w"))
+        if self.restart_under_new_id:
+            index += 100
+        self.add_worker(
+            index,
+            cpu=worker.capacity.cpu_milli,
+            memory=worker.capacity.memory_mb,
+            incarnation=worker.incarnation + 1,
+        )
+
     def replace_owner(self, directory: list[Worker] | None = None) -> None:
         """Replace the owner by one that takes over from the durable records.
 
