End the runs of a listed worker that never answers its owner

A task whose worker is in the directory but cannot be reached does not start again.

Cause: the end of a lease was acted upon only for workers that had reported to this owner. After a takeover, and at a process that replaced another one, runs are on record before the first report.

Evidence: test_a_process_that_never_answers_does_not_keep_its_runs fails before the change in both cases: no new start within 30 s of virtual time.

Change: the runs end with the lease, whether or not the worker has reported.

--- a/pistachiolift/workflows/fleet.py
+++ b/pistachiolift/workflows/fleet.py
@@ -206,7 +206,7 @@
             return
         if not entry.registered:
             self.remove_worker(worker_id, now_s=now_s)
-        elif entry.has_reported:
+        elif entry.has_reported or entry.runs:
             # Later reports are handled like those of a new worker.
             entry.has_reported = False
             runs = list(entry.runs.values())
--- a/pistachiolift/workflows/tests/test_incarnations.py
+++ b/pistachiolift/workflows/tests/test_incarnations.py
@@ -119,3 +119,24 @@
         assert len(cell.runs_by_job[job]) == 1
         cell.run(LEASE_LIMIT_S)
         assert cell.status(job) is JobStatus.COMPLETED
+
+    @pytest.mark.parametrize("replaced", [False, True])
+    def test_a_process_that_never_answers_does_not_keep_its_runs(self, replaced):
+        """Guards against a task that never starts again.
+
+        Its worker is listed in the directory, but does not answer its owner.
+        """
+        cell = VirtualCell(workers=1)
+        job = cell.submit("a", make_queue(), make_graph(make_step(1, estimate_s=3.0)))
+        fake = cell.workers_by_id["w0"]
+        cell.run(0.0145 if replaced else 0.5)
+        fake.cut = True
+        cell.add_worker(1)
+        if replaced:
+            fake.running.clear()
+            fake.worker = msgspec.structs.replace(fake.worker, incarnation=2)
+            cell.scheduler.fleet.update_worker(fake.worker, now_s=cell.now_s)
+        else:
+            cell.replace_owner()
+        cell.run(30.0)
+        assert cell.status(job) is JobStatus.COMPLETED
