Wait for the lease that a poll brings to a worker's next process

A task could be repeated while it still ran on a worker that had been restarted.

Cause: a poll carries the end of a lease on the clock of the old process, like a start, and the new process cuts it to the longest lease (10 s). The longest lease was waited for only if a start was in doubt, although the replacement is usually discovered by such a poll.

Evidence: test_a_poll_may_bring_such_a_lease_as_well fails before the change with "runs twice". PROTOCOL.md does not say whether a worker without runs keeps the lease; the test assumes that it does.

Change: every process that is known to replace another one counts as having the longest lease. A worker that is lost within about 5 s of its restart is waited for up to 5 s longer.

--- a/pistachiolift/workflows/fleet.py
+++ b/pistachiolift/workflows/fleet.py
@@ -47,8 +47,8 @@
         self._crashes = crashes
         self._longest_lease_s = longest_lease_s
         self._report_handler = RunReportHandler(state, lifecycle)
-        # Runs whose start may have reached the replacement of a worker process, with
-        # the time at which they are ended if the replacement does not appear.
+        # Runs whose start may have reached the replacement of a worker process, maybe
+        # none, with the time at which they end if the replacement does not appear.
         self._uncertain_starts_by_worker: dict[
             WorkerId, tuple[float, list[TaskRun]]
         ] = {}
@@ -76,13 +76,14 @@
         entry.registered = True
 
     def _block_uncertain_starts(self, entry: WorkerEntry, now_s: float) -> None:
-        _, runs = self._uncertain_starts_by_worker.pop(entry.worker_id, (0.0, []))
-        for run in runs:
+        uncertain = self._uncertain_starts_by_worker.pop(entry.worker_id, None)
+        if uncertain is None:
+            return
+        for run in uncertain[1]:
             self._lifecycle.block_uncertain_start(run, entry)
-        if runs:
-            # Such a start carries the end of a lease on the clock of the old process,
-            # which the new one, whose clock has begun again, cuts to the longest lease.
-            entry.lease_end_s = now_s + self._longest_lease_s
+        # Starts and polls carry the end of a lease on the clock of the old process,
+        # which the new one, whose clock has begun again, cuts to the longest lease.
+        entry.lease_end_s = now_s + self._longest_lease_s
 
     def mark_unregistered(self, worker_id: WorkerId) -> None:
         """Record that a worker is no longer in the directory."""
@@ -103,12 +104,10 @@
             return
         runs = list(entry.runs.values())
         if replaced:
-            uncertain = self._lifecycle.take_uncertain_starts(entry)
-            if uncertain:
-                self._uncertain_starts_by_worker[worker_id] = (
-                    now_s + UNCERTAIN_START_TIMEOUT_S,
-                    uncertain,
-                )
+            self._uncertain_starts_by_worker[worker_id] = (
+                now_s + UNCERTAIN_START_TIMEOUT_S,
+                self._lifecycle.take_uncertain_starts(entry),
+            )
         self._lifecycle.end_runs_of(entry, now_s=now_s)
         self._crashes.record_crash(entry.worker, runs, now_s)
         self._state.health.forget_worker(worker_id)
--- a/pistachiolift/workflows/tests/test_incarnations.py
+++ b/pistachiolift/workflows/tests/test_incarnations.py
@@ -140,3 +140,26 @@
             cell.replace_owner()
         cell.run(30.0)
         assert cell.status(job) is JobStatus.COMPLETED
+
+    def test_a_poll_may_bring_such_a_lease_as_well(self):
+        """Guards against repeating tasks after a poll for the process before.
+
+        A poll names the end of a lease too, and no start need have been in flight.
+        """
+        cell = VirtualCell(workers=1)
+        cell.run(0.5)
+        fake = cell.workers_by_id["w0"]
+        fake.worker = msgspec.structs.replace(fake.worker, incarnation=2)
+        # The answer to the poll names the new process.
+        cell.scheduler.fleet.remove_worker("w0", now_s=cell.now_s, replaced=True)
+        poll_lease_end_s = cell.now_s + LEASE_LIMIT_S
+        cell.scheduler.fleet.update_worker(fake.worker, now_s=cell.now_s)
+        cell.run(0.3)
+        job = cell.submit("b", make_queue(), make_graph(make_step(1, estimate_s=9.0)))
+        cell.run(0.3)
+        assert len(cell.runs_by_job[job]) == 1
+        cell.add_worker(1)
+        fake.cut = True
+        fake.lease_end_s = poll_lease_end_s
+        cell.run(LEASE_LIMIT_S - 1.5)
+        assert len(cell.runs_by_job[job]) == 1
