Keep a counted crash apart from the end of its run

Cause: a record of a crash also raised the task's last run number, so that a new owner would take the run for ended, and a crash of unknown cause could replace a suspected one of the same run. The first matters as soon as a new owner expects starts of the earlier one at a worker's next process.

Change: the record only counts; at a replay a crash that is on record is kept.

--- a/pistachiolift/workflows/crashes.py
+++ b/pistachiolift/workflows/crashes.py
@@ -124,8 +124,6 @@
     def apply(self, step: StepEntry, record: RunCrashed, now_s: float) -> None:
         """Apply a counted crash to its step; also used to replay the ledger."""
         index = record.task.index
-        last = step.last_run_by_index.get(index, 0)
-        step.last_run_by_index[index] = max(last, record.run)
         slot = step.failure_slot(index)
         crashes = step.crashed_runs_by_index.setdefault(slot, {})
         if record.cause is CrashCause.NO_CRASH:
--- a/pistachiolift/workflows/replay.py
+++ b/pistachiolift/workflows/replay.py
@@ -30,7 +30,7 @@
     WorkerReleased,
 )
 from .scheduler_state import SchedulerState
-from .state import JobEntry, TaskRun, WorkerEntry
+from .state import JobEntry, StepEntry, TaskRun, WorkerEntry
 
 __all__ = ["Replay", "compact_records"]
 
@@ -200,12 +200,18 @@
             answered_s=0.0,
         )
         if worker.worker.incarnation != placed.incarnation:
-            # The process has ended; how long the run had existed is unknown.
             step.last_run_by_index[task.index] = placed.run
-            self._crashes.record_run_crash(run, CrashCause.UNKNOWN, self._now_s)
+            self._count_crash(step, run)
             return
         self._lifecycle.add_run(step, run, worker)
 
+    def _count_crash(self, step: StepEntry, run: TaskRun) -> None:
+        """Count the end of a run's process, unless the earlier owner has done so."""
+        slot = step.failure_slot(run.task.index)
+        if run.number not in step.crashed_runs_by_index.get(slot, {}):
+            # How long the run had existed is unknown.
+            self._crashes.record_run_crash(run, CrashCause.UNKNOWN, self._now_s)
+
 
 def compact_records(
     state: SchedulerState,
