Expect starts of an earlier owner at the process that replaced their worker

A task could be repeated beside its run after a takeover.

Cause: a placement on record names the process for which it was made. If the directory lists a later process, the new owner took the run for ended. The start may have reached the later process, which accepts it. A working owner blocks such starts; a new one did not.

Evidence: test_the_next_owner_expects_such_a_start_at_the_next_process fails before the change with "runs twice", for a worker that is cut off and for one whose report arrives after that of another worker.

Change: the run counts as one of the later process until its first report, or until the longest lease has ended.

--- a/pistachiolift/workflows/replay.py
+++ b/pistachiolift/workflows/replay.py
@@ -147,15 +147,17 @@
             self._monotonic_s(record.at_ms),
         )
 
-    def add_runs(self, lease_end_s: float) -> None:
+    def add_runs(self, lease_end_s: float, replaced_lease_end_s: float) -> None:
         """Add the runs that may still be on their workers.
 
         :param lease_end_s: monotonic time at which leases of earlier owners end.
+        :param replaced_lease_end_s: the same for a process that replaced the one to
+            which they were sent.
         """
         for use in self._in_use.values():
             self._add_worker(use, lease_end_s)
         for placed in self._placed.values():
-            self._add_run(placed)
+            self._add_run(placed, replaced_lease_end_s)
 
     def _add_worker(self, use: WorkerInUse, lease_end_s: float) -> None:
         entry = self._state.workers_by_id.get(use.worker_id)
@@ -178,7 +180,7 @@
         entry.recorded = True
         entry.lease_end_s = lease_end_s
 
-    def _add_run(self, placed: RunPlaced) -> None:
+    def _add_run(self, placed: RunPlaced, replaced_lease_end_s: float) -> None:
         task = placed.task
         step = self._state.step(task.step_key)
         worker = self._state.workers_by_id.get(placed.worker_id)
@@ -187,6 +189,10 @@
         last = step.last_run_by_index.get(task.index, 0)
         if task.index in step.finished or last >= placed.run:
             return
+        if worker.worker.incarnation < placed.incarnation:
+            # The newer process was released after its runs.
+            step.last_run_by_index[task.index] = placed.run
+            return
         run = TaskRun(
             task=task,
             number=placed.run,
@@ -199,10 +205,12 @@
             # it rejects a delayed start of the earlier owner.
             answered_s=0.0,
         )
-        if worker.worker.incarnation != placed.incarnation:
-            step.last_run_by_index[task.index] = placed.run
+        if worker.worker.incarnation > placed.incarnation:
+            # The older process has ended, but its replacement may have got the start.
+            worker.lease_end_s = max(worker.lease_end_s, replaced_lease_end_s)
             self._count_crash(step, run)
-            return
+            if step.job.status.final:
+                return
         self._lifecycle.add_run(step, run, worker)
 
     def _count_crash(self, step: StepEntry, run: TaskRun) -> None:
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -72,6 +72,7 @@
     def __init__(self, *, fence: int, keep_final_s: float, longest_lease_s: float):
         self.state = SchedulerState(fence=fence)
         self._keep_final_s = keep_final_s
+        self._longest_lease_s = longest_lease_s
         self._lifecycle = Lifecycle(self.state)
         self._crashes = CrashTracker(self.state, self._lifecycle)
         self.advice = AdvicePlanner(self.state)
@@ -112,7 +113,7 @@
         )
         for record in records:
             replay.apply(record)
-        replay.add_runs(lease_end_s)
+        replay.add_runs(lease_end_s, lease_end_s + self._longest_lease_s)
         for job in self.state.jobs_by_id.values():
             job.last_record = job.accepted_record = 0
         self.state.decisions.clear()
--- a/pistachiolift/workflows/tests/test_incarnations.py
+++ b/pistachiolift/workflows/tests/test_incarnations.py
@@ -5,7 +5,15 @@
 
 from pistachiolift.workflows import JobStatus, WorkerState
 
-from .virtual_cell import LEASE_LIMIT_S, VirtualCell, make_graph, make_queue, make_step
+from .virtual_cell import (
+    LEASE_LIMIT_S,
+    LEASE_S,
+    MESSAGE_S,
+    VirtualCell,
+    make_graph,
+    make_queue,
+    make_step,
+)
 
 
 class RestartedWorkerScenario:
@@ -163,3 +171,29 @@
         fake.lease_end_s = poll_lease_end_s
         cell.run(LEASE_LIMIT_S - 1.5)
         assert len(cell.runs_by_job[job]) == 1
+
+    @pytest.mark.parametrize("cut", [False, True])
+    @pytest.mark.parametrize("listed", [True])
+    def test_the_next_owner_expects_such_a_start_at_the_next_process(self, listed, cut):
+        """Guards against repeating tasks that the next process has started.
+
+        The record of the placement names the process before it.
+        """
+        cell = VirtualCell(workers=1)
+        job = cell.submit("a", make_queue(), make_graph(make_step(1, estimate_s=3.0)))
+        fake = cell.workers_by_id["w0"]
+        first = fake.worker
+        cell.run(0.0145)
+        fake.worker = msgspec.structs.replace(first, incarnation=2)
+        # The start arrives there, and the owner is replaced.
+        cell.run(MESSAGE_S)
+        assert len(cell.runs_by_job[job]) == 1
+        fake.lease_end_s = cell.now_s + LEASE_S
+        fake.cut = True
+        other = cell.add_worker(1).worker
+        cell.replace_owner(directory=[fake.worker if listed else first, other])
+        fake.cut = cut
+        if not listed:
+            cell.scheduler.fleet.remove_worker("w0", now_s=cell.now_s, replaced=True)
+        cell.run(1.0)
+        assert len(cell.runs_by_job[job]) == 1
