Use a worker again whose new process has an earlier start time

A worker could stay unused for good.

Cause: an entry of an older incarnation is ignored. If a machine's clock was set back before a restart, the entry is that of the new process. If it listens at another address, no answer names it: the known process stayed listed for good. After a takeover the known process was removed when its lease had ended, but the entry, which does not change any more, was not applied again.

Evidence: both tests of TestClocksThatStepBack fail before the change: the new process is not used within 30 s of virtual time.

Change: an older entry means that the known process is not listed, so that it is removed when its lease has ended; the entry in the directory is applied then.

--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -373,8 +373,13 @@
     def _close_unused_drivers(self) -> None:
         """Close the drivers of workers that the scheduler has removed."""
         known = self.scheduler.state.workers_by_id
-        for worker_id in [w for w in self._drivers_by_id if w not in known]:
+        unused = [w for w in self._drivers_by_id if w not in known]
+        directory = self._directory() if unused else {}
+        for worker_id in unused:
             self._drivers_by_id.pop(worker_id).close()
+            # An entry that seemed to be of an older process is its replacement's.
+            if worker_id in directory and worker_id not in self._dead_s_by_id:
+                self.update_worker(directory[worker_id])
 
     # Events of drivers.
 
--- a/pistachiolift/node/tests/test_owner.py
+++ b/pistachiolift/node/tests/test_owner.py
@@ -205,3 +205,46 @@
         [made] = harness.adapter.made
         assert (made.incarnation, made.address) == (newer.incarnation, newer.address)
         harness.owner.close()
+
+
+class TestClocksThatStepBack:
+    def test_a_restarted_worker_with_an_earlier_start_time_is_used_again(self):
+        """Guards against a worker that is never used again.
+
+        Its machine's clock was set back, so that its new process seems to be older.
+        """
+        silent = WorkerUnavailableError("connection refused")
+        harness = Harness([[report(), *[silent] * 1000], [report()]])
+        ensureDeferred(harness.owner.recover())
+        harness.advance(0.3)
+        restarted = msgspec.structs.replace(
+            WORKER, incarnation=WORKER.incarnation - 1, address="127.0.0.1:9"
+        )
+        harness.workers[WORKER.worker_id] = restarted
+        harness.owner.update_worker(restarted)
+        for _ in range(600):
+            harness.advance(0.05)
+        entry = harness.owner.scheduler.state.workers_by_id.get(WORKER.worker_id)
+        assert entry is not None
+        assert entry.worker == restarted
+        harness.owner.close()
+
+    def test_it_is_used_again_after_a_takeover(self):
+        silent = WorkerUnavailableError("connection refused")
+        newer = msgspec.structs.replace(
+            WORKER, incarnation=WORKER.incarnation + 1, address="127.0.0.1:9"
+        )
+        harness = Harness([[silent] * 1000, [report()]])
+        use = WorkerInUse(newer.worker_id, newer.address, newer.incarnation)
+        key = f"{PartitionKeys(PartitionNumber(0)).log_prefix}1"
+        write = harness.store.transact(
+            expected={}, puts={key: Put(encode_batch([use]))}
+        )
+        ensureDeferred(write)
+        ensureDeferred(harness.owner.recover())
+        for _ in range(600):
+            harness.advance(0.05)
+        entry = harness.owner.scheduler.state.workers_by_id.get(WORKER.worker_id)
+        assert entry is not None
+        assert entry.worker == WORKER
+        harness.owner.close()
--- a/pistachiolift/workflows/fleet.py
+++ b/pistachiolift/workflows/fleet.py
@@ -57,12 +57,15 @@
         """Apply a directory entry; a newer incarnation ends all runs of the old one.
 
         An entry of an older incarnation is ignored, since the directory may be read
-        late.
+        late, but the known process gets no new runs until it is listed. If the older
+        one is its replacement, after the machine's clock was set back, the known one
+        is removed when its lease has ended.
         """
         entry = self._state.workers_by_id.get(worker.worker_id)
         if entry is not None:
             known = entry.worker.incarnation
             if worker.incarnation < known:
+                entry.registered = False
                 return
             if worker.incarnation > known:
                 self.remove_worker(worker.worker_id, now_s=now_s, replaced=True)
