Try again to end the lease of a replaced owner

Two instances could own a partition.

Cause: the new owner ended the earlier lease with a single call. If the store did not answer it, the earlier owner, whose watch hears nothing, went on renewing its lease and counted that as contact with the store.

Evidence: test_a_lease_that_could_not_be_ended_at_once_is_ended_later fails before the change ("[0, 1] == [0]" after 3 s).

Change: the call is repeated while this instance owns the partition.

--- a/pistachiolift/node/ownership.py
+++ b/pistachiolift/node/ownership.py
@@ -375,10 +375,18 @@
             fence, owner_version=fence if entry else 0, authority_s=authority_s
         )
         if claimed and entry is not None:
-            # An owner that still renews its lease learns of its replacement.
-            self._spawn(self.revoke_owner_lease(entry.lease_id))
+            self._spawn(self._end_earlier_lease(entry.lease_id))
         return claimed
 
+    async def _end_earlier_lease(self, lease_id: LeaseId) -> None:
+        """End a replaced owner's lease, so that it learns of its replacement."""
+        while self.fence is not None:
+            try:
+                await self.store.revoke_lease(lease_id)
+                return
+            except StoreUnavailableError:
+                await deferLater(self._reactor, RENEW_INTERVAL_S)
+
     def _able_to_claim(self) -> bool:
         return self._may_claim() and not self._retiring
 
--- a/pistachiolift/node/tests/test_ownership.py
+++ b/pistachiolift/node/tests/test_ownership.py
@@ -4,7 +4,7 @@
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.task import Clock as ReactorClock
 
-from pistachiolift.common import ManualClock, Metrics
+from pistachiolift.common import ManualClock, Metrics, StoreUnavailableError
 from pistachiolift.node.ownership import (
     AUTHORITY_S,
     DeathEvidence,
@@ -291,6 +291,30 @@
         assert cell.owners() == [1 - old]
         assert ownership.last_contact_s < claimed_s + 0.5
 
+    def test_a_lease_that_could_not_be_ended_at_once_is_ended_later(self):
+        """Guards against two owners after a call to the store that got no answer."""
+        cell = Cell(instances=2)
+        cell.advance(1.0)
+        old = cell.owner()
+        ownership = cell.ownerships[old]
+        ownership.store = SilentWatchStore(cell.store)
+        cell.store.wake()
+        cell.advance(0.1)
+        revoke, calls = cell.store.revoke_lease, []
+
+        async def revoke_lease(lease_id):
+            calls.append(lease_id)
+            if len(calls) == 1:
+                raise StoreUnavailableError("timeout")
+            await revoke(lease_id)
+
+        cell.store.revoke_lease = revoke_lease
+        cell.ownerships[1 - old].handle_owner_death(
+            ownership.owner, DeathEvidence.REFUSED
+        )
+        cell.advance(3.0)
+        assert cell.owners() == [1 - old]
+
 
 class TestEarlierOwners:
     """Guards against ending leases that the owner before the last one still renews.
