--- a/pistachiolift/node/tests/test_owner.py
+++ b/pistachiolift/node/tests/test_owner.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 import msgspec
+import pytest
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.task import Clock as ReactorClock
 from twisted.internet.task import deferLater
@@ -27,6 +28,8 @@
 from .fake_store import FakeStore
 from .test_worker_driver import WORKER, FakeConnection, report
 
+TERMS = LeaseTerms(lease_s=4.5, limit_s=10.0)
+
 
 @dataclass(frozen=True)
 class FakeAdapter(PlatformAdapter):
@@ -51,7 +54,7 @@
 class Harness:
     """An owner with an in-memory store."""
 
-    def __init__(self, outcomes=()):
+    def __init__(self, outcomes=(), authority_s=0.0):
         self.reactor, self.clock = ReactorClock(), ManualClock()
         self.adapter = FakeAdapter(outcomes=list(outcomes))
         queue = make_queue(target_s=1.0, pool_id=WORKER.pool_id)
@@ -68,7 +71,7 @@
             keys=keys,
             fence=1,
             commit_interval_s=lambda: 0.015,
-            terms=LeaseTerms(lease_s=4.5, limit_s=10.0),
+            terms=TERMS,
             keep_final_s=60.0,
             advice_service=AdviceService(None, peers=lambda: [], **common),
             last_contact_s=self.clock.monotonic_s,
@@ -77,9 +80,18 @@
             on_failed_call=lambda: None,
             table=lambda: self.table,
             directory=lambda: self.workers,
+            authority_s=authority_s,
             **common,
         )
 
+    def write_ledger(self, *records):
+        """Write records of an earlier owner."""
+        key = f"{PartitionKeys(PartitionNumber(0)).log_prefix}1"
+        write = self.store.transact(
+            expected={}, puts={key: Put(encode_batch(list(records)))}
+        )
+        ensureDeferred(write)
+
     def advance(self, interval_s):
         for _ in range(round(interval_s / 0.05)):
             self.clock.advance(0.05)
@@ -109,6 +121,20 @@
         assert set(harness.owner.scheduler.state.workers_by_id) == set(harness.workers)
         harness.owner.close()
 
+    @pytest.mark.parametrize("authority_s", [0.0, 7.5])
+    def test_leases_that_earlier_owners_may_still_renew_are_waited_for(
+        self, authority_s
+    ):
+        """Guards against two runs of a task on a worker that only they reach."""
+        harness = Harness(authority_s=authority_s)
+        harness.workers = {}
+        harness.write_ledger(WorkerInUse(WORKER.worker_id, WORKER.address, 1))
+        ensureDeferred(harness.owner.recover())
+        [worker] = harness.owner.scheduler.state.workers_by_id.values()
+        end_s = TERMS.end_s(harness.clock.monotonic_s() + authority_s)
+        assert worker.lease_end_s == pytest.approx(end_s)
+        harness.owner.close()
+
 
 class TestReturningWorkers:
     def test_a_worker_that_counted_as_dead_is_polled_again_when_its_entry_changes(self):
@@ -196,11 +222,7 @@
         )
         harness = Harness()
         use = WorkerInUse(newer.worker_id, newer.address, newer.incarnation)
-        key = f"{PartitionKeys(PartitionNumber(0)).log_prefix}1"
-        write = harness.store.transact(
-            expected={}, puts={key: Put(encode_batch([use]))}
-        )
-        ensureDeferred(write)
+        harness.write_ledger(use)
         ensureDeferred(harness.owner.recover())
         [made] = harness.adapter.made
         assert (made.incarnation, made.address) == (newer.incarnation, newer.address)
@@ -236,11 +258,7 @@
         )
         harness = Harness([[silent] * 1000, [report()]])
         use = WorkerInUse(newer.worker_id, newer.address, newer.incarnation)
-        key = f"{PartitionKeys(PartitionNumber(0)).log_prefix}1"
-        write = harness.store.transact(
-            expected={}, puts={key: Put(encode_batch([use]))}
-        )
-        ensureDeferred(write)
+        harness.write_ledger(use)
         ensureDeferred(harness.owner.recover())
         for _ in range(600):
             harness.advance(0.05)
