Select the workers with room in one place

Cause: the placing of ordinary and of isolated tasks had the same selection twice.

Result: behaviour is unchanged; the tests of workflows pass.

--- a/pistachiolift/workflows/dispatch.py
+++ b/pistachiolift/workflows/dispatch.py
@@ -109,11 +109,7 @@
         blocked: frozenset[WorkerId],
         now_s: float,
     ) -> None:
-        candidates = [
-            entry
-            for entry in eligible_workers(step, usable_by_id, now_s)
-            if entry.worker_id not in blocked and room_for_step(step, entry)
-        ]
+        candidates = _workers_with_room(step, usable_by_id, blocked, now_s)
         if not candidates:
             return
         choice = WorkerChoice(step, candidates, self._state.health)
@@ -142,11 +138,7 @@
             return
         used = sum(1 for entry in usable_by_id.values() if entry.isolated)
         spare = max(1, len(usable_by_id) // 2) - used - len(self._kept_free)
-        candidates = [
-            entry
-            for entry in eligible_workers(step, usable_by_id, now_s)
-            if entry.worker_id not in blocked and room_for_step(step, entry)
-        ]
+        candidates = _workers_with_room(step, usable_by_id, blocked, now_s)
         proven = [entry for entry in candidates if not entry.unproven]
         choice = WorkerChoice(step, proven, self._state.health)
         for index in sorted(step.waiting & step.isolated):
@@ -200,3 +192,17 @@
                 after_record=record,
             )
         )
+
+
+def _workers_with_room(
+    step: StepEntry,
+    usable_by_id: dict[WorkerId, WorkerEntry],
+    blocked: frozenset[WorkerId],
+    now_s: float,
+) -> list[WorkerEntry]:
+    """Return the workers on which a task of the step may start now."""
+    return [
+        entry
+        for entry in eligible_workers(step, usable_by_id, now_s)
+        if entry.worker_id not in blocked and room_for_step(step, entry)
+    ]
