--- a/pistachiolift/node/tests/test_ownership.py
+++ b/pistachiolift/node/tests/test_ownership.py
@@ -345,7 +345,7 @@
         cell.advance(0.5)
         assert AUTHORITY_S - 2.5 < cell.events[-1][3] < AUTHORITY_S
 
-    def test_the_next_owner_hands_over(self):
+    def test_the_next_owner_knows_how_long_they_may_renew(self):
         cell = self.make_cell()
         cell.advance(1.0)
         next_owner = cell.ownerships[cell.owner()]
