--- a/review/lib/cell.py
+++ b/review/lib/cell.py
@@ -4,6 +4,7 @@
 import json
 import os
 import shutil
+import signal
 import socket
 import sys
 import tempfile
@@ -45,6 +46,7 @@
     def __init__(self, folder: Path, *, daemons: int = 9, executors: int = 24):
         self.folder = folder
         self.begun = time.monotonic()
+        self.way_back_s = 0.0
         self.lines: list[str] = []
         self.runs: list[dict] = []
         ports = free_ports(1 + executors + 3 * daemons)
@@ -168,6 +170,16 @@
         self.processes[index].kill()
         self.log(f"daemon {index} killed")
 
+    def freeze_daemon(self, index: int) -> None:
+        """Stop a daemon's process until it is told to continue."""
+        self.processes[index].send_signal(signal.SIGSTOP)
+        self.log(f"daemon {index} freezes")
+
+    def thaw_daemon(self, index: int) -> None:
+        """Let a frozen daemon continue."""
+        self.processes[index].send_signal(signal.SIGCONT)
+        self.log(f"daemon {index} wakes")
+
     async def all_ready(self) -> bool:
         """Whether all daemons that run respond to the readiness check with 200."""
         answers = [
@@ -266,6 +278,9 @@
     path = Path(folder).resolve()
 
     async def main() -> int:
+        # A request to end must not leave processes behind.
+        current = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, current.cancel)
         cell = Cell(path, **options)
         cell.log(f"TROUBLE={int(TROUBLE)}")
         result = NOT_RUN
@@ -281,6 +296,8 @@
             cell.log(f"could not run: {error}")
         except asyncio.TimeoutError:
             cell.log(f"could not run: over {LIMIT_S} s")
+        except asyncio.CancelledError:
+            cell.log("could not run: told to end")
         finally:
             await cell.stop()
             cell.log(f"exit code {result}")
--- a/review/lib/executor.py
+++ b/review/lib/executor.py
@@ -16,7 +16,7 @@
     """Runs what it is told to run under a lease.
 
     The ``Spec`` of a job is JSON: ``ms`` (how long a task takes), ``spread`` (its share by
-    which that varies) and ``how`` (its end).
+    which that varies), ``how`` (its end), and ``first``, the same for the first run.
 
     :param cell: keeps the record of starts and ends.
     """
@@ -33,8 +33,11 @@
         self.last_beat = 0.0
         self.ignore_starts = 0
 
-    async def start(self) -> None:
-        """Begin a new life, which knows nothing of the one before."""
+    async def start(self, *, first_beat_s: float = 0.0) -> None:
+        """Begin a new life, which knows nothing of the one before.
+
+        :param first_beat_s: time until its first heartbeat.
+        """
         self.life += 1
         self.born = int(time.time() * 1000)
         self.zero = time.monotonic() - 0.5
@@ -45,14 +48,23 @@
         self.blocked: dict[str, int] = {}
         self.ended: list[list] = []
         self.news = asyncio.Event()
+        # What was sent to a silent life is lost with its connections.
+        self.server.stop()
         self.up = True
         await self.server.start()
-        self.beat()
+        if first_beat_s:
+            self.last_beat = time.monotonic() + first_beat_s - HEARTBEAT_S
+        else:
+            self.beat()
+
+    def crash(self, *, dark: bool = False) -> None:
+        """Lose everything; nothing is sent.
 
-    def crash(self) -> None:
-        """Lose everything; nothing is sent."""
+        :param dark: whether connections go silent instead of being reset.
+        """
         self.up = False
-        self.server.stop()
+        if not dark:
+            self.server.stop()
         for task, run in list(self.running):
             self._finish(task, run, "lost with its executor")
         self.cell.log(f"{self.id} crashes")
@@ -108,6 +120,13 @@
             self.news.set()
 
     async def _handle(self, method, path, headers, body):
+        life = self.life
+        answer = await self._answer_order(path, headers, body) if self.up else None
+        while not self.up:
+            await asyncio.sleep(0.05)
+        return answer if life == self.life else None
+
+    async def _answer_order(self, path, headers, body):
         if headers.get("x-target-instance") != self.id:
             return 421, {}
         order = json.loads(body)
@@ -118,7 +137,10 @@
                 self.ignore_starts -= 1
                 return None
             self.fence = order.get("Fence", 0)
-            return self._start(order)
+            answer = self._start(order)
+            # The way between two zones and back.
+            await asyncio.sleep(self.cell.way_back_s)
+            return answer
         self.fence = order.get("Fence", 0)
         if path == "/api/run-stop":
             task, run = order["Task"], order["Run"]
@@ -149,6 +171,8 @@
             return self._answer(409, Reason="late")
         self._lease(order["UntilMs"])
         spec = json.loads(order["Spec"])
+        if "first" in spec and not self.cell.runs_of(task):
+            spec = spec["first"]
         entry = self.cell.record_start(self, task, run, order)
         ms = spec["ms"]
         if "spread" in spec:
