--- a/review/lib/cell.py
+++ b/review/lib/cell.py
@@ -20,6 +20,8 @@
 HOST = "jobs.example"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 LIMIT_S = 110.0
+# A cell that has not started is started again until then.
+START_AGAIN_S = 30.0
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
@@ -43,15 +45,23 @@
 class Cell:
     """Daemons, executors, the store and the operator of a small deployment."""
 
-    def __init__(self, folder: Path, *, daemons: int = 9, executors: int = 24):
+    def __init__(
+        self,
+        folder: Path,
+        *,
+        daemons: int = 9,
+        executors: int = 24,
+        begun: float | None = None,
+    ):
         self.folder = folder
-        self.begun = time.monotonic()
+        self.begun = time.monotonic() if begun is None else begun
         self.way_back_s = 0.0
         self.lines: list[str] = []
         self.runs: list[dict] = []
         ports = free_ports(1 + executors + 3 * daemons)
         self.store_port = ports.pop()
         self.store = Store()
+        self.store_server: Server | None = None
         self.executors = [
             Executor(self, f"i-{n:04x}", ports.pop(), f"r{n // 8}")
             for n in range(executors)
@@ -116,7 +126,8 @@
             "Limits": {"MaxBodyBytes": 262144},
         }
         self.store.put("op/config", json.dumps(config).encode())
-        await Server(self.store.handle, self.store_port).start()
+        self.store_server = Server(self.store.handle, self.store_port)
+        await self.store_server.start()
         self._spawn(self.store.expire_forever())
         for executor in self.executors:
             await executor.start()
@@ -181,13 +192,14 @@
         self.log(f"daemon {index} wakes")
 
     async def all_ready(self) -> bool:
-        """Whether all daemons that run respond to the readiness check with 200."""
-        answers = [
-            (await call(self.readies[i], "GET", "/api/readyz", host=HOST))[0]
-            for i, process in self.processes.items()
-            if process.returncode is None
-        ]
-        return bool(answers) and all(status == 200 for status in answers)
+        """Whether all daemons respond to the readiness check with 200."""
+        answers = []
+        for index, process in self.processes.items():
+            if process.returncode is not None:
+                raise CannotRunError(f"daemon {index} has ended")
+            answer = await call(self.readies[index], "GET", "/api/readyz", host=HOST)
+            answers.append(answer[0])
+        return all(status == 200 for status in answers)
 
     async def all_serve(self) -> bool:
         """Whether all daemons answer how many jobs wait."""
@@ -264,15 +276,37 @@
             await process.wait()
         for task in self._tasks:
             task.cancel()
+        for server in [self.store_server, *(e.server for e in self.executors)]:
+            if server is not None:
+                server.stop()
         logs = os.environ.get("KEEP_LOGS")
         if logs:
             shutil.copytree(self.work, logs, dirs_exist_ok=True)
         shutil.rmtree(self.work, ignore_errors=True)
 
 
+async def _play(cell: Cell, play) -> int:
+    """Start a cell and play a case in it.
+
+    :raises CannotRunError: if the cell does not start.
+    """
+    await cell.start()
+    try:
+        left_s = LIMIT_S - (time.monotonic() - cell.begun)
+        found = await asyncio.wait_for(play(cell), left_s)
+    except (CannotRunError, asyncio.TimeoutError) as error:
+        cell.log(f"could not run: {error!r}")
+        return NOT_RUN
+    for line in found:
+        cell.log(f"BROKEN: {line}")
+    return BROKEN if found else HELD
+
+
 def run_case(folder: str, play, **options) -> None:
     """Run a case and end with its exit code.
 
+    A cell that does not start is tried again on other ports.
+
     :param play: coroutine function of the cell that returns the violations found.
     """
     path = Path(folder).resolve()
@@ -281,27 +315,28 @@
         # A request to end must not leave processes behind.
         current = asyncio.current_task()
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, current.cancel)
-        cell = Cell(path, **options)
-        cell.log(f"TROUBLE={int(TROUBLE)}")
+        begun = time.monotonic()
         result = NOT_RUN
-        try:
-            await cell.start()
-            found = await asyncio.wait_for(
-                play(cell), LIMIT_S - (time.monotonic() - cell.begun)
-            )
-            for line in found:
-                cell.log(f"BROKEN: {line}")
-            result = BROKEN if found else HELD
-        except CannotRunError as error:
-            cell.log(f"could not run: {error}")
-        except asyncio.TimeoutError:
-            cell.log(f"could not run: over {LIMIT_S} s")
-        except asyncio.CancelledError:
-            cell.log("could not run: told to end")
-        finally:
-            await cell.stop()
-            cell.log(f"exit code {result}")
-            (path / "record.txt").write_text("\n".join(cell.lines) + "\n")
+        while result is NOT_RUN:
+            cell = Cell(path, begun=begun, **options)
+            cell.log(f"TROUBLE={int(TROUBLE)}")
+            try:
+                result = await _play(cell, play)
+                break
+            except (CannotRunError, OSError) as error:
+                cell.log(f"could not start: {error!r}")
+                if time.monotonic() - begun > START_AGAIN_S:
+                    break
+            except asyncio.CancelledError:
+                cell.log("could not run: told to end")
+                break
+            except Exception as error:
+                cell.log(f"could not run: {error!r}")
+                break
+            finally:
+                await cell.stop()
+                cell.log(f"exit code {result}")
+                (path / "record.txt").write_text("\n".join(cell.lines) + "\n")
         return result
 
     code = asyncio.run(main())
