--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,8 @@
 #!/bin/bash
-# Checks the stand-ins and what the scripts need. Nothing is downloaded or written.
+# Checks the stand-ins and what the scripts need. Nothing is downloaded.
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
+# A build of the whole checkout leaves caches, which would look like cases.
+find "$here" -name __pycache__ -type d -prune -exec rm -rf {} +
 exec python3 -B - "$here" <<'PYTHON'
 import sys
 from pathlib import Path
