Log the repetition of a start with its age and fencing token

Cause: a start is sent again when its call had no answer, and nothing in the log showed it. Change: the event start_repeated names the run, the attempt, the age of the first attempt and the fencing token.

--- a/pistachiolift/node/worker_driver.py
+++ b/pistachiolift/node/worker_driver.py
@@ -304,11 +304,14 @@
         self._spawn(self._start(command))
 
     async def _start(self, command: StartRun) -> None:
+        first_sent_s = self._clock.monotonic_s()
         for attempt in range(MAX_START_ATTEMPTS):
             if self._closed or not self._is_wanted(command):
                 return
             if not self._events.may_send_commands():
                 break
+            if attempt:
+                self._log_repetition(command, attempt, first_sent_s)
             answer = await self._start_once(command)
             if answer is not None:
                 if not self._closed:
@@ -319,6 +322,21 @@
             self._metrics.count("workers.start_unanswered")
             self._events.handle_unanswered_start(command)
 
+    def _log_repetition(
+        self, command: StartRun, attempt: int, first_sent_s: float
+    ) -> None:
+        log_event(
+            logger,
+            "start_repeated",
+            job=command.task.job_id,
+            task=command.task.position,
+            run=command.number,
+            worker=command.worker_id,
+            attempt=attempt + 1,
+            first_sent_age_s=self._clock.monotonic_s() - first_sent_s,
+            fence=self._fence(),
+        )
+
     async def _start_once(self, command: StartRun) -> StartAnswer | None:
         sent_s = self._clock.monotonic_s()
         until_ms = self._lease_until_ms(sent_s)
