Send starts only while the lease of the ownership lasts

A leader froze for 4 s with its starts in flight and was replaced; executors that had been restarted ran its old starts beside the runs of its successor.

Cause: a start without an answer was repeated if the store had been in contact within 10 s, which is the time for which leases of runs are renewed, while another instance may lead 1.5 s after the last renewal. After a freeze the time limits of calls are handled before the input that tells of the successor. The fencing token does not help at a worker that was restarted, since it has seen none. The same held for a first start whose ledger write is answered after the freeze.

Ruled out: a late delivery of the first call, and a first start after the freeze (no run_placed follows the freeze).

Change: starts, first or repeated, need a lease of the owner's key that lasts for longer than a start may take (0.5 s), reckoned from the sending of the last answered renewal. Other answers of the store no longer count. A start that is held back is sent when the lease has been renewed.

Why it works: no instance claims before the lease ends, so a start that leaves earlier is known to the next owner from the ledger and from the worker.

--- a/pistachiolift/node/interfaces.py
+++ b/pistachiolift/node/interfaces.py
@@ -26,6 +26,7 @@
 __all__ = [
     "AdviceAnswer",
     "AdviserClient",
+    "COMMAND_TIMEOUT_S",
     "Changes",
     "CoordinationStore",
     "HistoryLostError",
@@ -42,6 +43,10 @@
     "WorkerUnavailableError",
 ]
 
+# Longest time for a command to a worker. A command whose connection is not open by then
+# is not sent.
+COMMAND_TIMEOUT_S = 0.5
+
 
 class HistoryLostError(PistachioliftError):
     """The store has discarded changes that a watch still needs."""
@@ -204,7 +209,8 @@
 class WorkerConnection(ABC):
     """Sends commands to one incarnation (one process) of a worker.
 
-    Methods raise :class:`WorkerUnavailableError`, :class:`WorkerReplacedError` and
+    A command is sent within :data:`COMMAND_TIMEOUT_S` or not at all. Methods raise
+    :class:`WorkerUnavailableError`, :class:`WorkerReplacedError` and
     :class:`StaleOwnerError`.
     """
 
--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -25,7 +25,13 @@
 from .advice_service import AdviceService
 from .background import run_in_background
 from .decision_log import log_job_changed, log_start, log_stop
-from .interfaces import CoordinationStore, PlatformAdapter, QueueTable, RunReport
+from .interfaces import (
+    COMMAND_TIMEOUT_S,
+    CoordinationStore,
+    PlatformAdapter,
+    QueueTable,
+    RunReport,
+)
 from .job_calls import STALLED_LIMIT_S, JobCalls
 from .ledger import Ledger, read_ledger
 from .ownership import AUTHORITY_S
@@ -54,6 +60,8 @@
         seconds.
     :param keep_final_s: time for which the state of a finished job is kept.
     :param last_contact_s: returns when the last answered store call was sent.
+    :param lease_left_s: returns for how long the lease of the ownership certainly
+        lasts, in seconds.
     :param record_contact: called with the time at which an answered store call was
         sent.
     :param on_superseded: called with a reason when a later owner is detected.
@@ -78,6 +86,7 @@
         keep_final_s: float,
         advice_service: AdviceService,
         last_contact_s: Callable[[], float],
+        lease_left_s: Callable[[], float],
         record_contact: Callable[[float], None],
         on_superseded: Callable[[str], None],
         on_failed_call: Callable[[], None],
@@ -94,6 +103,7 @@
         self._terms = terms
         self._advice_service = advice_service
         self._last_contact_s = last_contact_s
+        self._lease_left_s = lease_left_s
         self._record_contact = record_contact
         self._on_superseded = on_superseded
         self._earlier_authority_s = authority_s
@@ -390,6 +400,10 @@
             and self._clock.monotonic_s() - self._last_contact_s() < AUTHORITY_S
         )
 
+    def may_start_runs(self) -> bool:
+        """Whether no other instance owns the partition until a start has been sent."""
+        return not self._closed and self._lease_left_s() > COMMAND_TIMEOUT_S
+
     def handle_run_report(
         self, worker: Worker, report: RunReport, sent_s: float
     ) -> Deferred:
--- a/pistachiolift/node/ownership.py
+++ b/pistachiolift/node/ownership.py
@@ -46,6 +46,8 @@
 
 # A lost owner is detected after this time; the store's shortest lease is 1 s.
 LEASE_TTL_S = 1.5
+# This instance's clock may run slower than the store's; covers 2% of the lease.
+LEASE_MARGIN_S = 0.05
 RENEW_INTERVAL_S = 0.35
 WATCH_WAIT_S = 2.0
 RETRY_INTERVAL_S = 0.15
@@ -131,6 +133,8 @@
         self._fitness = fitness
         self._extra_claim_delay_s = extra_claim_delay_s
         self._lease_id: LeaseId | None = None
+        # Time at which the newest answered grant or renewal of the lease was sent.
+        self._lease_sent_s = float("-inf")
         self._retiring = False
         self._claiming = False
         self.fence: int | None = None
@@ -160,6 +164,19 @@
         """Time for which owners before this instance may still renew leases."""
         return max(0.0, self._earlier_authority_end_s - self._clock.monotonic_s())
 
+    @property
+    def lease_left_s(self) -> float:
+        """Seconds for which the lease of the owner's key certainly lasts.
+
+        Until then no other instance becomes the owner, unless it takes this one's
+        process for dead. Other contact with the store does not prove that: the claim
+        of another instance may have been made since.
+        """
+        if self.fence is None:
+            return 0.0
+        age_s = self._clock.monotonic_s() - self._lease_sent_s
+        return max(0.0, LEASE_TTL_S - LEASE_MARGIN_S - age_s)
+
     @property
     def store_age_s(self) -> float:
         """Seconds since the last answered call to the store was sent, at most 999."""
@@ -455,6 +472,8 @@
             end_s = self._clock.monotonic_s() + authority_s
             self._earlier_authority_end_s = end_s
         self._lease_id = lease_id
+        # The lease was granted by the first call of the claim.
+        self._lease_sent_s = sent_s
         self.fence = fence
         self.claimed_s = self._clock.monotonic_s()
         self.record_contact(sent_s)
@@ -496,6 +515,8 @@
         try:
             await self.store.keep_alive(lease_id)
             self.record_contact(sent_s)
+            if self._lease_id == lease_id:
+                self._lease_sent_s = max(self._lease_sent_s, sent_s)
         except StoreUnavailableError:
             self.record_failed_call()
             self._metrics.count("ownership.renewal_failed")
@@ -506,6 +527,7 @@
     async def _claim_again(self) -> None:
         """Claim again after the lease has expired, if no other instance has claimed."""
         fence, self._lease_id = self.fence, None
+        self._lease_sent_s = float("-inf")
         log_event(
             logger, "ownership_lease_lapsed", partition=self._keys.number, fence=fence
         )
--- a/pistachiolift/node/partition.py
+++ b/pistachiolift/node/partition.py
@@ -223,6 +223,7 @@
             keep_final_s=settings.keep_final_s,
             advice_service=self._advice_service,
             last_contact_s=lambda: self.ownership.last_contact_s,
+            lease_left_s=lambda: self.ownership.lease_left_s,
             record_contact=self.ownership.record_contact,
             on_superseded=self.ownership.give_up,
             on_failed_call=self.ownership.record_failed_call,
--- a/pistachiolift/node/tests/test_owner.py
+++ b/pistachiolift/node/tests/test_owner.py
@@ -75,6 +75,7 @@
             keep_final_s=60.0,
             advice_service=AdviceService(None, peers=lambda: [], **common),
             last_contact_s=self.clock.monotonic_s,
+            lease_left_s=lambda: 1.0,
             record_contact=lambda sent_s: None,
             on_superseded=lambda reason: None,
             on_failed_call=lambda: None,
--- a/pistachiolift/node/tests/test_worker_driver.py
+++ b/pistachiolift/node/tests/test_worker_driver.py
@@ -92,6 +92,9 @@
     def may_send_commands(self):
         return True
 
+    def may_start_runs(self):
+        return True
+
     def handle_run_report(self, worker, report, sent_s):
         self.log.append("run_report")
         return succeed(self.durable)
--- a/pistachiolift/node/worker_driver.py
+++ b/pistachiolift/node/worker_driver.py
@@ -33,6 +33,8 @@
 # A start that is not answered after this many attempts is blocked by a stop.
 MAX_START_ATTEMPTS = 5
 STOP_RETRY_S = 0.4
+# Pause before a start is tried again that may not be sent at the moment.
+START_PAUSE_S = 0.05
 # A worker's clock may run slower than this instance's clock by this share.
 CLOCK_DRIFT = 0.02
 
@@ -71,7 +73,15 @@
 
     @abstractmethod
     def may_send_commands(self) -> bool:
-        """Whether the owner may send commands at this moment."""
+        """Whether the owner may poll, stop and pace runs at this moment."""
+
+    @abstractmethod
+    def may_start_runs(self) -> bool:
+        """Whether no other instance owns the partition until a start has been sent.
+
+        A fencing token alone does not protect a worker that was restarted, since it
+        has not seen a later owner's token.
+        """
 
     @abstractmethod
     def handle_run_report(
@@ -300,16 +310,21 @@
     # Commands.
 
     def start(self, command: StartRun) -> None:
-        """Send a start command, and repeat it until it is answered."""
+        """Send a start command, and repeat it until it is answered.
+
+        It is held back while the ownership is in doubt.
+        """
         self._spawn(self._start(command))
 
     async def _start(self, command: StartRun) -> None:
         first_sent_s = self._clock.monotonic_s()
-        for attempt in range(MAX_START_ATTEMPTS):
+        attempt = 0
+        while attempt < MAX_START_ATTEMPTS:
             if self._closed or not self._is_wanted(command):
                 return
-            if not self._events.may_send_commands():
-                break
+            if not self._events.may_start_runs():
+                await self._sleep(START_PAUSE_S)
+                continue
             if attempt:
                 self._log_repetition(command, attempt, first_sent_s)
             answer = await self._start_once(command)
@@ -318,6 +333,7 @@
                     answer = msgspec.structs.replace(answer, repeated=attempt > 0)
                     self._events.handle_start_answer(command, answer)
                 return
+            attempt += 1
         if not self._closed:
             self._metrics.count("workers.start_unanswered")
             self._events.handle_unanswered_start(command)
--- a/pistachiolift/platform/workers.py
+++ b/pistachiolift/platform/workers.py
@@ -6,6 +6,7 @@
 from ..backends.http import JsonHttpClient
 from ..common import MalformedMessageError, encode_json
 from ..node.interfaces import (
+    COMMAND_TIMEOUT_S,
     RunReport,
     StaleOwnerError,
     WorkerConnection,
@@ -24,10 +25,6 @@
 
 __all__ = ["PlatformWorker"]
 
-# Longest wait for the answer to a command. Workers answer within milliseconds, and
-# repeating a command is safe.
-COMMAND_TIMEOUT_S = 0.5
-
 # Time that a poll may take beyond its requested wait.
 POLL_SLACK_S = 0.3
 
