Acknowledge ends and renew leases only after a recent answer

What callers could see: a task that runs again after its success was acknowledged.

Cause: a poll after a time-out or a freeze carried the number of the last end and the lease of the worker's previous process. A worker that was restarted under its id numbers its ends from 1 again: the old number makes it forget ends that nobody has seen. After a freeze it also got a lease that its new owner does not know of.

Change: a poll that follows one without an answer, or a gap of 3 s, acknowledges nothing and renews nothing; the next one does.

--- a/pistachiolift/node/tests/test_worker_driver.py
+++ b/pistachiolift/node/tests/test_worker_driver.py
@@ -189,6 +189,39 @@
         seen = [call["last_end"] for call in harness.connection.polls]
         assert seen == [0, 0, 4]
 
+    def test_a_poll_after_one_without_an_answer_acknowledges_nothing(self):
+        """Guards against a restarted worker that forgets ends nobody has seen.
+
+        Its ends are numbered from 1 again, so that a number of the process before
+        would acknowledge them.
+        """
+        end = ReportedEnd(TASK, 7, EndKind.DONE)
+        silent = WorkerUnavailableError("timeout")
+        answers = [report([end], 4), report(), silent, report()]
+        harness = Harness(poll_outcomes=answers)
+        harness.driver.run()
+        harness.advance(0.2)
+        seen = [call["last_end"] for call in harness.connection.polls]
+        assert seen == [0, 4, 4, 0, 4]
+
+    def test_a_poll_after_a_pause_neither_acknowledges_nor_renews_the_lease(self):
+        """Guards against the same after a freeze of this instance.
+
+        The worker may have been restarted meanwhile and used by a later owner, which
+        does not know of the lease.
+        """
+        end = ReportedEnd(TASK, 7, EndKind.DONE)
+        answer = Deferred()
+        harness = Harness(poll_outcomes=[report([end], 4), answer])
+        harness.driver.run()
+        harness.events.durable = False
+        answer.callback(report([end], 5))
+        # The driver pauses, since the second end is not durable.
+        harness.clock.advance(4.0)
+        harness.advance(0.6)
+        last = harness.connection.polls[-1]
+        assert (last["last_end"], last["lease_until_ms"]) == (0, None)
+
     def test_refused_connections_do_not_mean_that_the_process_has_ended(self):
         """Guards against ending the runs of a worker that is only cut off."""
         refused = WorkerUnavailableError("connection refused")
--- a/pistachiolift/node/worker_driver.py
+++ b/pistachiolift/node/worker_driver.py
@@ -30,6 +30,8 @@
 STALLED_PAUSE_S = 0.5
 # Pause after a poll without an answer.
 RETRY_PAUSE_S = 0.15
+# Polls follow each other more quickly than this, unless this instance was paused.
+POLL_GAP_LIMIT_S = 3.0
 # A start that is not answered after this many attempts is blocked by a stop.
 MAX_START_ATTEMPTS = 5
 STOP_RETRY_S = 0.4
@@ -158,6 +160,7 @@
         self._clock_offset_ms: float | None = None
         self._clock_read_s = 0.0
         self._last_end = 0
+        self._answered_s = float("-inf")
         self._reachable = True
         self._closed = False
 
@@ -226,11 +229,12 @@
 
     async def _poll_once(self, wait_s: float) -> "tuple[RunReport, float] | None":
         sent_s = self._clock.monotonic_s()
-        until_ms = None
-        if self._reachable:
-            # The lease of a worker that does not answer is not renewed: each renewal
-            # may have arrived, and would extend the lease again and again.
-            until_ms = self._lease_until_ms(sent_s)
+        until_ms, last_end = None, 0
+        if self._reachable and sent_s - self._answered_s < POLL_GAP_LIMIT_S:
+            until_ms, last_end = self._lease_until_ms(sent_s), self._last_end
+        # Otherwise the worker may have been restarted, and would forget ends of its
+        # new process. Nor is its lease renewed: each renewal may have arrived, and
+        # would extend the lease again and again.
         if until_ms is not None:
             self._events.record_lease(self.worker, self._terms.end_s(sent_s))
         self._metrics.count("workers.listings")
@@ -239,7 +243,7 @@
             try:
                 report = await self._connection.poll_runs(
                     fence=self._fence(),
-                    last_end=self._last_end,
+                    last_end=last_end,
                     lease_until_ms=until_ms,
                     wait_s=wait_s,
                 )
@@ -248,6 +252,7 @@
                     self._handle_no_answer(error, sent_s)
         if report is None:
             return None
+        self._answered_s = self._clock.monotonic_s()
         self._record_clock(report.clock_ms)
         if not self._reachable:
             self._reachable = True
