Restart a long-running task once for each exit

Cause: a worker reports an end until it is acknowledged, which waits for the ledger. Each report of the end done of a long-running task put the task back among the waiting ones, although a newer run had been placed already; when the store was back, all placements became durable and were started. A takeover between a report and its acknowledgement had the same effect. Other kinds of end were guarded by a check that done returned before.

Change: the end of a long-running task takes the path of the other ends that are followed by a restart, with their check for a newer run. Its record is written with the first report only; each report added one before.

Why it works: the newer run is in the step's table from its placement on, before it is durable, and a new owner reads it from the ledger.

--- a/pistachiolift/workflows/lifecycle.py
+++ b/pistachiolift/workflows/lifecycle.py
@@ -151,7 +151,8 @@
             return
         if run is not None:
             self._update_worker(worker, step, run, kind, now_s)
-        known = task.index in step.finished
+        # The end of a long-running task is recorded with the first report only.
+        known = run is None if step.step.long_running else task.index in step.finished
         if kind is EndKind.FAILED:
             slot = step.failure_slot(task.index)
             known = number in step.failed_runs_by_index.get(slot, ())
@@ -178,27 +179,23 @@
         current = step.runs_by_index.get(index)
         if current is not None and current.number == number:
             del step.runs_by_index[index]
-        if kind is EndKind.DONE:
+        # A long-running task that exits is restarted, also after a success.
+        if kind is EndKind.DONE and not step.step.long_running:
             self._record_success(step, index, number, now_s)
             return
         if kind is EndKind.FAILED:
             self._count_failure(step, index, number, now_s)
         if step.job.status.final or index in step.finished:
             return
-        if step.step.gang and not step.complete:
+        if step.step.gang and kind is not EndKind.DONE and not step.complete:
             self._stop_members(step, number, "gang_member_ended")
+        # An end is reported until it is acknowledged: a newer run may exist already.
         if index not in step.runs_by_index:
             step.waiting.add(index)
             occurrence = step.job.occurrences[step.key.occurrence]
             self.open_ready_steps(step.job, occurrence)
 
     def _record_success(self, step: StepEntry, index: int, number: int, now_s: float):
-        if step.step.long_running:
-            # A long-running task that exits is restarted, also after a success.
-            step.waiting.add(index)
-            occurrence = step.job.occurrences[step.key.occurrence]
-            self.open_ready_steps(step.job, occurrence)
-            return
         members = range(step.step.count) if step.step.gang else (index,)
         step.finished.update(members)
         step.waiting.difference_update(members)
--- a/pistachiolift/workflows/tests/virtual_cell.py
+++ b/pistachiolift/workflows/tests/virtual_cell.py
@@ -399,6 +399,15 @@
             )
             self._after(duration_s, self._finish_gang, members)
 
+    def exit_service_tasks(self, worker_id: str) -> None:
+        """Let the long-running tasks of a worker end with a success."""
+        fake = self.workers_by_id[WorkerId(worker_id)]
+        for task, number in list(fake.running):
+            step = self.scheduler.state.jobs_by_id[task.job_id].graph.steps[task.step]
+            if step.long_running:
+                del fake.running[task, number]
+                self._end(fake, task, number, EndKind.DONE)
+
     def _finish_gang(self, members) -> None:
         """End all members; one that fails ends the others as well."""
         if any(other.fails and run in other.running for other, run in members):
