Confine a fault in the calls to a worker to that worker

Cause: an unexpected exception in a call ended the ownership, and the next owner made the same call. A worker on record in the ledger whose address cannot be connected to failed the recovery of each owner.

Change: a fault in a call counts as no answer and is logged once for each process of a worker (worker_call_failed, counter workers.call_failed). A worker that cannot be connected to gets no driver and leaves when its lease has ended (worker_address_invalid). A fault in handling a report still ends the ownership, since the owner's state may be inconsistent then.

--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -8,7 +8,7 @@
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 from twisted.internet.task import LoopingCall
 
-from ..common import Clock, Metrics, WorkerId, log_event
+from ..common import Clock, InvalidInputError, Metrics, WorkerId, log_event
 from ..workflows import (
     AskAdvice,
     Decision,
@@ -366,10 +366,24 @@
                 known.worker = worker
                 return
             known.close()
+        try:
+            connection = self._translation.connect(worker)
+        except InvalidInputError as error:
+            # Without a driver its runs, if any, end with their lease.
+            log_event(
+                logger,
+                "worker_address_invalid",
+                level=logging.ERROR,
+                worker=worker.worker_id,
+                reason=error.message[:120],
+            )
+            self._drivers_by_id.pop(worker.worker_id, None)
+            self.scheduler.fleet.mark_unreachable(worker.worker_id)
+            return
         driver = WorkerDriver(
             self._reactor,
             worker,
-            self._translation.connect(worker),
+            connection,
             clock=self._clock,
             metrics=self._metrics,
             terms=self._terms,
--- a/pistachiolift/node/tests/test_owner.py
+++ b/pistachiolift/node/tests/test_owner.py
@@ -9,7 +9,13 @@
 from twisted.internet.task import deferLater
 
 from pistachiolift.backends import Entry
-from pistachiolift.common import JobId, ManualClock, Metrics, WorkerId
+from pistachiolift.common import (
+    InvalidInputError,
+    JobId,
+    ManualClock,
+    Metrics,
+    WorkerId,
+)
 from pistachiolift.node.advice_service import AdviceService
 from pistachiolift.node.interfaces import (
     PlatformAdapter,
@@ -137,6 +143,37 @@
         harness.owner.close()
 
 
+class TestWorkersThatCannotBeConnected:
+    """Guards against owners that give up one after the other.
+
+    The ledger may hold a worker whose address an earlier release accepted.
+    """
+
+    def test_such_a_worker_gets_no_driver(self):
+        harness = Harness([[], [report()]])
+        connect = FakeAdapter.connect
+
+        def connect_unless_odd(adapter, worker):
+            if worker.worker_id == "odd":
+                raise InvalidInputError("address is 'http://127.0.0.1:9'")
+            return connect(adapter, worker)
+
+        FakeAdapter.connect = connect_unless_odd
+        try:
+            harness.write_ledger(WorkerInUse(WorkerId("odd"), "http://127.0.0.1:9", 1))
+            ensureDeferred(harness.owner.recover())
+            assert harness.owner.ready
+            assert harness.adapter.made == [WORKER]
+            # Its lease has ended by then.
+            harness.advance(6.0)
+            assert set(harness.owner.scheduler.state.workers_by_id) == {
+                WORKER.worker_id
+            }
+        finally:
+            FakeAdapter.connect = connect
+        harness.owner.close()
+
+
 class TestReturningWorkers:
     def test_a_worker_that_counted_as_dead_is_polled_again_when_its_entry_changes(self):
         silent = WorkerUnavailableError("timeout")
--- a/pistachiolift/node/tests/test_worker_driver.py
+++ b/pistachiolift/node/tests/test_worker_driver.py
@@ -245,6 +245,53 @@
         assert ("superseded", "fence_at_worker") in harness.events.log
 
 
+class TestFaultsOfACall:
+    """Guards against owners that give up one after the other because of one worker."""
+
+    def test_a_failed_poll_counts_as_no_answer(self):
+        fault = OverflowError("port must be 0-65535")
+        harness = Harness(poll_outcomes=[fault, report()])
+        harness.driver.run()
+        assert harness.events.log == ["unreachable"]
+        harness.advance(0.2)
+        assert "run_report" in harness.events.log
+        assert not harness.driver.closed
+
+    @pytest.mark.parametrize("name", ["start", "stop", "set_speed"])
+    def test_a_failed_command_counts_as_no_answer(self, name):
+        harness = Harness(poll_outcomes=[report()])
+        harness.driver.run()
+
+        async def fail(*_args, **_options):
+            raise ValueError("no valid header")
+
+        setattr(harness.connection, name, fail)
+        stop = StopRun(task=TASK, number=7, worker_id=WORKER.worker_id, reason="x")
+        match name:
+            case "start":
+                harness.driver.start(COMMAND)
+                assert "start_unanswered" in harness.events.log
+            case "stop":
+                harness.driver.stop(stop)
+            case "set_speed":
+                harness.driver.set_speed(TASK, 7, 40)
+        harness.events.runs.clear()
+        harness.advance(1.0)
+        superseded = [e for e in harness.events.log if e[0] == "superseded"]
+        assert not superseded
+
+    def test_a_fault_in_handling_a_report_still_ends_the_ownership(self):
+        """The owner's state may be inconsistent; its successor reads the ledger."""
+        harness = Harness(poll_outcomes=[report()])
+
+        def fail(worker, run_report, sent_s):
+            raise KeyError("job")
+
+        harness.events.handle_run_report = fail
+        harness.driver.run()
+        assert ("superseded", "driver_failed") in harness.events.log
+
+
 class TestStarts:
     def _harness(self, *outcomes):
         harness = Harness(poll_outcomes=[report()], start_outcomes=outcomes)
--- a/pistachiolift/node/worker_driver.py
+++ b/pistachiolift/node/worker_driver.py
@@ -1,9 +1,11 @@
 """Sends commands to one worker, renews its lease and polls its run reports."""
 
 import logging
+import traceback
 from abc import ABC, abstractmethod
-from collections.abc import Coroutine, Iterator
+from collections.abc import Awaitable, Coroutine, Iterator
 from contextlib import contextmanager
+from typing import TypeVar
 
 import msgspec
 from twisted.internet.defer import Deferred
@@ -26,6 +28,8 @@
 
 logger = logging.getLogger(__name__)
 
+Answer = TypeVar("Answer")
+
 # Pause between polls while ends cannot be made durable.
 STALLED_PAUSE_S = 0.5
 # Pause after a poll without an answer.
@@ -163,6 +167,7 @@
         self._answered_s = float("-inf")
         self._reachable = True
         self._closed = False
+        self._fault_logged = False
 
     def run(self) -> None:
         """Start polling the worker's run reports."""
@@ -187,6 +192,31 @@
         except StaleOwnerError:
             self._events.handle_superseded("fence_at_worker")
 
+    async def _call(self, call: Awaitable[Answer]) -> Answer:
+        """Make a call to the worker; a fault in it counts as no answer.
+
+        A fault that ended the ownership would meet each successor as well.
+        """
+        try:
+            return await call
+        except (WorkerUnavailableError, WorkerReplacedError, StaleOwnerError):
+            raise
+        except Exception as error:
+            self._metrics.count("workers.call_failed")
+            if not self._fault_logged:
+                self._fault_logged = True
+                log_event(
+                    logger,
+                    "worker_call_failed",
+                    level=logging.ERROR,
+                    worker=self.worker.worker_id,
+                    error=f"{type(error).__name__}: {error}",
+                    traceback=traceback.format_exc(),
+                )
+            raise WorkerUnavailableError(
+                f"call to worker {self.worker.worker_id} failed: {error}"
+            ) from error
+
     @property
     def closed(self) -> bool:
         """Whether the driver has stopped sending commands."""
@@ -241,11 +271,13 @@
         report = None
         with self._closing_if_replaced():
             try:
-                report = await self._connection.poll_runs(
-                    fence=self._fence(),
-                    last_end=last_end,
-                    lease_until_ms=until_ms,
-                    wait_s=wait_s,
+                report = await self._call(
+                    self._connection.poll_runs(
+                        fence=self._fence(),
+                        last_end=last_end,
+                        lease_until_ms=until_ms,
+                        wait_s=wait_s,
+                    )
                 )
             except WorkerUnavailableError as error:
                 if not self._closed:
@@ -368,14 +400,16 @@
         answer = None
         with self._closing_if_replaced():
             try:
-                answer, clock_ms = await self._connection.start(
-                    command.task,
-                    command.number,
-                    payload=command.payload,
-                    lease_until_ms=until_ms,
-                    fence=self._fence(),
-                    ticket=command.ticket,
-                    checkpoint=command.checkpoint,
+                answer, clock_ms = await self._call(
+                    self._connection.start(
+                        command.task,
+                        command.number,
+                        payload=command.payload,
+                        lease_until_ms=until_ms,
+                        fence=self._fence(),
+                        ticket=command.ticket,
+                        checkpoint=command.checkpoint,
+                    )
                 )
             except WorkerUnavailableError:
                 return None
@@ -403,8 +437,8 @@
 
     async def _stop_once(self, command: StopRun) -> None:
         try:
-            await self._connection.stop(
-                command.task, command.number, fence=self._fence()
+            await self._call(
+                self._connection.stop(command.task, command.number, fence=self._fence())
             )
             if not self._closed:
                 self._events.handle_stop_answer(command)
@@ -427,8 +461,10 @@
             return
         with self._closing_if_replaced():
             try:
-                await self._connection.set_speed(
-                    task, number, percent=percent, fence=self._fence()
+                await self._call(
+                    self._connection.set_speed(
+                        task, number, percent=percent, fence=self._fence()
+                    )
                 )
             except WorkerUnavailableError:
                 self._metrics.count("workers.pace_unanswered")
