Reject run reports with values out of range

What callers could see: no owner, as with odd directory entries.

Cause: rows of run reports were converted by hand. A run number above 64 bits reached the ledger, which cannot encode it, and a row with too few or other values raised errors that counted as a fault of the owner. Task numbers could be negative or written with other digits.

Change: rows have types with ranges, like all other messages; a report with an odd value counts as no answer of its worker. Rows may still be longer.

--- a/pistachiolift/platform/wire.py
+++ b/pistachiolift/platform/wire.py
@@ -1,5 +1,6 @@
 """Decoding of the platform's messages, and the formats that several of them share."""
 
+import re
 from typing import Annotated, TypeVar
 
 import msgspec
@@ -9,6 +10,7 @@
 
 __all__ = [
     "MESSAGE_LIMIT_BYTES",
+    "Number",
     "WholeNumber",
     "WireSize",
     "decode_wire",
@@ -23,8 +25,12 @@
 MESSAGE_LIMIT_BYTES = 4 * 1024 * 1024
 
 
-# Larger numbers are not exact in JSON, and too large for the ledger's encoding.
-WholeNumber = Annotated[int, msgspec.Meta(ge=0, le=2**53 - 1)]
+_TASK_NAME = re.compile(r"([^.]+)\.([0-9]{1,9})\.([0-9]{1,9})\.([0-9]{1,9})")
+
+# Larger numbers are not exact in JSON, and may not fit into the ledger's encoding.
+_MAX_NUMBER = 2**53 - 1
+WholeNumber = Annotated[int, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
+Number = Annotated[float, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
 
 
 class WireSize(msgspec.Struct, rename="pascal"):
@@ -64,10 +70,10 @@
 
     :raises MalformedMessageError: if the name does not have four valid parts.
     """
-    try:
-        job_id, occurrence, step, index = name.split(".")
-        return TaskKey(JobId(job_id), int(occurrence), int(step), int(index))
-    except ValueError as error:
+    match = _TASK_NAME.fullmatch(name)
+    if match is None:
         raise MalformedMessageError(
             f"task name {name[:80]!r} is not of the form JOB.OCCURRENCE.STEP.INDEX"
-        ) from error
+        )
+    job_id, occurrence, step, index = match.groups()
+    return TaskKey(JobId(job_id), int(occurrence), int(step), int(index))
--- a/pistachiolift/platform/workers.py
+++ b/pistachiolift/platform/workers.py
@@ -21,7 +21,7 @@
     TaskKey,
     Worker,
 )
-from .wire import decode_wire, format_task, parse_task
+from .wire import Number, WholeNumber, decode_wire, format_task, parse_task
 
 __all__ = ["PlatformWorker"]
 
@@ -50,20 +50,57 @@
 
 class _CommandAnswer(msgspec.Struct, rename="pascal"):
     # The worker's monotonic clock.
-    clock_ms: int = 0
+    clock_ms: WholeNumber = 0
     # Reason of a refusal.
     reason: str = ""
 
 
+# Newer versions of the platform may send longer rows.
+
+
+class _RunningRow(msgspec.Struct, array_like=True):
+    task: str
+    run: WholeNumber
+    checkpoint: str | None
+    # Progress.
+    percent: Number
+    usage: Number = 0.0
+
+    def to_run(self) -> ReportedRun:
+        """Convert to the scheduler's model."""
+        return ReportedRun(
+            parse_task(self.task),
+            self.run,
+            self.checkpoint or "",
+            int(self.percent),
+            int(self.usage),
+        )
+
+
+class _EndedRow(msgspec.Struct, array_like=True):
+    sequence: WholeNumber
+    task: str
+    run: WholeNumber
+    how: str
+    checkpoint: str | None
+
+    def to_end(self) -> ReportedEnd:
+        """Convert to the scheduler's model.
+
+        :raises MalformedMessageError: if the task's name or the kind is not valid.
+        """
+        kind = _END_KINDS.get(self.how)
+        if kind is None:
+            raise MalformedMessageError(f"kind of an end is {self.how[:40]!r}")
+        return ReportedEnd(parse_task(self.task), self.run, kind, self.checkpoint or "")
+
+
 class _RunList(msgspec.Struct, rename="pascal"):
-    clock_ms: int = 0
-    # Rows of task, run, checkpoint, speed in percent, and usage; newer versions of the
-    # platform may send longer rows.
-    running: list[list[object]] = []
-    # Rows of sequence number, task, run, kind of end, and checkpoint.
-    ended: list[list[object]] = []
+    clock_ms: WholeNumber = 0
+    running: list[_RunningRow] = []
+    ended: list[_EndedRow] = []
     # The only name on the platform's wire that is not capitalised.
-    incarnation: int = msgspec.field(name="born", default=0)
+    incarnation: WholeNumber = msgspec.field(name="born", default=0)
 
 
 class PlatformWorker(WorkerConnection):
@@ -186,32 +223,20 @@
             )
         try:
             return self._to_report(run_list)
-        except (MalformedMessageError, ValueError, TypeError, KeyError) as error:
-            raise WorkerUnavailableError(f"run report is malformed: {error}") from error
+        except MalformedMessageError as error:
+            raise WorkerUnavailableError(
+                f"run report is malformed: {error.message}"
+            ) from error
 
     @staticmethod
     def _to_report(run_list: _RunList) -> RunReport:
-        running = [
-            ReportedRun(
-                parse_task(row[0]),
-                int(row[1]),
-                str(row[2] or ""),
-                int(row[3]),
-                int(row[4]) if len(row) > 4 else 0,
-            )
-            for row in run_list.running
-        ]
-        ended = [
-            ReportedEnd(
-                parse_task(row[1]), int(row[2]), _END_KINDS[row[3]], str(row[4] or "")
-            )
-            for row in run_list.ended
-        ]
+        running = [row.to_run() for row in run_list.running]
+        ended = [row.to_end() for row in run_list.ended]
         return RunReport(
             clock_ms=run_list.clock_ms,
             running=running,
             ended=ended,
-            last_end=max((int(row[0]) for row in run_list.ended), default=0),
+            last_end=max((row.sequence for row in run_list.ended), default=0),
             complete=len(ended) < MAX_ENDS_PER_REPORT,
         )
 
