Ignore reports about tasks that their step does not have

What callers could see: a job shown as completed before its tasks have ended, or a task that no client sent. Found while looking for siblings of the odd reports.

Cause: the step of a reported task was looked up by job, occurrence and step, and the task's index was not compared with the number of tasks. A success of a task beyond the last one counted towards the step; any other end of it made it wait for a run.

Change: the lookup takes the task and finds no step for such an index, as for an unknown job; a running task of that kind is stopped.

--- a/pistachiolift/workflows/crashes.py
+++ b/pistachiolift/workflows/crashes.py
@@ -63,7 +63,7 @@
         """Record that a lease has ended; the worker crashed or is unreachable."""
         lost = [run for run in runs if run.sent and not run.survived]
         for run in lost:
-            step = self._state.step(run.task.step_key)
+            step = self._state.step_of(run.task)
             if step is not None and _is_suspected(worker, run):
                 step.isolated.add(step.failure_slot(run.task.index))
         known = self._lost_by_worker.get(worker.worker_id)
@@ -114,7 +114,7 @@
 
     def record_run_crash(self, run: TaskRun, cause: CrashCause, now_s: float) -> None:
         """Count a crash against the task of a run, and write it to the ledger."""
-        step = self._state.step(run.task.step_key)
+        step = self._state.step_of(run.task)
         if step is None or step.job.status.final or run.task.index in step.finished:
             return
         record = RunCrashed(run.task, run.number, cause)
--- a/pistachiolift/workflows/lifecycle.py
+++ b/pistachiolift/workflows/lifecycle.py
@@ -127,7 +127,7 @@
     def end_without_result(self, run: TaskRun, kind: EndKind, now_s: float) -> None:
         """End a run that no worker reports and that has no result."""
         self._state.health.record_inconclusive_end(run.worker_id)
-        step = self._state.step(run.task.step_key)
+        step = self._state.step_of(run.task)
         if step is not None:
             self.apply_end(step, run.task.index, run.number, kind, "", now_s)
 
@@ -146,7 +146,7 @@
         run = worker.runs.get((task, number))
         if run is not None:
             worker.release(run)
-        step = self._state.step(task.step_key)
+        step = self._state.step_of(task)
         if step is None:
             return
         if run is not None:
--- a/pistachiolift/workflows/progress.py
+++ b/pistachiolift/workflows/progress.py
@@ -49,7 +49,7 @@
 
     def _check_worker(self, worker: WorkerEntry, now_s: float) -> None:
         for run in list(worker.runs.values()):
-            step = self._state.step(run.task.step_key)
+            step = self._state.step_of(run.task)
             if step is None or not self._is_stalled(run, step, worker):
                 continue
             log_event(
--- a/pistachiolift/workflows/replay.py
+++ b/pistachiolift/workflows/replay.py
@@ -84,7 +84,7 @@
             case TaskFinished():
                 self._apply_task_end(record)
             case RunCrashed():
-                step = self._state.step(record.task.step_key)
+                step = self._state.step_of(record.task)
                 if step is not None:
                     self._crashes.apply(step, record, self._now_s)
             case RunPlaced():
@@ -131,7 +131,7 @@
         job.finished_s = self._monotonic_s(record.at_ms)
 
     def _apply_task_end(self, record: TaskFinished) -> None:
-        step = self._state.step(record.task.step_key)
+        step = self._state.step_of(record.task)
         if step is None:
             return
         job = step.job
@@ -182,7 +182,7 @@
 
     def _add_run(self, placed: RunPlaced, replaced_lease_end_s: float) -> None:
         task = placed.task
-        step = self._state.step(task.step_key)
+        step = self._state.step_of(task)
         worker = self._state.workers_by_id.get(placed.worker_id)
         if step is None or worker is None or step.job.status.final:
             return
--- a/pistachiolift/workflows/run_reports.py
+++ b/pistachiolift/workflows/run_reports.py
@@ -98,7 +98,7 @@
         self, worker: WorkerEntry, reported: ReportedRun, sent_s: float, now_s: float
     ) -> None:
         run = worker.runs.get((reported.task, reported.number))
-        step = self._state.step(reported.task.step_key)
+        step = self._state.step_of(reported.task)
         if run is None:
             run = self._adopt(worker, step, reported, now_s)
         if step is None:
@@ -151,7 +151,6 @@
         wanted = (
             not step.job.status.final
             and index not in step.finished
-            and 0 <= index < step.step.count
             and (other is None or other.number < reported.number)
         )
         log_event(
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -219,7 +219,7 @@
         run = self.state.run(order.worker_id, (order.task, order.number))
         if run is None or run.status is TaskRunStatus.STOPPING:
             return None
-        step = self.state.step(order.task.step_key)
+        step = self.state.step_of(order.task)
         if step is not None and step.job.queue.advice is not None:
             ticket, end_s = step.tickets_by_worker.get(order.worker_id, ("", 0.0))
             if end_s <= now_s:
@@ -293,7 +293,7 @@
             self._lifecycle.stop(run, "start_uncertain")
             return
         worker = self.state.workers_by_id[worker_id]
-        step = self.state.step(task.step_key)
+        step = self.state.step_of(task)
         if answer.reason == "ticket" and step is not None:
             step.tickets_by_worker.pop(worker_id, None)
         else:
--- a/pistachiolift/workflows/scheduler_state.py
+++ b/pistachiolift/workflows/scheduler_state.py
@@ -4,7 +4,7 @@
 
 from ..common import JobId, WorkerHealth, WorkerId
 from .decisions import Decision, JobChanged
-from .model import JobStatus, PoolId, Queue, QueueId, StepKey
+from .model import JobStatus, PoolId, Queue, QueueId, StepKey, TaskKey
 from .records import LedgerRecord
 from .state import JobEntry, StepEntry, TaskRun, WorkerEntry
 
@@ -70,6 +70,11 @@
         steps = job.occurrences[key.occurrence].steps
         return steps[key.step] if 0 <= key.step < len(steps) else None
 
+    def step_of(self, task: TaskKey) -> StepEntry | None:
+        """Return a task's step, or ``None`` if it has no such task."""
+        step = self.step(task.step_key)
+        return step if step is not None and 0 <= task.index < step.step.count else None
+
     def drop_job(self, job_id: JobId) -> None:
         """Remove a job with its steps and health data."""
         job = self.jobs_by_id.pop(job_id, None)
--- a/pistachiolift/workflows/sharing.py
+++ b/pistachiolift/workflows/sharing.py
@@ -55,7 +55,7 @@
         fills: list[TaskRun] = []
         load = None
         for run in worker.runs.values():
-            step = self._state.step(run.task.step_key)
+            step = self._state.step_of(run.task)
             if step is None or run.status is not TaskRunStatus.RUNNING:
                 continue
             if step.step.fills:
