Reject jobs with numbers that the ledger cannot hold

Cause: the ranges of a job's numbers were not checked. The owner accepted the job and could not encode its record, which ended the ownership; the caller sent the job again to the next owner.

Change: a job's numbers are whole numbers, or times, from 0 that are exact in JSON; others are answered with 400.

--- a/pistachiolift/platform/jobs.py
+++ b/pistachiolift/platform/jobs.py
@@ -4,7 +4,7 @@
 
 from ..common import RackId, encode_json
 from ..workflows import JobGraph, JobStatus, Step
-from .wire import WireSize, decode_wire
+from .wire import Number, WholeNumber, WireSize, decode_wire
 
 __all__ = ["decode_job", "encode_status", "encode_waiting"]
 
@@ -19,10 +19,10 @@
 
 class _Step(WireSize):
     # Number of tasks.
-    count: int = 0
-    estimate_ms: float = 0.0
+    count: WholeNumber = 0
+    estimate_ms: Number = 0.0
     # Indexes of the earlier steps that this step depends on, from 0.
-    after: list[int] = []
+    after: list[WholeNumber] = []
     checkpoints: bool = False
     gang: bool = False
     same_rack: bool = False
@@ -31,15 +31,15 @@
     # Rack that holds the step's data.
     affinity: str = ""
     # Limit of the step's tasks on one worker; 0 for none.
-    max_per_server: int = 0
+    max_per_server: WholeNumber = 0
     # Whether copies of a task may run in parallel.
     speculative: bool = False
     long_running: bool = False
     image: str = ""
     # Target for the tail latency of tasks that serve requests.
-    target_ms: float = 0.0
+    target_ms: Number = 0.0
     fills: bool = False
-    may_miss: int = 0
+    may_miss: WholeNumber = 0
 
     def to_step(self) -> Step:
         """Convert to the scheduler's model."""
@@ -67,10 +67,10 @@
     # Opaque payload for the tasks.
     spec: str
     steps: list[_Step]
-    times: int = 0
+    times: WholeNumber = 0
     # Unix time of the first occurrence.
-    start_at_ms: int = 0
-    interval_ms: int = 0
+    start_at_ms: WholeNumber = 0
+    interval_ms: WholeNumber = 0
 
 
 def decode_job(body: bytes) -> JobGraph:
