Ignore a caller's deadline that is not a finite number

Cause: X-Deadline-Ms was read as any number, also as infinity or not-a-number, with which a call's time limit never passes. Change: such a deadline is replaced by the default, like a text.

--- a/pistachiolift/platform/caller_api.py
+++ b/pistachiolift/platform/caller_api.py
@@ -165,6 +165,7 @@
 def _deadline_s(request: StreamingRequest) -> float:
     text = request.getHeader(DEADLINE_HEADER)
     try:
-        return float(text) / 1000 if text else DEFAULT_DEADLINE_S
+        deadline_s = float(text) / 1000 if text else DEFAULT_DEADLINE_S
     except ValueError:
         return DEFAULT_DEADLINE_S
+    return deadline_s if math.isfinite(deadline_s) else DEFAULT_DEADLINE_S
