Stop using a worker whose directory entry was overwritten

What callers could see: nothing yet; instances that had read all entries did not use such a worker, and those that followed the changes did.

Cause: a change to a value that names no worker was skipped, so that the entry before it stayed in force until all entries were read again.

Change: such a change counts like a deletion. The worker's runs go on, and it is used again after its next heartbeat.

--- a/pistachiolift/node/store_watches.py
+++ b/pistachiolift/node/store_watches.py
@@ -236,9 +236,9 @@
 
     def apply_change(self, event: WatchEvent) -> None:
         """Apply a change of one entry."""
-        if event.entry is not None:
-            self._apply_entry(event.entry)
+        if event.entry is not None and self._apply_entry(event.entry) is not None:
             return
+        # The entry was deleted, or overwritten by another writer.
         worker_id = WorkerId(event.key.removeprefix(self.prefix))
         if worker_id in self.workers_by_id:
             self._missing_since_s.setdefault(worker_id, self._clock.monotonic_s())
--- /dev/null
+++ b/pistachiolift/node/tests/test_store_watches.py
@@ -0,0 +1,92 @@
+"""The watch of the worker directory."""
+
+from dataclasses import dataclass
+
+import pytest
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import Clock as ReactorClock
+
+from pistachiolift.common import MalformedMessageError, ManualClock, Metrics
+from pistachiolift.node.interfaces import PlatformAdapter, Put
+from pistachiolift.node.store_watches import DirectoryWatch
+
+from .fake_store import FakeStore
+from .test_worker_driver import WORKER
+
+KEY = "servers/w"
+
+
+@dataclass(frozen=True)
+class FakeAdapter(PlatformAdapter):
+    """Decodes the value ``worker`` only."""
+
+    def queue_table(self, value):
+        raise NotImplementedError
+
+    def worker(self, key, value):
+        if value != b"worker":
+            raise MalformedMessageError("value is odd")
+        return WORKER
+
+    def connect(self, worker):
+        raise NotImplementedError
+
+
+class Harness:
+    """A watch that has read a directory with one worker."""
+
+    def __init__(self):
+        self.reactor, self.clock = ReactorClock(), ManualClock()
+        self.store = FakeStore()
+        self.events = []
+        self.watch = DirectoryWatch(
+            self.reactor,
+            self.store,
+            FakeAdapter(worker_prefix="servers/"),
+            on_worker_changed=lambda worker: self.events.append("changed"),
+            on_worker_removed=lambda worker_id: self.events.append("removed"),
+            clock=self.clock,
+            metrics=Metrics(),
+        )
+        self.put(b"worker")
+        self.watch.start()
+        self.advance(1.0)
+
+    def advance(self, interval_s):
+        for _ in range(round(interval_s / 0.05)):
+            self.clock.advance(0.05)
+            self.reactor.advance(0.05)
+
+    def put(self, value, key=KEY):
+        ensureDeferred(self.store.transact(expected={}, puts={key: Put(value)}))
+
+
+class TestEntriesOfAnotherWriter:
+    def test_a_worker_whose_entry_was_overwritten_is_not_used(self):
+        """Guards against instances that disagree about the directory.
+
+        One that reads all entries does not find the worker.
+        """
+        harness = Harness()
+        harness.put(b"odd")
+        harness.advance(1.0)
+        assert harness.events == ["changed", "removed"]
+        assert not harness.watch.workers_by_id
+
+    def test_it_is_used_again_after_its_next_heartbeat(self):
+        harness = Harness()
+        harness.put(b"odd")
+        harness.advance(1.0)
+        harness.put(b"worker")
+        harness.advance(1.0)
+        assert harness.events == ["changed", "removed", "changed"]
+
+    @pytest.mark.parametrize("value", [b"", b"odd"])
+    def test_an_odd_entry_beside_it_changes_nothing(self, value):
+        harness = Harness()
+        harness.put(value, "servers/odd")
+        harness.advance(1.0)
+        harness.put(value, "servers/odd")
+        harness.advance(5.0)
+        assert harness.events == ["changed"]
+        assert set(harness.watch.workers_by_id) == {WORKER.worker_id}
