Keep working beside records of owners that cannot be read or connected to

What callers could see: an instance that never claims, or never looks for the next owner.

Cause: after a lost answer to a claim, a value of the claim's key that does not decode ended the watch of the ownership for good. An owner's or a member's address without a valid port raised an error outside the link's handling of failures.

Change: such a claim is not an own one; such an address counts as a failed connection.

--- a/pistachiolift/node/member_registry.py
+++ b/pistachiolift/node/member_registry.py
@@ -9,6 +9,7 @@
 from twisted.internet.task import deferLater
 
 from ..common import (
+    InvalidInputError,
     MalformedMessageError,
     Metrics,
     NoOwnerError,
@@ -125,7 +126,7 @@
                 await connect_peer(self._reactor, member.address, connection)
                 await connection.call(message, timeout_s=ANNOUNCE_TIMEOUT_S)
                 return
-            except (NoOwnerError, ConnectError, OSError) as error:
+            except (NoOwnerError, ConnectError, InvalidInputError, OSError) as error:
                 reason = type(error).__name__
                 await deferLater(self._reactor, RETRY_INTERVAL_S)
             finally:
--- a/pistachiolift/node/ownership.py
+++ b/pistachiolift/node/ownership.py
@@ -501,7 +501,11 @@
         entry = await self.store.get(self._keys.claim)
         if entry is None or entry.version == claim_version:
             return None
-        record = decode_owner_record(entry.value)
+        try:
+            record = decode_owner_record(entry.value)
+        except MalformedMessageError as error:
+            log_event(logger, "owner_record_malformed", reason=error.message)
+            return None
         return entry.version if record == self._own_record else None
 
     # Renewal.
--- a/pistachiolift/node/peer_link.py
+++ b/pistachiolift/node/peer_link.py
@@ -8,14 +8,20 @@
 from collections.abc import Awaitable, Callable
 
 import msgspec
-from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.defer import Deferred, ensureDeferred, fail
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 from twisted.internet.interfaces import IDelayedCall, IReactorTCP
 from twisted.internet.protocol import Factory
 from twisted.protocols.basic import Int32StringReceiver
 from twisted.python.failure import Failure
 
-from ..common import Metrics, NoOwnerError, log_event
+from ..common import (
+    InvalidInputError,
+    Metrics,
+    NoOwnerError,
+    log_event,
+    parse_address,
+)
 from .partition_map import PartitionNumber
 from .peer_messages import (
     FRAME_LIMIT_BYTES,
@@ -248,7 +254,12 @@
     """Connect to an instance.
 
     :param address: IP address and port.
+    :returns: fires when the connection is open; fails if it cannot be opened, and with
+        :class:`InvalidInputError` if the address has another form.
     """
-    host, _, port = address.rpartition(":")
-    endpoint = TCP4ClientEndpoint(reactor, host, int(port), timeout=CONNECT_TIMEOUT_S)
+    try:
+        host, port = parse_address(address)
+    except InvalidInputError:
+        return fail()
+    endpoint = TCP4ClientEndpoint(reactor, host, port, timeout=CONNECT_TIMEOUT_S)
     return connectProtocol(endpoint, connection)
--- a/pistachiolift/node/tests/test_owner_link.py
+++ b/pistachiolift/node/tests/test_owner_link.py
@@ -2,6 +2,7 @@
 
 from types import SimpleNamespace
 
+import msgspec
 import pytest
 from twisted.internet.error import ConnectionRefusedError, TimeoutError
 from twisted.internet.protocol import Protocol
@@ -25,14 +26,14 @@
         self.reactor = MemoryReactorClock()
         self.deaths = []
         self.callbacks = {}
-        link = OwnerLink(
+        self.link = OwnerLink(
             self.reactor,
             self._make,
             "n0",
             on_died=lambda record, evidence: self.deaths.append((record, evidence)),
             on_unreachable=lambda: None,
         )
-        link.set_owner(OWNER)
+        self.link.set_owner(OWNER)
 
     def _make(self, **callbacks):
         self.callbacks = callbacks
@@ -61,6 +62,18 @@
             harness.fail(TimeoutError())
         assert harness.deaths == []
 
+    @pytest.mark.parametrize("address", ["127.0.0.1:x", "127.0.0.1:70000", "", "odd"])
+    def test_an_odd_address_is_no_evidence_and_leaves_the_link_working(self, address):
+        """Guards against a link that never looks for the next owner."""
+        harness = Harness()
+        harness.link.set_owner(msgspec.structs.replace(OWNER, address=address))
+        harness.fail(TimeoutError())
+        assert not harness.reactor.tcpClients
+        harness.link.set_owner(OWNER)
+        harness.reactor.advance(RECONNECT_INTERVAL_S)
+        assert harness.deaths == []
+        assert harness.reactor.tcpClients
+
     @pytest.mark.parametrize(
         ("incarnation", "deaths"),
         [("second", [(OWNER, DeathEvidence.REPLACED)]), ("first", [])],
--- a/pistachiolift/node/tests/test_ownership.py
+++ b/pistachiolift/node/tests/test_ownership.py
@@ -4,6 +4,7 @@
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.task import Clock as ReactorClock
 
+from pistachiolift.backends import Entry
 from pistachiolift.common import ManualClock, Metrics, StoreUnavailableError
 from pistachiolift.node.ownership import (
     AUTHORITY_S,
@@ -258,6 +259,25 @@
         assert cell.owners() == [1 - old]
 
 
+class TestOddRecords:
+    def test_a_claim_that_cannot_be_read_is_not_taken_for_an_own_one(self):
+        """Guards against an instance that stops watching the ownership for good.
+
+        The answer to its claim was lost, and the key holds another writer's value.
+        """
+        cell = Cell(instances=1)
+        transact = cell.store.transact
+
+        async def lose_answer(**arguments):
+            cell.store.transact = transact
+            cell.store.entries[KEYS.claim] = Entry(KEYS.claim, b"odd", 7)
+            raise StoreUnavailableError("answer lost")
+
+        cell.store.transact = lose_answer
+        cell.advance(2.0)
+        assert cell.owners() == [0]
+
+
 class SilentWatchStore(FakeStore):
     """Another instance's view of a store whose watches hear nothing."""
 
