Describe rows and leases beside the code, and share a test's set-up

Cause: the note at AUTHORITY_S said that nothing is started without the store, and three tests repeated the set-up of a start without an answer. Result: the tests pass; behaviour is unchanged.

--- a/pistachiolift/node/ownership.py
+++ b/pistachiolift/node/ownership.py
@@ -40,8 +40,8 @@
 logger = logging.getLogger(__name__)
 
 # Leases are renewed for this long without the store, so that an outage does not end
-# running tasks. Nothing is started meanwhile, since no placement can be made durable.
-# If only this owner is cut off, its successor fences it at the workers.
+# running tasks. Starts need the lease of the ownership instead (``lease_left_s``). If
+# only this owner is cut off, its successor fences it at the workers.
 AUTHORITY_S = 10.0
 
 # A lost owner is detected after this time; the store's shortest lease is 1 s.
--- a/pistachiolift/node/tests/test_frozen_owner.py
+++ b/pistachiolift/node/tests/test_frozen_owner.py
@@ -117,6 +117,18 @@
         graph = make_graph(make_step(memory=0))
         ensureDeferred(owner.calls.submit(JOB, self.queue, graph, 0.0))
 
+    def start_without_answer(self):
+        """Submit a job whose start is not answered before the returned Deferred fires.
+
+        The next attempt is answered at once.
+        """
+        unanswered = Deferred()
+        answer = (StartAnswer(started=True), 5001)
+        self.connection.start_outcomes = [unanswered, answer]
+        self.submit()
+        self.advance(0.1)
+        return unanswered
+
     def freeze(self, interval_s):
         """Let time pass without the instance, while another one takes over."""
         self.clock.advance(interval_s)
@@ -157,10 +169,7 @@
 
     def test_a_start_without_an_answer_is_not_repeated(self):
         harness = Harness()
-        unanswered = Deferred()
-        harness.connection.start_outcomes = [unanswered]
-        harness.submit()
-        harness.advance(0.1)
+        unanswered = harness.start_without_answer()
         assert len(harness.connection.starts) == 1
         harness.freeze(4.0)
         unanswered.errback(SILENT)
@@ -182,13 +191,7 @@
     def test_a_short_freeze_delays_the_starts_until_the_lease_is_renewed(self):
         """The lease of the ownership has not ended, but may end at any moment."""
         harness = Harness()
-        unanswered = Deferred()
-        harness.connection.start_outcomes = [
-            unanswered,
-            (StartAnswer(started=True), 5001),
-        ]
-        harness.submit()
-        harness.advance(0.1)
+        unanswered = harness.start_without_answer()
         harness.clock.advance(1.3)
         unanswered.errback(SILENT)
         assert len(harness.connection.starts) == 1
@@ -200,13 +203,7 @@
     def test_starts_go_on_when_the_store_is_back(self):
         """Guards against a task that waits for good after an outage of the store."""
         harness = Harness()
-        unanswered = Deferred()
-        harness.connection.start_outcomes = [
-            unanswered,
-            (StartAnswer(started=True), 5001),
-        ]
-        harness.submit()
-        harness.advance(0.1)
+        unanswered = harness.start_without_answer()
         harness.store.down = True
         harness.store.wake()
         harness.advance(3.0)
--- a/pistachiolift/platform/workers.py
+++ b/pistachiolift/platform/workers.py
@@ -55,10 +55,9 @@
     reason: str = ""
 
 
-# Newer versions of the platform may send longer rows.
-
-
 class _RunningRow(msgspec.Struct, array_like=True):
+    """A run that is present; newer versions of the platform may send longer rows."""
+
     task: str
     run: WholeNumber
     checkpoint: str | None
@@ -78,6 +77,8 @@
 
 
 class _EndedRow(msgspec.Struct, array_like=True):
+    """A run that has ended; newer versions of the platform may send longer rows."""
+
     sequence: WholeNumber
     task: str
     run: WholeNumber
