Open the waiting connections of a listener test before the stop goes on

The server slept for 1 s and then closed its port; a client that opened its connections later than that was refused. Shown by a trial with a pause of 1.2 s instead of 0.3 s before the calls: the same ConnectionRefusedError in both forms. Change: the server is busy until the test's next order, which the test gives once the connections are open. What is checked is the same.

--- a/pistachiolift/listener/tests/listener_server.py
+++ b/pistachiolift/listener/tests/listener_server.py
@@ -3,8 +3,9 @@
 Arguments: the key file and the certificate file for TLS, or none for plain TCP.
 """
 
+import os
+import select
 import sys
-import time
 from pathlib import Path
 
 import click
@@ -17,8 +18,6 @@
 from pistachiolift.common import Metrics
 from pistachiolift.listener import HttpLimits, Listener, StreamingSite, klein_resource
 
-BUSY_S = 1.0
-
 app = Klein()
 orders = {b"stop": Deferred(), b"finish": Deferred()}
 
@@ -28,9 +27,10 @@
 
     def lineReceived(self, line):  # noqa: N802
         if line == b"stop when busy":
-            # Connections that arrive in this time are not accepted before the stop.
-            time.sleep(BUSY_S)
-            line = b"stop"
+            # Connections opened before the next order are not accepted before the stop.
+            click.echo("busy")
+            select.select([sys.stdin.fileno()], [], [])
+            line = os.read(sys.stdin.fileno(), 100).strip()
         orders[line].callback(None)
 
 
--- a/pistachiolift/listener/tests/test_listener.py
+++ b/pistachiolift/listener/tests/test_listener.py
@@ -1,10 +1,10 @@
 """Tests of the listener over real connections."""
 
 import http.client
+import socket
 import ssl
 import subprocess
 import sys
-import time
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
@@ -98,9 +98,15 @@
         connections = [server.connect() for _ in range(5)]
         assert call(connections[0]) == b"ok"
         server.order("stop when busy")
-        time.sleep(0.3)
-        with ThreadPoolExecutor() as pool:
-            assert list(pool.map(call, connections)) == [b"ok"] * len(connections)
+        assert server.read() == "busy"
+        for connection in connections[1:]:
+            # TLS begins when the call is made.
+            opened = socket.create_connection(("127.0.0.1", server.port), 30)
+            connection._create_connection = lambda *_args, opened=opened: opened
+        with ThreadPoolExecutor(len(connections)) as pool:
+            answers = pool.map(call, connections)
+            server.order("stop")
+            assert list(answers) == [b"ok"] * len(connections)
         assert server.read() == "stopped"
         with pytest.raises(ConnectionRefusedError):
             server.connect().connect()
