Count the age of contact with the store from its answers

Cause: an owner that has lost the store hands over to a peer that reaches it, the fittest first. Peers whose contact is older than 2.5 s count as cut off. An idle instance's contact is its watch of 2 s, and was dated by the sending of the watch that had returned last, so that its age ran from 2 to 4 s. Whether the fit or the weak instances looked cut off depended on when they had started.

Change: the age that is sent to peers counts from the last answer. What limits commands still counts from the sending of a call.

--- a/pistachiolift/node/ownership.py
+++ b/pistachiolift/node/ownership.py
@@ -139,6 +139,7 @@
         self._claiming = False
         self.fence: int | None = None
         self.last_contact_s = float("-inf")
+        self._answered_s = float("-inf")
         self.claimed_s = float("-inf")
         self.owner: OwnerRecord | None = None
         self._owner_since_s = 0.0
@@ -179,8 +180,8 @@
 
     @property
     def store_age_s(self) -> float:
-        """Seconds since the last answered call to the store was sent, at most 999."""
-        return min(999.0, self._clock.monotonic_s() - self.last_contact_s)
+        """Seconds since the store last answered a call, at most 999."""
+        return min(999.0, self._clock.monotonic_s() - self._answered_s)
 
     @property
     def store_lost_s(self) -> float:
@@ -202,6 +203,8 @@
         :param sent_s: time at which the call was sent.
         """
         self.last_contact_s = max(self.last_contact_s, sent_s)
+        # A watch is answered long after it was sent.
+        self._answered_s = self._clock.monotonic_s()
         self.failed_calls = 0
         self._lost_since_s = None
 
--- a/pistachiolift/node/peer_messages.py
+++ b/pistachiolift/node/peer_messages.py
@@ -75,7 +75,7 @@
 class PeerState(msgspec.Struct, frozen=True, array_like=True):
     """State that an instance reports with each ping and pong.
 
-    :param store_age_s: seconds since its last contact with the store.
+    :param store_age_s: seconds since the store last answered it.
     :param owned: number of partitions that it owns.
     :param age_s: seconds since it was started.
     """
--- a/pistachiolift/node/tests/test_ownership.py
+++ b/pistachiolift/node/tests/test_ownership.py
@@ -3,9 +3,12 @@
 import pytest
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.task import Clock as ReactorClock
+from twisted.internet.task import deferLater
 
 from pistachiolift.backends import Entry
 from pistachiolift.common import ManualClock, Metrics, StoreUnavailableError
+from pistachiolift.node.handover import MAX_CONTACT_AGE_S
+from pistachiolift.node.interfaces import Changes
 from pistachiolift.node.ownership import (
     AUTHORITY_S,
     DeathEvidence,
@@ -288,6 +291,49 @@
         await Deferred()
 
 
+class ReturningWatchStore(SilentWatchStore):
+    """The same store, whose watches return without a change after their wait."""
+
+    def __init__(self, store, reactor):
+        super().__init__(store)
+        self._reactor = reactor
+
+    async def changes(self, prefix, *, after_revision, wait_s):
+        await deferLater(self._reactor, wait_s)
+        return Changes([], after_revision)
+
+
+class TestContactWithTheStore:
+    def test_an_instance_that_only_watches_is_not_taken_for_cut_off(self):
+        """Guards against a handover to a weak instance while better ones are idle.
+
+        The age of their contact was counted from the sending of the watch that had
+        returned last, up to twice the wait of a watch ago.
+        """
+        cell = Cell(instances=2)
+        cell.advance(1.0)
+        other = cell.ownerships[1 - cell.owner()]
+        other.store = ReturningWatchStore(cell.store, cell.reactor)
+        cell.store.wake()
+        ages = []
+        for _ in range(200):
+            cell.advance(0.05)
+            ages.append(other.store_age_s)
+        assert max(ages[50:]) < MAX_CONTACT_AGE_S
+
+    def test_the_contact_of_one_that_is_cut_off_grows_old(self):
+        cell = Cell(instances=2)
+        cell.advance(1.0)
+        other = cell.ownerships[1 - cell.owner()]
+        other.store = ReturningWatchStore(cell.store, cell.reactor)
+        cell.store.wake()
+        cell.advance(4.0)
+        other.store = FakeStore()
+        other.store.down = True
+        cell.advance(5.0)
+        assert other.store_age_s > MAX_CONTACT_AGE_S
+
+
 class TestReplacedOwners:
     def make_cell(self):
         """Return a cell, and the index of its owner, whose watch hears nothing."""
