--- a/pistachiolift/workflows/crashes.py
+++ b/pistachiolift/workflows/crashes.py
@@ -98,8 +98,30 @@
         )
         for run in lost.runs:
             cause = CrashCause.SUSPECTED if run in suspected else CrashCause.UNKNOWN
+            self._log_evidence(worker, run, cause, len(suspected), now_s)
             self.record_run_crash(run, cause, now_s)
 
+    @staticmethod
+    def _log_evidence(
+        worker: Worker, run: TaskRun, cause: CrashCause, suspected: int, now_s: float
+    ) -> None:
+        """Log what speaks for a run as the cause of the crash of its worker."""
+        age_s = -1.0 if run.confirmed_s is None else now_s - run.confirmed_s
+        log_event(
+            logger,
+            "run_crashed",
+            job=run.task.job_id,
+            task=run.task.position,
+            run=run.number,
+            worker=worker.worker_id,
+            worker_state=worker.state.value,
+            cause=cause.value,
+            run_status=run.status.value,
+            started_alone=run.alone,
+            suspected_there=suspected,
+            confirmed_age_s=age_s,
+        )
+
     def handle_report(self, worker: Worker, now_s: float) -> None:
         """Clear the suspicion against the lost runs of a worker that is alive."""
         lost = self._lost_by_worker.get(worker.worker_id)
@@ -136,10 +158,28 @@
         if index in step.finished:
             return
         if suspected >= MAX_SUSPECTED_CRASHES or len(crashes) >= MAX_CRASHES:
+            self._log_given_up(step, record, crashes)
             self._lifecycle.finish_job(
                 step.job, JobStatus.FAILED, "workers_crashed", now_s
             )
 
+    @staticmethod
+    def _log_given_up(
+        step: StepEntry, record: RunCrashed, crashes: dict[int, CrashCause]
+    ) -> None:
+        if step.job.status.final:
+            return
+        log_event(
+            logger,
+            "job_given_up",
+            job=record.task.job_id,
+            task=record.task.position,
+            reason="workers_crashed",
+            crashes=",".join(f"{run}:{cause.value}" for run, cause in crashes.items()),
+            suspected_limit=MAX_SUSPECTED_CRASHES,
+            limit=MAX_CRASHES,
+        )
+
     def check(self, now_s: float) -> None:
         """Forget the lost runs of workers that did not report again."""
         for worker_id, lost in list(self._lost_by_worker.items()):
--- a/pistachiolift/workflows/lifecycle.py
+++ b/pistachiolift/workflows/lifecycle.py
@@ -224,8 +224,18 @@
         failures = len(failed_runs)
         if step.step.long_running or failures < step.job.queue.max_failures:
             return
-        if step.complete or index in step.finished:
+        if step.complete or index in step.finished or step.job.status.final:
             return
+        log_event(
+            logger,
+            "job_given_up",
+            job=step.job.job_id,
+            task=step.key.task(index).position,
+            reason="too_many_failures",
+            failed_runs=",".join(str(run) for run in sorted(failed_runs)),
+            limit=step.job.queue.max_failures,
+            queue=step.job.queue.queue_id,
+        )
         self.finish_job(step.job, JobStatus.FAILED, "too_many_failures", now_s)
 
     def finish_job(
