Count the crashes of workers for each member of a gang

Cause: the counts of a gang were kept under one index. Change: each member has its own count; the gang stays isolated until none is suspected.

--- a/pistachiolift/workflows/crashes.py
+++ b/pistachiolift/workflows/crashes.py
@@ -146,15 +146,17 @@
     def apply(self, step: StepEntry, record: RunCrashed, now_s: float) -> None:
         """Apply a counted crash to its step; also used to replay the ledger."""
         index = record.task.index
-        slot = step.failure_slot(index)
-        crashes = step.crashed_runs_by_index.setdefault(slot, {})
+        # Each member of a gang has its own count: the workers of the gang are many.
+        crashes = step.crashed_runs_by_index.setdefault(index, {})
         if record.cause is CrashCause.NO_CRASH:
             crashes.pop(record.run, None)
+            if not crashes:
+                del step.crashed_runs_by_index[index]
             return
         crashes[record.run] = record.cause
         suspected = list(crashes.values()).count(CrashCause.SUSPECTED)
         if suspected:
-            step.isolated.add(slot)
+            step.isolated.add(step.failure_slot(index))
         if index in step.finished:
             return
         if suspected >= MAX_SUSPECTED_CRASHES or len(crashes) >= MAX_CRASHES:
--- a/pistachiolift/workflows/replay.py
+++ b/pistachiolift/workflows/replay.py
@@ -215,8 +215,7 @@
 
     def _count_crash(self, step: StepEntry, run: TaskRun) -> None:
         """Count the end of a run's process, unless the earlier owner has done so."""
-        slot = step.failure_slot(run.task.index)
-        if run.number not in step.crashed_runs_by_index.get(slot, {}):
+        if run.number not in step.crashed_runs_by_index.get(run.task.index, {}):
             # How long the run had existed is unknown.
             self._crashes.record_run_crash(run, CrashCause.UNKNOWN, self._now_s)
 
--- a/pistachiolift/workflows/state.py
+++ b/pistachiolift/workflows/state.py
@@ -122,8 +122,8 @@
     :param finished: indices of tasks that succeeded.
     :param failed_runs_by_index: numbers of the failed runs; those of a gang, which
         fails as a whole, are stored under index 0.
-    :param crashed_runs_by_index: for each run whose worker crashed, whether it may be
-        the cause; indices as in ``failed_runs_by_index``.
+    :param crashed_runs_by_index: for each task its runs whose worker crashed, and
+        whether they may be the cause.
     :param isolated: tasks that are started alone on a worker, because a worker was
         lost soon after their start; indices as in ``failed_runs_by_index``.
     :param tickets_by_worker: ticket and the time at which it expires.
@@ -170,10 +170,13 @@
         return self.failure_slot(index) in self.isolated
 
     def record_survival(self, index: int) -> None:
-        """Clear the suspicion that a task crashes the workers that start it."""
-        slot = self.failure_slot(index)
-        self.isolated.discard(slot)
-        self.crashed_runs_by_index.pop(slot, None)
+        """Clear the suspicion that a task crashes the workers that start it.
+
+        A gang is no longer isolated once none of its members is suspected.
+        """
+        self.crashed_runs_by_index.pop(index, None)
+        if not self.step.gang or not self.crashed_runs_by_index:
+            self.isolated.discard(self.failure_slot(index))
 
     def checkpoint(self, index: int) -> str:
         """Return the checkpoint from which a task resumes; a gang shares one."""
--- a/pistachiolift/workflows/tests/test_crashing_tasks.py
+++ b/pistachiolift/workflows/tests/test_crashing_tasks.py
@@ -52,6 +52,16 @@
         assert cell.status(job) is JobStatus.FAILED
         assert max(starts(cell, job).values()) == 2
 
+    def test_a_gang_with_one_such_member_is_given_up(self):
+        """Guards against counts that the other members of the gang clear."""
+        cell = VirtualCell(workers=8)
+        cell.crashes_worker = lambda task: task.index == 2
+        step = make_step(4, cpu=8000, estimate_s=8.0, gang=True)
+        job = cell.submit("bad", make_queue(), make_graph(step))
+        cell.run(55.0)
+        assert cell.status(job) is JobStatus.FAILED
+        assert max(starts(cell, job).values()) <= MAX_STARTS
+
     def test_a_start_without_an_answer_counts_as_well(self):
         cell = make_cell("bad", workers=4)
         cell.scheduler.handle_start_answer = lambda *args, **kwargs: None
