Write it to the ledger when a task is cleared of crashes

Cause: survival cleared the counted crashes in memory only; the next owner read them from the ledger and counted them again. Change: the crashes are retracted in the ledger when a run survives. Evidence: test_cleared_crashes_do_not_count_for_the_next_owner failed before (failed instead of running) and passes, with and without compaction. Result: the tests of workflows and node pass.

--- a/pistachiolift/workflows/crashes.py
+++ b/pistachiolift/workflows/crashes.py
@@ -134,6 +134,30 @@
         for run in lost.runs:
             self.record_run_crash(run, CrashCause.NO_CRASH, now_s)
 
+    def record_survival(self, step: StepEntry, run: TaskRun) -> None:
+        """Clear the counted crashes of a task, one of whose runs survived its start.
+
+        The ledger gets the retractions, since the next owner would count the crashes
+        again.
+        """
+        index = run.task.index
+        crashes = step.crashed_runs_by_index.get(index, {})
+        if step.job.status.final:
+            crashes = {}
+        for number in crashes:
+            record = RunCrashed(run.task, number, CrashCause.NO_CRASH)
+            step.job.last_record = self._state.record(record)
+        if crashes:
+            log_event(
+                logger,
+                "run_crashes_cleared",
+                job=run.task.job_id,
+                task=run.task.position,
+                run=run.number,
+                crashes=len(crashes),
+            )
+        step.record_survival(index)
+
     def record_run_crash(self, run: TaskRun, cause: CrashCause, now_s: float) -> None:
         """Count a crash against the task of a run, and write it to the ledger."""
         step = self._state.step_of(run.task)
--- a/pistachiolift/workflows/fleet.py
+++ b/pistachiolift/workflows/fleet.py
@@ -46,7 +46,7 @@
         self._advice = advice
         self._crashes = crashes
         self._longest_lease_s = longest_lease_s
-        self._report_handler = RunReportHandler(state, lifecycle)
+        self._report_handler = RunReportHandler(state, lifecycle, crashes)
         # Runs whose start may have reached the replacement of a worker process, maybe
         # none, with the time at which they end if the replacement does not appear.
         self._uncertain_starts_by_worker: dict[
--- a/pistachiolift/workflows/run_reports.py
+++ b/pistachiolift/workflows/run_reports.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ..common import log_event
+from .crashes import CrashTracker
 from .lifecycle import Lifecycle
 from .model import EndKind, Size, TaskKey, TaskRunStatus
 from .scheduler_state import SchedulerState
@@ -52,11 +53,15 @@
 
     :param state: the owner's jobs and workers.
     :param lifecycle: applies the changes.
+    :param crashes: counts the crashes of workers.
     """
 
-    def __init__(self, state: SchedulerState, lifecycle: Lifecycle):
+    def __init__(
+        self, state: SchedulerState, lifecycle: Lifecycle, crashes: CrashTracker
+    ):
         self._state = state
         self._lifecycle = lifecycle
+        self._crashes = crashes
 
     def apply(
         self,
@@ -113,16 +118,15 @@
         if step is not None:
             step.keep_checkpoint(reported.task.index, reported.checkpoint)
 
-    @staticmethod
     def _check_survival(
-        worker: WorkerEntry, step: StepEntry | None, run: TaskRun, sent_s: float
+        self, worker: WorkerEntry, step: StepEntry | None, run: TaskRun, sent_s: float
     ) -> None:
         started_s = run.confirmed_s if run.answered_s is None else run.answered_s
         if run.survived or started_s is None or sent_s < started_s + SURVIVAL_S:
             return
         worker.record_survival(run)
         if step is not None:
-            step.record_survival(run.task.index)
+            self._crashes.record_survival(step, run)
 
     def _adopt(
         self,
--- a/pistachiolift/workflows/tests/test_crashes_of_healthy_tasks.py
+++ b/pistachiolift/workflows/tests/test_crashes_of_healthy_tasks.py
@@ -62,3 +62,28 @@
         cell.run(30.0)
         wanted = JobStatus.RUNNING if long_running else JobStatus.COMPLETED
         assert cell.status(job) is wanted
+
+
+class TestRunsThatSurvived:
+    """Guards against crashes that count again after a later run survived its start."""
+
+    @pytest.mark.parametrize("compacted", [False, True])
+    def test_cleared_crashes_do_not_count_for_the_next_owner(self, compacted):
+        cell = VirtualCell(workers=8)
+        step = make_step(estimate_s=30.0)
+        job = cell.submit("a", make_queue(), make_graph(step))
+        for count in range(1, 7):
+            # Each second start survives, and its worker crashes later.
+            crash_after_start(cell, job, 2 * count - 1)
+            wait_for_starts(cell, job, 2 * count)
+            cell.run(1.0)
+            if compacted:
+                cell.committed = cell.scheduler.compact(
+                    cell.committed, now_s=cell.now_s, wall_ms=cell.wall_ms
+                )
+            cell.replace_owner()
+            assert cell.status(job) is JobStatus.RUNNING
+            cell.run(0.5)
+            cell.crash_silently(cell.workers_by_id[cell.runs_by_job[job][-1][1]])
+        cell.run(60.0)
+        assert cell.status(job) is JobStatus.COMPLETED
