Request a report soon after the start of a suspected task

Cause: only the report of the waiting poll shows that a run has survived its start, 0.8 to 2 s later. Until then the worker gets no other task, and a crash counts. Change: 0.12 s after a start that was made alone, a poll that does not wait is sent beside the waiting one. A report that was overtaken by a later one is not applied.

--- a/pistachiolift/node/tests/test_worker_driver.py
+++ b/pistachiolift/node/tests/test_worker_driver.py
@@ -1,5 +1,6 @@
 """Commands and polls to a worker that answers, is silent, or is restarted."""
 
+import msgspec
 import pytest
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import Clock as ReactorClock
@@ -12,8 +13,17 @@
     WorkerReplacedError,
     WorkerUnavailableError,
 )
-from pistachiolift.node.poll_limiter import MAX_CONCURRENT_POLLS, PollLimiter
-from pistachiolift.node.worker_driver import LeaseTerms, WorkerDriver, WorkerEvents
+from pistachiolift.node.poll_limiter import (
+    MAX_CONCURRENT_POLLS,
+    MIN_WAIT_S,
+    PollLimiter,
+)
+from pistachiolift.node.worker_driver import (
+    SURVIVAL_POLL_S,
+    LeaseTerms,
+    WorkerDriver,
+    WorkerEvents,
+)
 from pistachiolift.workflows import (
     EndKind,
     PoolId,
@@ -245,6 +255,57 @@
         assert ("superseded", "fence_at_worker") in harness.events.log
 
 
+class TestSurvivalPolls:
+    """Guards against suspected tasks that wait for the report of a long poll.
+
+    Until a report shows that they have survived their start, a crash of their worker
+    counts against them, and the worker gets no other task.
+    """
+
+    SUSPECTED = msgspec.structs.replace(COMMAND, alone=True)
+
+    def harness(self, command, **outcomes):
+        started = (StartAnswer(started=True), 5000)
+        harness = Harness(start_outcomes=[started], **outcomes)
+        harness.driver.run()
+        harness.driver.start(command)
+        harness.clock.advance(SURVIVAL_POLL_S)
+        harness.reactor.advance(SURVIVAL_POLL_S)
+        return harness
+
+    def test_a_report_is_requested_soon_after_the_start(self):
+        harness = self.harness(self.SUSPECTED, poll_outcomes=[report()])
+        waits = [call["wait_s"] for call in harness.connection.polls]
+        assert waits == [0.0, MIN_WAIT_S, 0.0]
+
+    def test_other_starts_cause_no_poll(self):
+        harness = self.harness(COMMAND, poll_outcomes=[report()])
+        assert len(harness.connection.polls) == 2
+
+    def test_a_run_that_has_ended_causes_no_poll(self):
+        harness = Harness(
+            start_outcomes=[(StartAnswer(started=True), 5000)],
+            poll_outcomes=[report()],
+        )
+        harness.driver.run()
+        harness.driver.start(self.SUSPECTED)
+        harness.events.runs.clear()
+        harness.advance(SURVIVAL_POLL_S)
+        assert len(harness.connection.polls) == 2
+
+    def test_an_older_report_that_arrives_later_is_not_applied(self):
+        """Guards against runs that come back from a list that was overtaken."""
+        waiting = Deferred()
+        end = ReportedEnd(TASK, 7, EndKind.DONE)
+        outcomes = [report(), waiting, report(), Deferred()]
+        harness = self.harness(self.SUSPECTED, poll_outcomes=outcomes)
+        assert harness.events.log.count("run_report") == 2
+        waiting.callback(report([end], 4))
+        assert harness.events.log.count("run_report") == 2
+        last = harness.connection.polls[-1]
+        assert (last["wait_s"], last["last_end"]) == (0.0, 0)
+
+
 class TestFaultsOfACall:
     """Guards against owners that give up one after the other because of one worker."""
 
--- a/pistachiolift/node/worker_driver.py
+++ b/pistachiolift/node/worker_driver.py
@@ -13,7 +13,14 @@
 from twisted.internet.task import deferLater
 
 from ..common import Clock, Metrics, log_event
-from ..workflows import StartAnswer, StartRun, StopRun, TaskKey, Worker
+from ..workflows import (
+    SURVIVAL_S,
+    StartAnswer,
+    StartRun,
+    StopRun,
+    TaskKey,
+    Worker,
+)
 from .background import run_in_background
 from .interfaces import (
     RunReport,
@@ -41,6 +48,9 @@
 STOP_RETRY_S = 0.4
 # Pause before a start is tried again that may not be sent at the moment.
 START_PAUSE_S = 0.05
+# Time after the start of a suspected task at which a report is requested: one that was
+# requested earlier would not show whether the run has survived.
+SURVIVAL_POLL_S = SURVIVAL_S + 0.02
 # A worker's clock may run slower than this instance's clock by this share.
 CLOCK_DRIFT = 0.02
 
@@ -164,6 +174,8 @@
         self._clock_offset_ms: float | None = None
         self._clock_read_s = 0.0
         self._last_end = 0
+        # Time at which the newest report that was passed on was requested.
+        self._report_sent_s = float("-inf")
         self._answered_s = float("-inf")
         self._reachable = True
         self._closed = False
@@ -246,6 +258,9 @@
                 await self._sleep(RETRY_PAUSE_S)
                 wait_s = 0.0
                 continue
+            if self._is_overtaken(report):
+                wait_s = 0.0
+                continue
             wait_s = self._poll_limiter.wait_s
             if not await self._finish_poll(report):
                 wait_s = 0.0
@@ -291,12 +306,21 @@
             log_event(logger, "worker_regained", worker=self.worker.worker_id)
         return report, sent_s
 
+    def _is_overtaken(self, result: "tuple[RunReport, float]") -> bool:
+        """Whether the report of a later poll was passed on before this one.
+
+        The list of the earlier poll may be older, so that runs that have ended would
+        seem to be there. Its ends are not acknowledged and come again.
+        """
+        return result[1] < self._report_sent_s
+
     async def _finish_poll(self, result: "tuple[RunReport, float]") -> bool:
         """Pass on a run report and wait until its ends are durable.
 
         :returns: whether the ends are durable.
         """
         report, sent_s = result
+        self._report_sent_s = sent_s
         durable = self._events.handle_run_report(self.worker, report, sent_s)
         if not report.ended:
             return True
@@ -369,12 +393,24 @@
                 if not self._closed:
                     answer = msgspec.structs.replace(answer, repeated=attempt > 0)
                     self._events.handle_start_answer(command, answer)
+                    if answer.started and command.alone:
+                        await self._poll_survival(command)
                 return
             attempt += 1
         if not self._closed:
             self._metrics.count("workers.start_unanswered")
             self._events.handle_unanswered_start(command)
 
+    async def _poll_survival(self, command: StartRun) -> None:
+        """Request a report beside the waiting poll, which returns too late."""
+        await self._sleep(SURVIVAL_POLL_S)
+        if self._closed or not self._is_wanted(command):
+            return
+        report = await self._poll_limiter.run(self._poll_now)
+        if report is None or self._closed or self._is_overtaken(report):
+            return
+        await self._finish_poll(report)
+
     def _log_repetition(
         self, command: StartRun, attempt: int, first_sent_s: float
     ) -> None:
--- a/pistachiolift/workflows/__init__.py
+++ b/pistachiolift/workflows/__init__.py
@@ -35,11 +35,12 @@
     decode_batch,
     encode_batch,
 )
-from .run_reports import ReportedEnd, ReportedRun
+from .run_reports import SURVIVAL_S, ReportedEnd, ReportedRun
 from .scheduler import GraphScheduler, StartAnswer
 from .validation import validate_graph
 
 __all__ = [
+    "SURVIVAL_S",
     "AdvicePolicy",
     "AskAdvice",
     "Decision",
--- a/pistachiolift/workflows/decisions.py
+++ b/pistachiolift/workflows/decisions.py
@@ -14,6 +14,8 @@
     :param ticket: the adviser's approval, empty if the queue needs none.
     :param checkpoint: saved position to resume from, empty for none.
     :param after_record: number of the record that must be durable before the start.
+    :param alone: whether the task is suspected of crashing workers, so that a report
+        shall show soon whether the run has survived its start.
     """
 
     task: TaskKey
@@ -23,6 +25,7 @@
     ticket: str = ""
     checkpoint: str = ""
     after_record: int = 0
+    alone: bool = False
 
 
 class StopRun(msgspec.Struct, frozen=True, kw_only=True):
--- a/pistachiolift/workflows/dispatch.py
+++ b/pistachiolift/workflows/dispatch.py
@@ -190,6 +190,7 @@
                 ticket=step.tickets_by_worker.get(worker.worker_id, ("", 0.0))[0],
                 checkpoint=step.checkpoint(index),
                 after_record=record,
+                alone=run.alone,
             )
         )
 
--- a/pistachiolift/workflows/run_reports.py
+++ b/pistachiolift/workflows/run_reports.py
@@ -11,7 +11,7 @@
 from .scheduler_state import SchedulerState
 from .state import StepEntry, TaskRun, WorkerEntry
 
-__all__ = ["ReportedEnd", "ReportedRun", "RunReportHandler"]
+__all__ = ["SURVIVAL_S", "ReportedEnd", "ReportedRun", "RunReportHandler"]
 
 logger = logging.getLogger(__name__)
 
--- a/pistachiolift/workflows/tests/virtual_cell.py
+++ b/pistachiolift/workflows/tests/virtual_cell.py
@@ -14,6 +14,7 @@
 
 from pistachiolift.common import JobId, RackId, WorkerId
 from pistachiolift.workflows import (
+    SURVIVAL_S,
     AskAdvice,
     EndKind,
     GraphScheduler,
@@ -141,6 +142,9 @@
         # Time until a crashed worker is back, as a new incarnation.
         self.restart_s = 6.0
         self.restart_under_new_id = False
+        # Time between two reports of a worker without an end, in whole ticks.
+        self.report_s = TICK_S
+        self._reports_due_s = 0.0
         self.store_up = True
         self._fence = 1
         self.committed: list = []
@@ -236,8 +240,10 @@
 
     def _tick(self) -> None:
         self.scheduler.tick(self.now_s)
-        for fake in list(self.workers_by_id.values()):
-            self._send_report(fake)
+        if self.now_s >= self._reports_due_s:
+            self._reports_due_s = self.now_s + self.report_s - TICK_S / 2
+            for fake in list(self.workers_by_id.values()):
+                self._send_report(fake)
         self._decide()
         self._after(TICK_S, self._tick)
 
@@ -320,6 +326,14 @@
         self.scheduler.handle_start_answer(
             order.worker_id, order.task, order.number, answer, now_s=self.now_s
         )
+        if order.alone:
+            delay_s = SURVIVAL_S + 2 * MESSAGE_S
+            self._after(delay_s, self._report_survival, fake, self.scheduler)
+
+    def _report_survival(self, fake: FakeWorker, scheduler) -> None:
+        if scheduler is self.scheduler:
+            self._send_report(fake)
+            self._decide()
 
     def _report_start_timeout(self, order: StartRun, scheduler) -> None:
         if scheduler is self.scheduler:
