Give a job up after four crashes under one task, not two

Cause: two workers that had crashed before a report showed the run were taken for proof that the task crashes workers. Workers crash for other reasons too, and then in numbers; the class of fault is a verdict that nothing can take back on evidence that fits the innocent as well. Change: four suspected crashes, or five of any kind, instead of two and four. The first crash may hit many new runs; after it the task starts alone and is exposed only until the early report. A task that crashes each worker is given up after its fourth start, so that the limit of three more starts after the third crash is kept.

--- a/pistachiolift/workflows/crashes.py
+++ b/pistachiolift/workflows/crashes.py
@@ -15,11 +15,15 @@
 logger = logging.getLogger(__name__)
 
 # A job fails when this many workers have crashed soon after starting one of its tasks.
-MAX_SUSPECTED_CRASHES = 2
+# Workers also crash for other reasons, and then in numbers. The first crash may have
+# hit many new runs; after it the task is started alone and must survive only for the
+# short time until the next report.
+MAX_SUSPECTED_CRASHES = 4
 
 # Limit that includes the crashes of which it is unknown how long the run had existed:
-# its start had no answer, or an earlier owner had placed it.
-MAX_CRASHES = 4
+# its start had no answer, or an earlier owner had placed it. A task that crashes every
+# worker must not be started three times more after the third crash.
+MAX_CRASHES = 5
 
 # A worker that was taken for crashed, but was only unreachable, reports again within
 # this time.
