Do not take workers that were cut off for crashed ones

Cause: a worker that has left the directory and cannot be reached counted as crashed once its lease had ended. It may be cut off and run on; that it reports again later takes the count back, but not the verdict. Change: only a worker whose place another process has taken is certain to have ended. A loss that is not certain counts as unknown; the task is started alone all the same.

--- a/pistachiolift/workflows/crashes.py
+++ b/pistachiolift/workflows/crashes.py
@@ -14,14 +14,16 @@
 
 logger = logging.getLogger(__name__)
 
-# A job fails when this many workers have crashed soon after starting one of its tasks.
-# Workers also crash for other reasons, and then in numbers. The first crash may have
-# hit many new runs; after it the task is started alone and must survive only for the
-# short time until the next report.
+# A job fails when this many workers have certainly crashed soon after starting one of
+# its tasks. Workers also crash for other reasons, and then in numbers. The first crash
+# may have hit many new runs; after it the task is started alone, and is exposed only
+# for the short time until the next report.
 MAX_SUSPECTED_CRASHES = 4
 
-# Limit that includes the crashes of which it is unknown how long the run had existed:
-# its start had no answer, or an earlier owner had placed it. A task that crashes every
+# Limit that includes the losses of which it is unknown whether the worker crashed (it
+# left the directory and may be cut off) or how long the run had existed (its start had
+# no answer, or an earlier owner had placed it). Crashed workers may come back under
+# other identifiers, so that these losses cannot be left out: a task that crashes every
 # worker must not be started three times more after the third crash.
 MAX_CRASHES = 5
 
@@ -78,8 +80,14 @@
                 worker, lost, False, now_s + RETURN_LIMIT_S
             )
 
-    def record_crash(self, worker: Worker, runs: list[TaskRun], now_s: float) -> None:
-        """Count the crash of a worker against the runs that had not survived."""
+    def record_crash(
+        self, worker: Worker, runs: list[TaskRun], now_s: float, *, replaced: bool
+    ) -> None:
+        """Count the loss of a worker against the runs that had not survived.
+
+        :param replaced: whether another process has taken its place. A worker that
+            only left the directory may be cut off and still be running.
+        """
         self.record_lost(worker, runs, now_s)
         lost = self._lost_by_worker.get(worker.worker_id)
         if (
@@ -96,18 +104,28 @@
             "worker_crashed",
             worker=worker.worker_id,
             incarnation=worker.incarnation,
+            replaced=replaced,
             runs=len(lost.runs),
             suspected=len(suspected),
             tasks=",".join(names[:MAX_LOGGED_TASKS]),
         )
         for run in lost.runs:
-            cause = CrashCause.SUSPECTED if run in suspected else CrashCause.UNKNOWN
-            self._log_evidence(worker, run, cause, len(suspected), now_s)
+            proven = replaced and run in suspected
+            cause = CrashCause.SUSPECTED if proven else CrashCause.UNKNOWN
+            self._log_evidence(
+                worker, run, cause, now_s, replaced=replaced, suspected=len(suspected)
+            )
             self.record_run_crash(run, cause, now_s)
 
     @staticmethod
     def _log_evidence(
-        worker: Worker, run: TaskRun, cause: CrashCause, suspected: int, now_s: float
+        worker: Worker,
+        run: TaskRun,
+        cause: CrashCause,
+        now_s: float,
+        *,
+        replaced: bool,
+        suspected: int,
     ) -> None:
         """Log what speaks for a run as the cause of the crash of its worker."""
         age_s = -1.0 if run.confirmed_s is None else now_s - run.confirmed_s
@@ -119,6 +137,7 @@
             run=run.number,
             worker=worker.worker_id,
             worker_state=worker.state.value,
+            replaced=replaced,
             cause=cause.value,
             run_status=run.status.value,
             started_alone=run.alone,
@@ -182,9 +201,8 @@
                 del step.crashed_runs_by_index[index]
             return
         crashes[record.run] = record.cause
+        step.isolated.add(step.failure_slot(index))
         suspected = list(crashes.values()).count(CrashCause.SUSPECTED)
-        if suspected:
-            step.isolated.add(step.failure_slot(index))
         if index in step.finished:
             return
         if suspected >= MAX_SUSPECTED_CRASHES or len(crashes) >= MAX_CRASHES:
--- a/pistachiolift/workflows/fleet.py
+++ b/pistachiolift/workflows/fleet.py
@@ -112,7 +112,7 @@
                 self._lifecycle.take_uncertain_starts(entry),
             )
         self._lifecycle.end_runs_of(entry, now_s=now_s)
-        self._crashes.record_crash(entry.worker, runs, now_s)
+        self._crashes.record_crash(entry.worker, runs, now_s, replaced=replaced)
         self._state.health.forget_worker(worker_id)
         if entry.recorded:
             self._state.record(WorkerReleased(worker_id, entry.worker.incarnation))
--- a/pistachiolift/workflows/model.py
+++ b/pistachiolift/workflows/model.py
@@ -67,8 +67,9 @@
     """What is known of a run as the cause of the crash of its worker."""
 
     SUSPECTED = "suspected"
+    # The worker may be cut off, or the run may not have been there.
     UNKNOWN = "unknown"
-    # The worker was only unreachable.
+    # The worker was only unreachable, or a later run has survived its start.
     NO_CRASH = "no_crash"
 
 
