Do not tell callers that a finished job runs again

Cause: callers who had been told `failed` or `cancelled` were told `running` when another run of the job ended as done or failed after that: its record raised the number that must be durable before a final state is told. It lasted for one write, and with a silent store as long as that. Change: an end that is recorded after the job has finished no longer raises it. The final state itself was durable when it was told first, so that nothing has to be awaited again.

--- a/pistachiolift/workflows/lifecycle.py
+++ b/pistachiolift/workflows/lifecycle.py
@@ -158,7 +158,10 @@
             known = number in step.failed_runs_by_index.get(slot, ())
         if kind in (EndKind.DONE, EndKind.FAILED) and not known:
             record = TaskFinished(task, number, kind, checkpoint, wall_ms)
-            step.job.last_record = self._state.record(record)
+            written = self._state.record(record)
+            # A final state that callers may know does not wait for later records.
+            if not step.job.status.final:
+                step.job.last_record = written
         self.apply_end(step, task.index, number, kind, checkpoint, now_s)
         if kind is EndKind.FAILED and not step.job.status.final:
             step.failed_on_by_index.setdefault(task.index, set()).add(worker.worker_id)
