Compact a finished job to its final state while its last record is written

Cause: a job was compacted to the records of its ends, not to its final state, while its last record was not durable yet. They lack the time of the end: after a takeover the state was kept from the acceptance on, and a job that had run for longer than that was answered with 410. The cancellation came last: after a takeover a cancelled job was shown as failed or completed, if an end that came after the cancellation was the last one that the limit allowed, or the job's last. Change: a finished job is always compacted to its final state. A record of it that is still to be written follows in the same write or a later one and changes nothing; the final state rests on reports that the owner has, as do the records that the compaction wrote before.

--- a/pistachiolift/workflows/replay.py
+++ b/pistachiolift/workflows/replay.py
@@ -256,7 +256,8 @@
         job = state.jobs_by_id.get(job_id)
         if job is None:
             continue
-        if job.finished_s is not None and job.last_record <= state.committed:
+        if job.finished_s is not None:
+            # Its last records may follow in the same write; they change nothing then.
             at_ms = wall_ms - int((now_s - job.finished_s) * 1000)
             kept.append(
                 JobFinished(job_id, job.queue, job.status, job.received_ms, at_ms)
@@ -267,7 +268,7 @@
 
 
 def _snapshot(state: SchedulerState, job: JobEntry) -> list[LedgerRecord]:
-    """Return records from which the state of a job can be rebuilt."""
+    """Return records from which the state of an unfinished job can be rebuilt."""
     job_id = job.job_id
     received_ms = job.received_ms
     records: list[LedgerRecord] = [
@@ -301,6 +302,4 @@
             for run in step.runs_by_index.values()
             if run.worker_id in state.workers_by_id
         ]
-    if job.status is JobStatus.CANCELLED:
-        records.append(JobCancelled(job_id, received_ms))
     return records
