Keep the final state of a job when the limit of its queue changes

Cause: a new owner decided about finished jobs once more, by the limit of the present configuration, at each failed end that it read. After a takeover callers were shown a completed or cancelled job as failed, if the limit had been lowered to the number of its failed runs, and a failed job as running, if the limit had been raised. Reading the ledger counts failed runs, and gives a job up only after all records, if it has not finished otherwise. The final state is read from the ledger instead of being derived again; a verdict that was not durable is still made by the new owner, and written.

--- a/pistachiolift/workflows/lifecycle.py
+++ b/pistachiolift/workflows/lifecycle.py
@@ -5,7 +5,7 @@
 from ..common import JobId, WorkerId, log_event
 from .decisions import StopRun
 from .model import EndKind, JobGraph, JobStatus, Queue, StepKey, TaskKey, TaskRunStatus
-from .records import TaskFinished
+from .records import JobFinished, TaskFinished
 from .scheduler_state import SchedulerState
 from .state import JobEntry, OccurrenceEntry, StepEntry, TaskRun, WorkerEntry
 
@@ -149,6 +149,8 @@
         step = self._state.step_of(task)
         if step is None:
             return
+        job = step.job
+        was_final = job.status.final
         if run is not None:
             self._update_worker(worker, step, run, kind, now_s)
         # The end of a long-running task is recorded with the first report only.
@@ -160,10 +162,13 @@
             record = TaskFinished(task, number, kind, checkpoint, wall_ms)
             written = self._state.record(record)
             # A final state that callers may know does not wait for later records.
-            if not step.job.status.final:
-                step.job.last_record = written
+            if not was_final:
+                job.last_record = written
         self.apply_end(step, task.index, number, kind, checkpoint, now_s)
-        if kind is EndKind.FAILED and not step.job.status.final:
+        if kind is EndKind.FAILED:
+            slot = step.failure_slot(task.index)
+            self.give_up_if_failed(step, slot, now_s=now_s, wall_ms=wall_ms)
+        if kind is EndKind.FAILED and not job.status.final:
             step.failed_on_by_index.setdefault(task.index, set()).add(worker.worker_id)
 
     def apply_end(
@@ -175,7 +180,10 @@
         checkpoint: str,
         now_s: float,
     ) -> None:
-        """Apply the end of a run to its step; also used to replay the ledger."""
+        """Apply the end of a run to its step; also used to replay the ledger.
+
+        It does not give the job up, see :meth:`give_up_if_failed`.
+        """
         last = step.last_run_by_index.get(index, 0)
         step.last_run_by_index[index] = max(last, number)
         step.keep_checkpoint(index, checkpoint)
@@ -187,7 +195,9 @@
             self._record_success(step, index, number, now_s)
             return
         if kind is EndKind.FAILED:
-            self._count_failure(step, index, number, now_s)
+            step.not_before_s = now_s + RETRY_DELAY_S
+            slot = step.failure_slot(index)
+            step.failed_runs_by_index.setdefault(slot, set()).add(number)
         if step.job.status.final or index in step.finished:
             return
         if step.step.gang and kind is not EndKind.DONE and not step.complete:
@@ -217,19 +227,24 @@
             job.finished_s = now_s
             self._state.set_status(job, JobStatus.COMPLETED, "all_tasks_done")
 
-    def _count_failure(
-        self, step: StepEntry, index: int, number: int, now_s: float
+    def give_up_if_failed(
+        self, step: StepEntry, slot: int, *, now_s: float, wall_ms: int
     ) -> None:
-        step.not_before_s = now_s + RETRY_DELAY_S
-        slot = step.failure_slot(index)
-        failed_runs = step.failed_runs_by_index.setdefault(slot, set())
-        failed_runs.add(number)
-        failures = len(failed_runs)
-        if step.step.long_running or failures < step.job.queue.max_failures:
+        """Finish a job if a task or a gang has failed too often, and record it.
+
+        :param slot: index under which its failed runs are stored.
+        """
+        job = step.job
+        failures = len(step.failed_runs_by_index.get(slot, ()))
+        if step.step.long_running or failures < job.queue.max_failures:
             return
-        if step.complete or index in step.finished:
+        if job.status.final or slot in step.finished:
             return
-        self.finish_job(step.job, JobStatus.FAILED, "too_many_failures", now_s)
+        self.finish_job(job, JobStatus.FAILED, "too_many_failures", now_s)
+        # The limit may be another one when a later owner reads the ends.
+        job.last_record = self._state.record(
+            JobFinished(job.job_id, job.queue, job.status, job.received_ms, wall_ms)
+        )
 
     def finish_job(
         self, job: JobEntry, status: JobStatus, reason: str, now_s: float
--- a/pistachiolift/workflows/replay.py
+++ b/pistachiolift/workflows/replay.py
@@ -147,6 +147,19 @@
             self._monotonic_s(record.at_ms),
         )
 
+    def give_up_failed_jobs(self) -> None:
+        """Finish the jobs that have failed too often, after all records.
+
+        The limit may have changed, and must not decide about a job that has finished
+        under an earlier one.
+        """
+        for job in self._state.jobs_by_id.values():
+            for step in job.steps():
+                for slot in step.failed_runs_by_index:
+                    self._lifecycle.give_up_if_failed(
+                        step, slot, now_s=self._now_s, wall_ms=self._wall_ms
+                    )
+
     def add_runs(self, lease_end_s: float, replaced_lease_end_s: float) -> None:
         """Add the runs that may still be on their workers.
 
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -113,9 +113,10 @@
         )
         for record in records:
             replay.apply(record)
-        replay.add_runs(lease_end_s, lease_end_s + self._longest_lease_s)
         for job in self.state.jobs_by_id.values():
             job.last_record = job.accepted_record = 0
+        replay.give_up_failed_jobs()
+        replay.add_runs(lease_end_s, lease_end_s + self._longest_lease_s)
         self.state.decisions.clear()
 
     def compact(
