--- a/pistachiolift/workflows/crashes.py
+++ b/pistachiolift/workflows/crashes.py
@@ -5,7 +5,7 @@
 
 from ..common import WorkerId, log_event
 from .lifecycle import Lifecycle
-from .model import CrashCause, JobStatus, TaskRunStatus, Worker, WorkerState
+from .model import CrashCause, TaskRunStatus, Worker, WorkerState
 from .records import RunCrashed
 from .scheduler_state import SchedulerState
 from .state import StepEntry, TaskRun
@@ -188,10 +188,15 @@
             return
         record = RunCrashed(run.task, run.number, cause)
         step.job.last_record = self._state.record(record)
-        self.apply(step, record, now_s)
+        self.apply(step, record)
+        self.give_up_if_crashed(step, run.task.index, now_s)
 
-    def apply(self, step: StepEntry, record: RunCrashed, now_s: float) -> None:
-        """Apply a counted crash to its step; also used to replay the ledger."""
+    @staticmethod
+    def apply(step: StepEntry, record: RunCrashed) -> None:
+        """Apply a counted crash to its step; also used to replay the ledger.
+
+        It does not give the job up, see :meth:`give_up_if_crashed`.
+        """
         index = record.task.index
         # Each member of a gang has its own count: the workers of the gang are many.
         crashes = step.crashed_runs_by_index.setdefault(index, {})
@@ -202,31 +207,26 @@
             return
         crashes[record.run] = record.cause
         step.isolated.add(step.failure_slot(index))
+
+    def give_up_if_crashed(self, step: StepEntry, index: int, now_s: float) -> None:
+        """Fail a job if too many workers were lost under one of its tasks."""
+        crashes = step.crashed_runs_by_index.get(index, {})
         suspected = list(crashes.values()).count(CrashCause.SUSPECTED)
-        if index in step.finished:
+        if suspected < MAX_SUSPECTED_CRASHES and len(crashes) < MAX_CRASHES:
             return
-        if suspected >= MAX_SUSPECTED_CRASHES or len(crashes) >= MAX_CRASHES:
-            self._log_given_up(step, record, crashes)
-            self._lifecycle.finish_job(
-                step.job, JobStatus.FAILED, "workers_crashed", now_s
-            )
-
-    @staticmethod
-    def _log_given_up(
-        step: StepEntry, record: RunCrashed, crashes: dict[int, CrashCause]
-    ) -> None:
-        if step.job.status.final:
+        if step.job.status.final or index in step.finished:
             return
         log_event(
             logger,
             "job_given_up",
-            job=record.task.job_id,
-            task=record.task.position,
+            job=step.job.job_id,
+            task=step.key.task(index).position,
             reason="workers_crashed",
             crashes=",".join(f"{run}:{cause.value}" for run, cause in crashes.items()),
             suspected_limit=MAX_SUSPECTED_CRASHES,
             limit=MAX_CRASHES,
         )
+        self._lifecycle.fail_job(step.job, "workers_crashed", now_s)
 
     def check(self, now_s: float) -> None:
         """Forget the lost runs of workers that did not report again."""
--- a/pistachiolift/workflows/replay.py
+++ b/pistachiolift/workflows/replay.py
@@ -86,7 +86,7 @@
             case RunCrashed():
                 step = self._state.step_of(record.task)
                 if step is not None:
-                    self._crashes.apply(step, record, self._now_s)
+                    self._crashes.apply(step, record)
             case RunPlaced():
                 # After compaction, the WorkerInUse record may follow this one, so the
                 # run is added only after all records.
@@ -147,6 +147,19 @@
             self._monotonic_s(record.at_ms),
         )
 
+    def give_up_failed_jobs(self) -> None:
+        """Finish the jobs that have failed too often, after all records.
+
+        The limit may have changed, and must not decide about a job that has finished
+        under an earlier one.
+        """
+        for job in self._state.jobs_by_id.values():
+            for step in job.steps():
+                for slot in step.failed_runs_by_index:
+                    self._lifecycle.give_up_if_failed(step, slot, self._now_s)
+                for index in list(step.crashed_runs_by_index):
+                    self._crashes.give_up_if_crashed(step, index, self._now_s)
+
     def add_runs(self, lease_end_s: float, replaced_lease_end_s: float) -> None:
         """Add the runs that may still be on their workers.
 
@@ -255,7 +268,8 @@
         job = state.jobs_by_id.get(job_id)
         if job is None:
             continue
-        if job.finished_s is not None and job.last_record <= state.committed:
+        if job.finished_s is not None:
+            # Its last records may follow in the same write; they change nothing then.
             at_ms = wall_ms - int((now_s - job.finished_s) * 1000)
             kept.append(
                 JobFinished(job_id, job.queue, job.status, job.received_ms, at_ms)
@@ -266,7 +280,7 @@
 
 
 def _snapshot(state: SchedulerState, job: JobEntry) -> list[LedgerRecord]:
-    """Return records from which the state of a job can be rebuilt."""
+    """Return records from which the state of an unfinished job can be rebuilt."""
     job_id = job.job_id
     received_ms = job.received_ms
     records: list[LedgerRecord] = [
@@ -300,6 +314,4 @@
             for run in step.runs_by_index.values()
             if run.worker_id in state.workers_by_id
         ]
-    if job.status is JobStatus.CANCELLED:
-        records.append(JobCancelled(job_id, received_ms))
     return records
