Give a job up after four lost workers, and hold its task while the fourth may count

The directory keeps the entry of a dead worker for up to 6 s, longer than the lease of its runs lasts, so that the task was started again before the loss counted. Cause: the limit was compared with the losses that had counted, not with those that still may; and the limit of five losses left no room for a late one. Change: one limit, four losses of any kind; at the limit the task waits until the newest loss can have counted.

--- a/pistachiolift/workflows/crashes.py
+++ b/pistachiolift/workflows/crashes.py
@@ -14,23 +14,23 @@
 
 logger = logging.getLogger(__name__)
 
-# A job fails when this many workers have certainly crashed soon after starting one of
-# its tasks. Workers also crash for other reasons, and then in numbers. The first crash
-# may have hit many new runs; after it the task is started alone, and is exposed only
-# for the short time until the next report.
-MAX_SUSPECTED_CRASHES = 4
-
-# Limit that includes the losses of which it is unknown whether the worker crashed (it
-# left the directory and may be cut off) or how long the run had existed (its start had
-# no answer, or an earlier owner had placed it). Crashed workers may come back under
-# other identifiers, so that these losses cannot be left out: a task that crashes every
-# worker must not be started three times more after the third crash.
-MAX_CRASHES = 5
+# A job fails when this many workers were lost soon after starting one of its tasks.
+# Workers crash for other reasons too, and then in numbers, and one that has left the
+# directory may only be cut off; but crashed workers may come back under other
+# identifiers, so that such losses cannot be left out. The first loss may have hit many
+# new runs; after it the task is started alone, and is exposed only for the short time
+# until the next report. A task that crashes every worker must not be started three
+# times more after the third crash.
+MAX_CRASHES = 4
 
 # A worker that was taken for crashed, but was only unreachable, reports again within
 # this time.
 RETURN_LIMIT_S = 60.0
 
+# The directory removes the entry of a crashed worker, after which the crash counts, at
+# most this long after the lease of its runs has ended.
+COUNT_DELAY_S = 3.0
+
 # Number of suspected tasks that a log line lists.
 MAX_LOGGED_TASKS = 8
 
@@ -79,6 +79,23 @@
             self._lost_by_worker[worker.worker_id] = LostRuns(
                 worker, lost, False, now_s + RETURN_LIMIT_S
             )
+        for run in lost:
+            self._hold_at_limit(run, now_s)
+
+    def _hold_at_limit(self, run: TaskRun, now_s: float) -> None:
+        """Do not start a task again while its newest loss may still end its job."""
+        step = self._state.step_of(run.task)
+        if step is None:
+            return
+        index = run.task.index
+        numbers = set(step.crashed_runs_by_index.get(index, ()))
+        if not run.alone and len(numbers) < MAX_CRASHES - 1:
+            # Most runs: the first loss of a task.
+            return
+        for lost in self._lost_by_worker.values():
+            numbers.update(r.number for r in lost.runs if r.task == run.task)
+        if len(numbers) >= MAX_CRASHES:
+            step.held_until_by_index[step.failure_slot(index)] = now_s + COUNT_DELAY_S
 
     def record_crash(
         self, worker: Worker, runs: list[TaskRun], now_s: float, *, replaced: bool
@@ -110,7 +127,8 @@
             tasks=",".join(names[:MAX_LOGGED_TASKS]),
         )
         for run in lost.runs:
-            proven = replaced and run in suspected
+            # A run whose lease had ended before says nothing about the crash.
+            proven = replaced and run in suspected and run in runs
             cause = CrashCause.SUSPECTED if proven else CrashCause.UNKNOWN
             self._log_evidence(
                 worker, run, cause, now_s, replaced=replaced, suspected=len(suspected)
@@ -211,8 +229,7 @@
     def give_up_if_crashed(self, step: StepEntry, index: int, now_s: float) -> None:
         """Fail a job if too many workers were lost under one of its tasks."""
         crashes = step.crashed_runs_by_index.get(index, {})
-        suspected = list(crashes.values()).count(CrashCause.SUSPECTED)
-        if suspected < MAX_SUSPECTED_CRASHES and len(crashes) < MAX_CRASHES:
+        if len(crashes) < MAX_CRASHES:
             return
         if step.job.status.final or index in step.finished:
             return
@@ -223,7 +240,6 @@
             task=step.key.task(index).position,
             reason="workers_crashed",
             crashes=",".join(f"{run}:{cause.value}" for run, cause in crashes.items()),
-            suspected_limit=MAX_SUSPECTED_CRASHES,
             limit=MAX_CRASHES,
         )
         self._lifecycle.fail_job(step.job, "workers_crashed", now_s)
--- a/pistachiolift/workflows/dispatch.py
+++ b/pistachiolift/workflows/dispatch.py
@@ -85,7 +85,7 @@
         now_s: float,
     ) -> frozenset[WorkerId]:
         """Start a gang if it fits; otherwise return the workers to keep free for it."""
-        if len(step.waiting) != step.step.count:
+        if len(step.waiting) != step.step.count or step.is_held(0, now_s):
             return frozenset()
         health = self._state.health
         eligible = eligible_workers(step, usable_by_id, now_s)
@@ -142,6 +142,8 @@
         proven = [entry for entry in candidates if not entry.unproven]
         choice = WorkerChoice(step, proven, self._state.health)
         for index in sorted(step.waiting & step.isolated):
+            if step.is_held(index, now_s):
+                continue
             if spare < 1:
                 return
             spare -= 1
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -115,6 +115,7 @@
             replay.apply(record)
         for job in self.state.jobs_by_id.values():
             job.last_record = job.accepted_record = 0
+        # Verdicts and crashes that are counted now are not durable yet.
         replay.give_up_failed_jobs()
         replay.add_runs(lease_end_s, lease_end_s + self._longest_lease_s)
         self.state.decisions.clear()
--- a/pistachiolift/workflows/state.py
+++ b/pistachiolift/workflows/state.py
@@ -126,6 +126,8 @@
         whether they may be the cause.
     :param isolated: tasks that are started alone on a worker, because a worker was
         lost soon after their start; indices as in ``failed_runs_by_index``.
+    :param held_until_by_index: time before which a task is not started again, because
+        a loss may still count; indices as in ``failed_runs_by_index``.
     :param tickets_by_worker: ticket and the time at which it expires.
     :param approved: workers that the adviser approved; ``None`` before its answer.
     :param asked_s: time of the advice call in flight, or ``None``.
@@ -144,6 +146,7 @@
         default_factory=dict
     )
     isolated: set[int] = field(default_factory=set)
+    held_until_by_index: dict[int, float] = field(default_factory=dict)
     runs_by_index: dict[int, TaskRun] = field(default_factory=dict)
     checkpoint_by_index: dict[int, str] = field(default_factory=dict)
     failed_on_by_index: dict[int, set[WorkerId]] = field(default_factory=dict)
@@ -169,6 +172,10 @@
         """Whether a task is started alone on a worker."""
         return self.failure_slot(index) in self.isolated
 
+    def is_held(self, index: int, now_s: float) -> bool:
+        """Whether a task may not be started yet."""
+        return now_s < self.held_until_by_index.get(self.failure_slot(index), 0.0)
+
     def record_survival(self, index: int) -> None:
         """Clear the suspicion that a task crashes the workers that start it.
 
--- a/pistachiolift/workflows/tests/test_crashing_tasks.py
+++ b/pistachiolift/workflows/tests/test_crashing_tasks.py
@@ -8,6 +8,8 @@
 
 # A task may be started this often if it crashes all workers that start it.
 MAX_STARTS = 5
+# Lost workers after which a task is given up.
+LOST_WORKERS = 4
 
 
 def make_cell(*crashing, **options):
@@ -27,13 +29,13 @@
     """Guards against a task that crashes one worker after the other for ever."""
 
     @pytest.mark.parametrize("new_id", [False, True])
-    def test_a_task_is_given_up_after_five_lost_workers(self, new_id):
+    def test_a_task_is_given_up_after_four_lost_workers(self, new_id):
         cell = make_cell("bad", workers=4)
         cell.restart_under_new_id = new_id
         job = cell.submit("bad", make_queue(), make_graph())
         cell.run(60.0)
         assert cell.status(job) is JobStatus.FAILED
-        assert len(cell.runs_by_job[job]) == MAX_STARTS
+        assert len(cell.runs_by_job[job]) == LOST_WORKERS
 
     @pytest.mark.parametrize("long_running", [False, True])
     def test_a_job_with_several_such_tasks_is_given_up(self, long_running):
@@ -50,7 +52,7 @@
         job = cell.submit("bad", make_queue(), make_graph(step))
         cell.run(60.0)
         assert cell.status(job) is JobStatus.FAILED
-        assert max(starts(cell, job).values()) == MAX_STARTS
+        assert max(starts(cell, job).values()) == LOST_WORKERS
 
     def test_a_gang_with_one_such_member_is_given_up(self):
         """Guards against counts that the other members of the gang clear."""
@@ -117,14 +119,14 @@
         assert cell.status(job) is JobStatus.COMPLETED
         assert len(cell.runs_by_job[job]) == 5
 
-    def test_workers_replaced_at_once_prove_a_crash(self):
-        """Guards against a fifth start where four crashes are certain."""
+    def test_workers_that_are_replaced_at_once_count_as_well(self):
+        """Guards against losses that count only after the end of a lease."""
         cell = make_cell("bad", workers=4)
         cell.restart_s = 0.3
         job = cell.submit("bad", make_queue(), make_graph())
         cell.run(20.0)
         assert cell.status(job) is JobStatus.FAILED
-        assert len(cell.runs_by_job[job]) == MAX_STARTS - 1
+        assert len(cell.runs_by_job[job]) == LOST_WORKERS
 
 
 class TestOwnerChanges:
@@ -168,7 +170,7 @@
         cell.replace_owner()
         assert cell.status(job) is JobStatus.FAILED
         cell.run(20.0)
-        assert len(cell.runs_by_job[job]) == MAX_STARTS
+        assert len(cell.runs_by_job[job]) == LOST_WORKERS
 
 
 class TestUnreachableWorkers:
@@ -195,7 +197,7 @@
         """Guards against a job that fails before the workers are reachable again."""
         cell = VirtualCell(workers=6)
         job = cell.submit("a", make_queue(), make_graph(make_step(estimate_s=9.0)))
-        for count in range(1, 5):
+        for count in range(1, LOST_WORKERS):
             while len(cell.runs_by_job[job]) < count:
                 cell.run(0.002)
                 assert cell.status(job) is not JobStatus.FAILED
