Ignore and take back losses that a report has refuted

Callers saw (found in review): a service that ran was failed, because losses of earlier runs of its task counted after a later run had survived its start; and losses that an earlier owner had counted were not taken back when the worker reported the run. Cause: the evidence that clears a task was looked at once, when it arrived, and only by the owner that had seen the loss. Change: a loss of a run that is older than one that survived does not count; a report that names a run takes its loss back, in the ledger too; what a failed job rests on stays. Evidence: TestCrashesBeforeALaterSurvival, TestReturnAfterATakeover and TestUnusedCounts failed before and pass. TestUncertainLosses and TestRunsThatLapsed are red and listed.

--- a/pistachiolift/workflows/crashes.py
+++ b/pistachiolift/workflows/crashes.py
@@ -5,7 +5,7 @@
 
 from ..common import WorkerId, log_event
 from .lifecycle import Lifecycle
-from .model import CrashCause, TaskRunStatus, Worker, WorkerState
+from .model import CrashCause, TaskKey, TaskRunStatus, Worker, WorkerState
 from .records import RunCrashed
 from .scheduler_state import SchedulerState
 from .state import StepEntry, TaskRun
@@ -175,6 +175,19 @@
         for run in lost.runs:
             self.record_run_crash(run, CrashCause.NO_CRASH, now_s)
 
+    def handle_reported_run(self, task: TaskKey, number: int, now_s: float) -> None:
+        """Clear a counted crash whose run a worker reports, at work or ended.
+
+        The crash may have been counted by an earlier owner.
+        """
+        step = self._state.step_of(task)
+        if step is None or step.job.status.final:
+            return
+        if number in step.crashed_runs_by_index.get(task.index, {}):
+            record = RunCrashed(task, number, CrashCause.NO_CRASH)
+            step.job.last_record = self._state.record(record)
+            self.apply(step, record)
+
     def record_survival(self, step: StepEntry, run: TaskRun) -> None:
         """Clear the counted crashes of a task, one of whose runs survived its start.
 
@@ -184,7 +197,8 @@
         index = run.task.index
         crashes = step.crashed_runs_by_index.get(index, {})
         if step.job.status.final:
-            crashes = {}
+            # The counts are the evidence on which the job may have been given up.
+            return
         for number in crashes:
             record = RunCrashed(run.task, number, CrashCause.NO_CRASH)
             step.job.last_record = self._state.record(record)
@@ -197,13 +211,16 @@
                 run=run.number,
                 crashes=len(crashes),
             )
-        step.record_survival(index)
+        step.record_survival(index, run.number)
 
     def record_run_crash(self, run: TaskRun, cause: CrashCause, now_s: float) -> None:
         """Count a crash against the task of a run, and write it to the ledger."""
         step = self._state.step_of(run.task)
         if step is None or step.job.status.final or run.task.index in step.finished:
             return
+        survived = step.survived_run_by_index.get(run.task.index, 0)
+        if cause is not CrashCause.NO_CRASH and run.number < survived:
+            return
         record = RunCrashed(run.task, run.number, cause)
         step.job.last_record = self._state.record(record)
         self.apply(step, record)
--- a/pistachiolift/workflows/state.py
+++ b/pistachiolift/workflows/state.py
@@ -128,6 +128,7 @@
         lost soon after their start; indices as in ``failed_runs_by_index``.
     :param held_until_by_index: time before which a task is not started again, because
         a loss may still count; indices as in ``failed_runs_by_index``.
+    :param survived_run_by_index: newest run of a task that has survived its start.
     :param tickets_by_worker: ticket and the time at which it expires.
     :param approved: workers that the adviser approved; ``None`` before its answer.
     :param asked_s: time of the advice call in flight, or ``None``.
@@ -147,6 +148,7 @@
     )
     isolated: set[int] = field(default_factory=set)
     held_until_by_index: dict[int, float] = field(default_factory=dict)
+    survived_run_by_index: dict[int, int] = field(default_factory=dict)
     runs_by_index: dict[int, TaskRun] = field(default_factory=dict)
     checkpoint_by_index: dict[int, str] = field(default_factory=dict)
     failed_on_by_index: dict[int, set[WorkerId]] = field(default_factory=dict)
@@ -176,11 +178,13 @@
         """Whether a task may not be started yet."""
         return now_s < self.held_until_by_index.get(self.failure_slot(index), 0.0)
 
-    def record_survival(self, index: int) -> None:
+    def record_survival(self, index: int, number: int) -> None:
         """Clear the suspicion that a task crashes the workers that start it.
 
         A gang is no longer isolated once none of its members is suspected.
         """
+        survived = self.survived_run_by_index.get(index, 0)
+        self.survived_run_by_index[index] = max(survived, number)
         self.crashed_runs_by_index.pop(index, None)
         if not self.step.gang or not self.crashed_runs_by_index:
             self.isolated.discard(self.failure_slot(index))
