Keep workers free for an isolated gang

Callers saw (found in review): a gang under suspicion waited for longer than 2 s beside many short tasks. Cause: it needs workers on which all runs have survived their start, and other tasks were started there meanwhile. Change: workers that would hold it get no other runs until it starts.

--- a/pistachiolift/workflows/dispatch.py
+++ b/pistachiolift/workflows/dispatch.py
@@ -94,7 +94,9 @@
         plan = plan_gang(step, eligible, blocked, health)
         if not plan.worker_ids:
             approved = self._advice.approved_workers(step, usable_by_id)
-            return plan_gang(step, approved, blocked, health).wanted
+            plan = plan_gang(step, approved, blocked, health)
+            # An isolated gang that fits waits only until the runs there survive.
+            return plan.wanted or frozenset(plan.worker_ids)
         indices = list(range(step.step.count))
         number = step.next_number(indices, self._state.fence * RUNS_PER_FENCE)
         for index, worker_id in zip(indices, plan.worker_ids, strict=True):
--- a/pistachiolift/workflows/tests/test_review_findings.py
+++ b/pistachiolift/workflows/tests/test_review_findings.py
@@ -113,6 +113,34 @@
         assert not (told is JobStatus.FAILED and cell.status(job) is JobStatus.RUNNING)
 
 
+class TestIsolatedGangs:
+    """Guards against an isolated gang that never finds its workers without new runs."""
+
+    @pytest.mark.parametrize("seed", [0, 1, 2])
+    def test_it_starts_although_all_workers_get_starts(self, seed):
+        cell = VirtualCell(workers=4, seed=seed)
+        cell.report_s = 0.8
+        queue = make_queue()
+        for number in range(600):
+            graph = make_graph(make_step(estimate_s=cell.rng.uniform(0.2, 0.6)))
+            cell.at(number * 0.05, cell.submit, f"s{number}", queue, graph)
+        cell.run(1.0)
+        step = make_step(4, estimate_s=2.0, gang=True, max_per_worker=1)
+        job = JobId("a")
+        cell.submitted_s[job] = cell.now_s
+        cell.scheduler.submit(
+            job,
+            queue,
+            make_graph(step),
+            received_s=cell.now_s,
+            received_ms=cell.wall_ms,
+        )
+        cell.scheduler.state.jobs_by_id[job].steps()[0].isolated.add(0)
+        cell.run(10.0)
+        assert cell.runs_by_job[job]
+        assert cell.wait_s(job) < 2.0
+
+
 class TestLateDirectory:
     """Guards against a task that crashes each worker and is started too often (BUDGET).
 
