Do not answer a resumed entry instance with an end of which nobody was told

An entry instance that is frozen for 6 s is taken for lost after 5 to 6.5 s (3 s of lease, 3 s of grace). Its homes end the requests that wait for it alone and certainly did not start, and tell nobody. What was kept of such an end for 2 s, to hold against messages that cross a cancellation, then answered the instance when it resumed and submitted again for its caller, who still waited and had cancelled nothing.

Change: an end that is told to nobody and was not asked for by a caller is not kept, so the request is accepted again, as it was 2 s later before. Cancelled requests and those of which another entry instance was told stay ended.

Result: three tests of TestEntriesThatReturn failed before and pass; three more, which hold before and after, guard what stays ended.

--- a/pistachiolift/requests/request_table.py
+++ b/pistachiolift/requests/request_table.py
@@ -187,7 +187,11 @@
     ) -> EndedRequests | None:
         """Return where to keep an ended request, or ``None`` not to keep it."""
         if result.outcome in (Outcome.CANCELLED_NOT_RUN, Outcome.EXPIRED):
-            return self.withdrawn
+            # If nobody is told the outcome, the last entry instance was taken for
+            # lost. One that submits the request again was only frozen or cut off, and
+            # its caller still waits.
+            is_final = request.cancelled or bool(request.has_body_by_entry)
+            return self.withdrawn if is_final else None
         if result.outcome is Outcome.FAILED and request.spec.repeatable:
             # The caller may send the request again, and it is then run again.
             return None
--- a/pistachiolift/requests/tests/home.py
+++ b/pistachiolift/requests/tests/home.py
@@ -35,9 +35,9 @@
         self.scheduler.pool.upsert("u", "192.0.2.1:80", slots, 0.0)
         self.decisions = []
 
-    def submit(self, request_id, now_s, *, entry_id="entry"):
+    def submit(self, request_id, now_s, *, entry_id="entry", repeatable=True):
         spec = make_spec(request_id, self._work, self._deadline_s)
-        spec = msgspec.structs.replace(spec, entry_id=entry_id)
+        spec = msgspec.structs.replace(spec, entry_id=entry_id, repeatable=repeatable)
         self.decisions += self.scheduler.submit(spec, now_s)
 
     def decisions_of_type(self, decision_type):
--- a/pistachiolift/requests/tests/test_lost_entries.py
+++ b/pistachiolift/requests/tests/test_lost_entries.py
@@ -7,8 +7,15 @@
 import pytest
 
 from pistachiolift.bench.request_replay import Workload
-from pistachiolift.common import Urgency
-from pistachiolift.requests import AttemptResult, ConfirmAttempt, EndRequest, Grant
+from pistachiolift.common import Outcome, Urgency
+from pistachiolift.requests import (
+    AttemptReport,
+    AttemptResult,
+    ConfirmAttempt,
+    EndRequest,
+    Grant,
+    WriteIntent,
+)
 
 from .home import Home
 
@@ -71,3 +78,106 @@
         )
         home.advance(2.0, 4.0)
         assert len(home.grants("c/1")) == 1
+
+
+class TestEntriesThatReturn:
+    """A frozen entry instance is taken for lost, resumes and submits again.
+
+    Its caller still waits, and nobody has been told that the request has ended.
+    """
+
+    LOST_S = 6.0
+    RETURN_S = 6.5
+
+    def home_with_request(self, *, slot_taken=False, repeatable=True):
+        home = Home(WORK, slots=1, deadline_s=DEADLINE_S)
+        if slot_taken:
+            home.submit("c/first", 0.0, entry_id="other")
+        home.submit("c/1", 0.0, entry_id="frozen", repeatable=repeatable)
+        return home
+
+    def lose(self, home):
+        home.decisions += home.scheduler.entry_lost("frozen", self.LOST_S)
+
+    def assert_runs_again(self, home, grants_before):
+        assert home.outcomes("c/1") == []
+        assert home.scheduler.is_open("c/1")
+        grants = home.grants("c/1")[grants_before:]
+        assert [grant.entry_id for grant in grants] == ["frozen"]
+
+    def test_a_request_that_certainly_did_not_start_is_granted_again(self):
+        """Guards against "cancelled_not_run" for a request that nobody cancelled."""
+        home = self.home_with_request()
+        [grant] = home.grants("c/1")
+        self.lose(home)
+        home.decisions += home.scheduler.attempt_confirmed(
+            grant.attempt_id, AttemptResult.NOT_STARTED, self.LOST_S + 0.1
+        )
+        home.submit("c/1", self.RETURN_S, entry_id="frozen")
+        self.assert_runs_again(home, grants_before=1)
+
+    def test_a_request_that_waited_in_the_queue_waits_again(self):
+        """Guards against "cancelled" for a request that had no slot yet."""
+        home = self.home_with_request(slot_taken=True)
+        [first] = home.grants("c/first")
+        self.lose(home)
+        home.submit("c/1", self.RETURN_S, entry_id="frozen")
+        home.report(first, AttemptResult.ANSWERED, self.RETURN_S + 0.1)
+        self.assert_runs_again(home, grants_before=0)
+
+    def test_a_request_whose_intent_was_being_written_is_granted(self):
+        """Guards against "cancelled" for a request that must not be repeated."""
+        home = self.home_with_request(repeatable=False)
+        self.lose(home)
+        self.complete_write(home, self.LOST_S + 0.1)
+        home.submit("c/1", self.RETURN_S, entry_id="frozen", repeatable=False)
+        self.complete_write(home, self.RETURN_S + 0.1)
+        self.assert_runs_again(home, grants_before=0)
+
+    def complete_write(self, home, now_s):
+        intent = home.decisions_of_type(WriteIntent)[-1]
+        home.decisions += home.scheduler.intents_written([intent.attempt_id], now_s)
+
+    def test_a_cancelled_request_stays_cancelled(self):
+        """Guards against a run after a caller was told that there will be none."""
+        home = self.home_with_request(slot_taken=True)
+        home.decisions += home.scheduler.cancel("c/1", "other", 1.0)
+        self.lose(home)
+        home.submit("c/1", self.RETURN_S - self.LOST_S + 1.0, entry_id="frozen")
+        assert set(home.outcomes("c/1")) == {Outcome.CANCELLED_NOT_RUN}
+        assert not home.scheduler.is_open("c/1")
+
+    def test_a_request_cancelled_through_the_lost_entry_stays_cancelled(self):
+        """Guards against the same where nobody is left to be told at once."""
+        home = self.home_with_request()
+        [grant] = home.grants("c/1")
+        home.decisions += home.scheduler.cancel("c/1", "frozen", 1.0)
+        self.lose(home)
+        home.decisions += home.scheduler.attempt_confirmed(
+            grant.attempt_id, AttemptResult.NOT_STARTED, self.LOST_S + 0.1
+        )
+        assert home.outcomes("c/1") == []
+        home.submit("c/1", self.RETURN_S, entry_id="frozen")
+        assert home.outcomes("c/1") == [Outcome.CANCELLED_NOT_RUN]
+        assert not home.scheduler.is_open("c/1")
+
+    def test_a_request_of_which_another_caller_was_told_stays_ended(self):
+        """Guards against a run of a request that was reported as not run.
+
+        The other caller's body was consumed, so that it cannot be sent again.
+        """
+        home = self.home_with_request()
+        home.submit("c/1", 1.0, entry_id="other")
+        [grant] = home.grants("c/1")
+        home.report(grant, AttemptResult.NOT_STARTED, 1.1)
+        home.advance(1.1, 1.3)
+        grant = home.grants("c/1")[-1]
+        assert grant.entry_id == "other"
+        self.lose(home)
+        report = AttemptReport(
+            "c/1", grant.attempt_id, AttemptResult.NOT_STARTED, 0.0, body_held=False
+        )
+        home.decisions += home.scheduler.attempt_ended(report, self.LOST_S)
+        home.submit("c/1", self.RETURN_S, entry_id="frozen")
+        assert home.outcomes("c/1") == [Outcome.CANCELLED_NOT_RUN] * 2
+        assert len(home.grants("c/1")) == 2
