Name the tests of lost workers after their subject

Cause: two test files were named after the review that brought them, and a parameter was not used. Change: test_lost_workers.py and test_overtaken_reports.py; comments say what the causes of a loss mean.

--- a/pistachiolift/node/tests/test_review_findings.py
+++ b/pistachiolift/node/tests/test_overtaken_reports.py
@@ -1,4 +1,4 @@
-"""Faults found in a review of the polls of suspected runs."""
+"""Reports of two polls of one worker that arrive in another order."""
 
 import msgspec
 from twisted.internet.defer import Deferred
--- a/pistachiolift/workflows/crashes.py
+++ b/pistachiolift/workflows/crashes.py
@@ -175,7 +175,7 @@
         for run in lost.runs:
             self.record_run_crash(run, CrashCause.NO_CRASH, now_s)
 
-    def handle_reported_run(self, task: TaskKey, number: int, now_s: float) -> None:
+    def handle_reported_run(self, task: TaskKey, number: int) -> None:
         """Clear a counted crash whose run a worker reports, at work or ended.
 
         The crash may have been counted by an earlier owner.
--- a/pistachiolift/workflows/model.py
+++ b/pistachiolift/workflows/model.py
@@ -66,6 +66,7 @@
 class CrashCause(Enum):
     """What is known of a run as the cause of the crash of its worker."""
 
+    # Another process has taken the worker's place.
     SUSPECTED = "suspected"
     # The worker may be cut off, or the run may not have been there.
     UNKNOWN = "unknown"
--- a/pistachiolift/workflows/records.py
+++ b/pistachiolift/workflows/records.py
@@ -76,10 +76,10 @@
 
 
 class RunCrashed(msgspec.Struct, frozen=True, tag="crash", array_like=True):
-    """A run whose worker crashed before the run was known to survive its start.
+    """A run whose worker was lost before the run was known to survive its start.
 
-    :param cause: whether the run may be the cause of the crash; a later record of the
-        same run replaces an earlier one.
+    :param cause: what is known of the loss; a later record of the same run replaces an
+        earlier one.
     """
 
     task: TaskKey
--- a/pistachiolift/workflows/run_reports.py
+++ b/pistachiolift/workflows/run_reports.py
@@ -81,7 +81,7 @@
         """
         for end in ended:
             self._log_end(worker, end)
-            self._crashes.handle_reported_run(end.task, end.number, now_s)
+            self._crashes.handle_reported_run(end.task, end.number)
             self._lifecycle.record_run_end(
                 worker,
                 end.task,
@@ -96,7 +96,7 @@
         present = set()
         for reported in running:
             present.add((reported.task, reported.number))
-            self._crashes.handle_reported_run(reported.task, reported.number, now_s)
+            self._crashes.handle_reported_run(reported.task, reported.number)
             self._apply_running(worker, reported, sent_s, now_s)
         if complete:
             self._end_missing(worker, present, sent_s, now_s)
--- a/pistachiolift/workflows/state.py
+++ b/pistachiolift/workflows/state.py
@@ -122,8 +122,8 @@
     :param finished: indices of tasks that succeeded.
     :param failed_runs_by_index: numbers of the failed runs; those of a gang, which
         fails as a whole, are stored under index 0.
-    :param crashed_runs_by_index: for each task its runs whose worker crashed, and
-        whether they may be the cause.
+    :param crashed_runs_by_index: for each task its runs whose worker was lost before
+        a report had shown them, and what is known of the loss.
     :param isolated: tasks that are started alone on a worker, because a worker was
         lost soon after their start; indices as in ``failed_runs_by_index``.
     :param held_until_by_index: time before which a task is not started again, because
--- a/pistachiolift/workflows/tests/test_review_findings.py
+++ b/pistachiolift/workflows/tests/test_lost_workers.py
@@ -1,4 +1,4 @@
-"""Faults found in a review of the counts of crashed workers."""
+"""Losses of workers that count against a task, are refuted, or count late."""
 
 import pytest
 
