Test a verdict that is told before it is durable at the present limit

Cause: the test had one loss more than the limit, and compared the later state with running only, while it is pending. Change: one loss less than the limit is on record, and any state but failed is an error. Result: fails with the numbers of the last records reset after the losses are counted, passes as is.

--- a/pistachiolift/workflows/tests/test_lost_workers.py
+++ b/pistachiolift/workflows/tests/test_lost_workers.py
@@ -4,6 +4,7 @@
 
 from pistachiolift.common import JobId
 from pistachiolift.workflows import JobStatus, TaskKey
+from pistachiolift.workflows.crashes import MAX_CRASHES
 from pistachiolift.workflows.model import CrashCause
 from pistachiolift.workflows.records import RunCrashed
 
@@ -97,20 +98,21 @@
         cell.run(1.0)
         task = TaskKey(job, 0, 0, 0)
         cell.committed += [
-            RunCrashed(task, number, CrashCause.UNKNOWN) for number in range(1, 5)
+            RunCrashed(task, number, CrashCause.UNKNOWN)
+            for number in range(1, MAX_CRASHES)
         ]
         worker_id = cell.runs_by_job[job][-1][1]
         fake = cell.workers_by_id[worker_id]
         fake.alive = False
         directory = [f.worker for f in cell.workers_by_id.values() if f is not fake]
         cell.store_up = False
-        # The next owner reads the replacement of the worker, and counts the fifth loss.
+        # The next owner reads the replacement of the worker, and counts the last loss.
         cell._restart(fake)
         cell.replace_owner()
         told = cell.status(job)
         # The owner after it finds no entry of the worker.
         cell.replace_owner(directory)
-        assert not (told is JobStatus.FAILED and cell.status(job) is JobStatus.RUNNING)
+        assert told is not JobStatus.FAILED or cell.status(job) is JobStatus.FAILED
 
 
 class TestIsolatedGangs:
