Keep workers free only for a gang that is isolated

Cause: kept the workers of each gang that would fit free, also those of a gang that only waits for its tickets, which needs no such thing. Change: the reservation is made for isolated gangs only; others are placed as before.

--- a/pistachiolift/workflows/dispatch.py
+++ b/pistachiolift/workflows/dispatch.py
@@ -95,8 +95,10 @@
         if not plan.worker_ids:
             approved = self._advice.approved_workers(step, usable_by_id)
             plan = plan_gang(step, approved, blocked, health)
-            # An isolated gang that fits waits only until the runs there survive.
-            return plan.wanted or frozenset(plan.worker_ids)
+            if step.is_isolated(0) and plan.worker_ids:
+                # It waits only until the runs on these workers have survived.
+                return frozenset(plan.worker_ids)
+            return plan.wanted
         indices = list(range(step.step.count))
         number = step.next_number(indices, self._state.fence * RUNS_PER_FENCE)
         for index, worker_id in zip(indices, plan.worker_ids, strict=True):
