--- a/pistachiolift/workflows/tests/test_service_tasks.py
+++ b/pistachiolift/workflows/tests/test_service_tasks.py
@@ -95,6 +95,23 @@
         tasks = running_tasks(cell)
         assert len(tasks) == len(set(tasks)) == 6
 
+    @pytest.mark.parametrize("seed", range(12))
+    def test_takeovers_between_the_report_and_its_acknowledgement(self, seed):
+        """Guards against copies when the owner is replaced soon after an exit."""
+        cell, _ = make_service_cell(count=6, seed=seed)
+        rng = cell.rng
+        for _ in range(40):
+            if rng.random() < 0.3:
+                cell.store_up = not cell.store_up
+            cell.exit_service_tasks(rng.choice(sorted(cell.workers_by_id)))
+            cell.run(rng.uniform(0.0, 0.02))
+            cell.replace_owner()
+            cell.run(rng.uniform(0.001, 0.8))
+        cell.store_up = True
+        cell.run(10.0)
+        tasks = running_tasks(cell)
+        assert len(tasks) == len(set(tasks)) == 6
+
 
 class TestGangs:
     def test_a_gang_that_exits_is_started_again_once(self):
