Carry a job's customer from the caller to the ledger, and ask callers for keys

The configuration of some cells names customers, of which pistachiolift node decoded nothing, so that calls with unknown keys were served.

The owner keeps it in the ledger and hides the jobs of other customers. Without customers in the configuration no key is asked for.

--- a/pistachiolift/node/interfaces.py
+++ b/pistachiolift/node/interfaces.py
@@ -8,12 +8,14 @@
 
 from ..backends import Entry, LeaseId, Listing, WatchEvent
 from ..common import (
+    CustomerId,
     ErrorCode,
     PistachioliftError,
     StoreUnavailableError,
     WorkerId,
 )
 from ..workflows import (
+    Customer,
     Queue,
     ReportedEnd,
     ReportedRun,
@@ -295,11 +297,17 @@
 class QueueTable(msgspec.Struct, frozen=True, kw_only=True):
     """One version of the operators' configuration.
 
+    :param customers: customers that may call.
+    :param customer_by_digest: customers by the SHA-256 digests of their keys.
+    :param needs_keys: whether callers need a key, except for public queues.
     :param max_body_bytes: longest request body that is accepted.
     """
 
     version: int = 0
     queues: tuple[Queue, ...] = ()
+    customers: tuple[Customer, ...] = ()
+    customer_by_digest: Mapping[bytes, CustomerId] = {}
+    needs_keys: bool = False
     max_body_bytes: int = 262_144
 
     def find(self, host: str, path: str) -> Queue | None:
--- a/pistachiolift/node/job_calls.py
+++ b/pistachiolift/node/job_calls.py
@@ -5,7 +5,7 @@
 
 from twisted.internet.defer import Deferred, DeferredList
 
-from ..common import Clock, JobId, Metrics, log_event
+from ..common import Clock, CustomerId, JobId, Metrics, log_event
 from ..workflows import (
     GraphScheduler,
     JobAccepted,
@@ -67,15 +67,23 @@
         return int(self._clock.wall_s() * 1000)
 
     async def submit(
-        self, job_id: JobId, queue: Queue, graph: JobGraph, age_s: float
+        self,
+        job_id: JobId,
+        queue: Queue,
+        graph: JobGraph,
+        age_s: float,
+        customer_id: CustomerId = CustomerId(""),
     ) -> JobAnswer:
         """Accept a job and wait until it is durable, or refuse it.
 
         :param age_s: seconds since the caller's request arrived.
+        :param customer_id: the customer that submits it; empty for none.
         """
         if not self._is_ready():
             return JobAnswer(JobOutcome.NOT_OWNER)
         known = job_id in self._scheduler.state.jobs_by_id
+        if known and not self._is_visible(job_id, customer_id):
+            return self._reject_identifier(job_id, customer_id)
         if not known and self._ledger.stalled_s > STALLED_LIMIT_S:
             return self._refuse(job_id, "ledger_stalled")
         now_s = self._clock.monotonic_s()
@@ -85,6 +93,7 @@
             graph,
             received_s=now_s - age_s,
             received_ms=self._wall_ms() - int(age_s * 1000),
+            customer_id=customer_id,
         )
         self._on_changed()
         withdrawn, durable = await self._wait_until_durable(job_id, number)
@@ -95,6 +104,7 @@
             "job_submitted",
             job=job_id,
             queue=queue.queue_id,
+            customer=customer_id,
             known=known,
             durable=durable,
             age_ms=age_s * 1000,
@@ -155,10 +165,37 @@
         )
         return JobAnswer(JobOutcome.REFUSED)
 
-    async def cancel(self, job_id: JobId) -> JobAnswer:
-        """Cancel a job and wait until the cancellation is durable."""
+    def _is_visible(self, job_id: JobId, customer_id: CustomerId | None) -> bool:
+        """Whether a caller may see a job; jobs without a customer are for all."""
+        job = self._scheduler.state.jobs_by_id.get(job_id)
+        return (
+            job is None or customer_id is None or job.customer_id in ("", customer_id)
+        )
+
+    def _reject_identifier(self, job_id: JobId, customer_id: CustomerId) -> JobAnswer:
+        """Refuse a job whose identifier another customer's job has."""
+        self._metrics.count("refusal.identifier_in_use")
+        log_event(
+            logger,
+            "job_refused",
+            job=job_id,
+            customer=customer_id,
+            reason="identifier_in_use",
+        )
+        return JobAnswer(JobOutcome.FORBIDDEN)
+
+    async def cancel(
+        self, job_id: JobId, customer_id: CustomerId | None = None
+    ) -> JobAnswer:
+        """Cancel a job and wait until the cancellation is durable.
+
+        :param customer_id: the customer whose jobs the caller may see; ``None`` for
+            all.
+        """
         if not self._is_ready():
             return JobAnswer(JobOutcome.NOT_OWNER)
+        if not self._is_visible(job_id, customer_id):
+            return self._unknown()
         number = self._scheduler.cancel(
             job_id, now_s=self._clock.monotonic_s(), wall_ms=self._wall_ms()
         )
@@ -169,10 +206,16 @@
         log_event(logger, "job_cancel", job=job_id, durable=durable)
         return JobAnswer(JobOutcome.OK if durable else JobOutcome.UNDECIDED)
 
-    def status(self, job_id: JobId) -> JobAnswer:
-        """Return a job's state."""
+    def status(self, job_id: JobId, customer_id: CustomerId | None = None) -> JobAnswer:
+        """Return a job's state.
+
+        :param customer_id: the customer whose jobs the caller may see; ``None`` for
+            all.
+        """
         if not self._is_ready():
             return JobAnswer(JobOutcome.NOT_OWNER)
+        if not self._is_visible(job_id, customer_id):
+            return self._unknown()
         status = self._scheduler.status(job_id)
         if status is None:
             return self._unknown()
--- a/pistachiolift/node/job_router.py
+++ b/pistachiolift/node/job_router.py
@@ -4,7 +4,7 @@
 
 from twisted.internet.defer import ensureDeferred
 
-from ..common import JobId
+from ..common import CustomerId, JobId
 from ..workflows import JobGraph, Queue, QueueId
 from .job_service import JobService
 from .partition_map import PartitionMap, PartitionNumber
@@ -32,7 +32,13 @@
         self._service = service
 
     async def submit(
-        self, job_id: JobId, queue: Queue, graph: JobGraph, *, until_s: float
+        self,
+        job_id: JobId,
+        queue: Queue,
+        graph: JobGraph,
+        *,
+        until_s: float,
+        customer_id: CustomerId = CustomerId(""),
     ) -> JobAnswer:
         """Submit a job.
 
@@ -42,15 +48,43 @@
         if partition_map is None:
             return JobAnswer(JobOutcome.REFUSED)
         service = self._service(partition_map.of_graph(job_id, graph))
-        return await service.submit(job_id, queue, graph, until_s=until_s)
+        return await service.submit(
+            job_id, queue, graph, until_s=until_s, customer_id=customer_id
+        )
 
-    async def cancel(self, job_id: JobId, *, until_s: float) -> JobAnswer:
-        """Cancel a job."""
-        return await self._find(job_id, lambda s: s.cancel(job_id, until_s=until_s))
+    async def cancel(
+        self,
+        job_id: JobId,
+        *,
+        until_s: float,
+        customer_id: CustomerId | None = None,
+    ) -> JobAnswer:
+        """Cancel a job.
 
-    async def status(self, job_id: JobId, *, until_s: float) -> JobAnswer:
-        """Return a job's state."""
-        return await self._find(job_id, lambda s: s.status(job_id, until_s=until_s))
+        :param customer_id: the customer whose jobs the caller may see; ``None`` for
+            all.
+        """
+        return await self._find(
+            job_id,
+            lambda s: s.cancel(job_id, until_s=until_s, customer_id=customer_id),
+        )
+
+    async def status(
+        self,
+        job_id: JobId,
+        *,
+        until_s: float,
+        customer_id: CustomerId | None = None,
+    ) -> JobAnswer:
+        """Return a job's state.
+
+        :param customer_id: the customer whose jobs the caller may see; ``None`` for
+            all.
+        """
+        return await self._find(
+            job_id,
+            lambda s: s.status(job_id, until_s=until_s, customer_id=customer_id),
+        )
 
     async def explain(self, job_id: JobId, *, until_s: float) -> JobAnswer:
         """Return the details of a job and of its tasks."""
--- a/pistachiolift/node/job_service.py
+++ b/pistachiolift/node/job_service.py
@@ -8,7 +8,7 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import deferLater
 
-from ..common import Clock, JobId, Metrics, NoOwnerError, log_event
+from ..common import Clock, CustomerId, JobId, Metrics, NoOwnerError, log_event
 from ..workflows import JobGraph, Queue, QueueId
 from .owner import Owner
 from .owner_link import OwnerLink
@@ -72,17 +72,24 @@
         self._store_lost_s = store_lost_s
 
     async def submit(
-        self, job_id: JobId, queue: Queue, graph: JobGraph, *, until_s: float
+        self,
+        job_id: JobId,
+        queue: Queue,
+        graph: JobGraph,
+        *,
+        until_s: float,
+        customer_id: CustomerId = CustomerId(""),
     ) -> JobAnswer:
         """Submit a job.
 
         :param until_s: time by which the call must be answered.
+        :param customer_id: the customer that submits it; empty for none.
         """
         begun_s = self._clock.monotonic_s()
 
         def message() -> SubmitJob:
             age_s = self._clock.monotonic_s() - begun_s
-            return SubmitJob(job_id, queue, graph, age_s)
+            return SubmitJob(job_id, queue, graph, age_s, customer_id)
 
         answer = await self._call(message, until_s)
         if answer.outcome is not JobOutcome.OK:
@@ -100,13 +107,33 @@
         )
         return answer
 
-    async def cancel(self, job_id: JobId, *, until_s: float) -> JobAnswer:
-        """Cancel a job."""
-        return await self._call(lambda: CancelJob(job_id), until_s)
+    async def cancel(
+        self,
+        job_id: JobId,
+        *,
+        until_s: float,
+        customer_id: CustomerId | None = None,
+    ) -> JobAnswer:
+        """Cancel a job.
+
+        :param customer_id: the customer whose jobs the caller may see; ``None`` for
+            all.
+        """
+        return await self._call(lambda: CancelJob(job_id, customer_id), until_s)
+
+    async def status(
+        self,
+        job_id: JobId,
+        *,
+        until_s: float,
+        customer_id: CustomerId | None = None,
+    ) -> JobAnswer:
+        """Return a job's state.
 
-    async def status(self, job_id: JobId, *, until_s: float) -> JobAnswer:
-        """Return a job's state."""
-        return await self._call(lambda: GetStatus(job_id), until_s)
+        :param customer_id: the customer whose jobs the caller may see; ``None`` for
+            all.
+        """
+        return await self._call(lambda: GetStatus(job_id, customer_id), until_s)
 
     async def count_pending_jobs(
         self, queue_id: QueueId, *, until_s: float
@@ -211,12 +238,16 @@
         match message:
             case SubmitJob():
                 return await owner.calls.submit(
-                    message.job_id, message.queue, message.graph, message.age_s
+                    message.job_id,
+                    message.queue,
+                    message.graph,
+                    message.age_s,
+                    message.customer_id,
                 )
             case CancelJob():
-                return await owner.calls.cancel(message.job_id)
+                return await owner.calls.cancel(message.job_id, message.customer_id)
             case GetStatus():
-                return owner.calls.status(message.job_id)
+                return owner.calls.status(message.job_id, message.customer_id)
             case CountWaiting():
                 return owner.calls.count_pending_jobs(message.queue_id)
             case ExplainJob():
--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -326,6 +326,7 @@
             return
         self._table = table
         self.scheduler.set_queues(table.queues)
+        self.scheduler.set_customers(table.customers)
         self._schedule_pass()
 
     def update_worker(self, worker: Worker) -> None:
--- a/pistachiolift/node/peer_messages.py
+++ b/pistachiolift/node/peer_messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..common import JobId, WorkerId
+from ..common import CustomerId, JobId, WorkerId
 from ..workflows import (
     JobDetails,
     JobGraph,
@@ -55,6 +55,8 @@
     REFUSED = "refused"
     # The job may have been accepted.
     UNDECIDED = "undecided"
+    # The identifier belongs to a job of another customer.
+    FORBIDDEN = "forbidden"
 
 
 class Hello(msgspec.Struct, frozen=True, tag="hello", array_like=True):
@@ -101,24 +103,34 @@
     """Submits a job.
 
     :param age_s: seconds since the caller's request arrived.
+    :param customer_id: the customer that submits it; empty for none.
     """
 
     job_id: JobId
     queue: Queue
     graph: JobGraph
     age_s: float
+    customer_id: CustomerId = CustomerId("")
 
 
 class CancelJob(msgspec.Struct, frozen=True, tag="cancel", array_like=True):
-    """Cancels a job."""
+    """Cancels a job.
+
+    :param customer_id: the customer whose jobs the caller may see; ``None`` for all.
+    """
 
     job_id: JobId
+    customer_id: CustomerId | None = None
 
 
 class GetStatus(msgspec.Struct, frozen=True, tag="status", array_like=True):
-    """Requests a job's state."""
+    """Requests a job's state.
+
+    :param customer_id: the customer whose jobs the caller may see; ``None`` for all.
+    """
 
     job_id: JobId
+    customer_id: CustomerId | None = None
 
 
 class CountWaiting(msgspec.Struct, frozen=True, tag="waiting", array_like=True):
@@ -142,6 +154,8 @@
 
     :param status: state of the job, if it was requested.
     :param count: number of jobs, if it was requested.
+    :param retry_after_s: time after which a refused job should be submitted again, in
+        seconds; 0 if the owner cannot tell.
     :param details: details of the job, if they were requested.
     :param statistics: statistics of the partition, if they were requested.
     """
@@ -151,6 +165,7 @@
     count: int = 0
     details: JobDetails | None = None
     statistics: PartitionStatistics | None = None
+    retry_after_s: float = 0.0
 
 
 class Announce(msgspec.Struct, frozen=True, tag="announce", array_like=True):
--- a/pistachiolift/platform/caller_api.py
+++ b/pistachiolift/platform/caller_api.py
@@ -7,6 +7,7 @@
 
 from ..common import (
     Clock,
+    CustomerId,
     InvalidInputError,
     JobId,
     MalformedMessageError,
@@ -14,6 +15,7 @@
     log_event,
 )
 from ..listener import HandlerResource, StreamingRequest
+from ..node.authentication import authenticate
 from ..node.instance import NodeInstance
 from ..node.peer_messages import JobAnswer, JobOutcome
 from ..workflows import JobGraph, Queue, validate_graph
@@ -90,6 +92,9 @@
             config=table.version,
         )
         return _Reply(404)
+    customer_id = authenticate(
+        table, queue, request.requestHeaders.getRawHeaders(b"authorization", [])
+    )
     rest = path[len(queue.prefix) :]
     if not rest and request.method == b"GET":
         return await _count_pending_jobs(instance, queue, until_s)
@@ -97,14 +102,20 @@
         raise InvalidInputError(f"job id {rest[:40]!r} is not 16 hexadecimal digits")
     job_id = JobId(rest)
     if request.method == b"POST":
-        return await _submit(instance, request, queue, job_id, until_s)
+        return await _submit(instance, request, queue, job_id, customer_id, until_s)
+    # The jobs of a public queue are for all callers.
+    visible_to = None if queue.public or not table.needs_keys else customer_id
     if request.method == b"GET":
-        answer = await instance.jobs.status(job_id, until_s=until_s)
+        answer = await instance.jobs.status(
+            job_id, until_s=until_s, customer_id=visible_to
+        )
         if answer.outcome is JobOutcome.OK:
             return _Reply(200, encode_status(answer.status))
         return _error_reply(answer)
     if request.method == b"DELETE":
-        answer = await instance.jobs.cancel(job_id, until_s=until_s)
+        answer = await instance.jobs.cancel(
+            job_id, until_s=until_s, customer_id=visible_to
+        )
         return _Reply(200) if answer.outcome is JobOutcome.OK else _error_reply(answer)
     return _Reply(405)
 
@@ -123,6 +134,7 @@
     request: StreamingRequest,
     queue: Queue,
     job_id: JobId,
+    customer_id: CustomerId,
     until_s: float,
 ) -> _Reply:
     body = await request.body.read_all(instance.table.max_body_bytes)
@@ -131,7 +143,9 @@
     except MalformedMessageError as error:
         raise InvalidInputError(error.message) from error
     validate_graph(graph)
-    answer = await instance.jobs.submit(job_id, queue, graph, until_s=until_s)
+    answer = await instance.jobs.submit(
+        job_id, queue, graph, until_s=until_s, customer_id=customer_id
+    )
     if answer.outcome is JobOutcome.OK:
         return _Reply(200)
     return _error_reply(answer, queue, graph)
@@ -153,9 +167,11 @@
 ) -> _Reply:
     if answer.outcome is JobOutcome.UNKNOWN_JOB:
         return _Reply(410)
+    if answer.outcome is JobOutcome.FORBIDDEN:
+        return _Reply(403)
     if answer.outcome is JobOutcome.REFUSED:
-        retry_after_s = RETRY_AFTER_S
-        if queue is not None and graph is not None:
+        retry_after_s = answer.retry_after_s or RETRY_AFTER_S
+        if not answer.retry_after_s and queue is not None and graph is not None:
             retry_after_s = _retry_after_s(queue, graph)
         return _Reply(503, retry_after_s=retry_after_s)
     # The call may have taken effect, so the status must not mean "not accepted".
--- a/pistachiolift/platform/configuration.py
+++ b/pistachiolift/platform/configuration.py
@@ -1,13 +1,19 @@
 """The operators' configuration in the platform's store."""
 
+import logging
+from hashlib import sha256
+
 import msgspec
 
+from ..common import CustomerId, MalformedMessageError, log_event
 from ..node.interfaces import QueueTable
-from ..workflows import AdvicePolicy, PoolId, Queue, QueueId
-from .wire import decode_wire
+from ..workflows import AdvicePolicy, Customer, PoolId, Queue, QueueId
+from .wire import WireSize, decode_wire
 
 __all__ = ["CONFIGURATION_KEY", "OPERATOR_PREFIX", "decode_configuration"]
 
+logger = logging.getLogger(__name__)
+
 OPERATOR_PREFIX = "op/"
 CONFIGURATION_KEY = "op/config"
 
@@ -33,6 +39,8 @@
     stretch: float = 1.0
     target_duration_ms: float = 0.0
     advice: _Advice | None = None
+    # Whether callers need no key.
+    public: bool = False
 
     def to_queue(self) -> Queue:
         """Convert to the scheduler's model."""
@@ -53,9 +61,21 @@
             stretch=self.stretch,
             target_s=self.target_duration_ms / 1000,
             advice=advice,
+            public=self.public,
         )
 
 
+class _Tenant(msgspec.Struct, rename="pascal"):
+    """A customer."""
+
+    name: str
+    api_keys: list[str] = []
+    # Jobs per second, and share of the workers.
+    weight: float = 0.0
+    # Limit of what runs on all workers; a component of 0 has no limit.
+    cap: WireSize = msgspec.field(default_factory=WireSize)
+
+
 class _Limits(msgspec.Struct, rename="pascal", frozen=True):
     max_body_bytes: int = 262_144
 
@@ -64,6 +84,9 @@
     version: int
     routes: list[_Route] = []
     limits: _Limits = _Limits()
+    # Not present if callers need no key. Each entry is decoded by itself, so that a
+    # malformed one does not keep the others from being applied.
+    tenants: list[msgspec.Raw] | msgspec.UnsetType = msgspec.UNSET
 
 
 def decode_configuration(value: bytes) -> QueueTable:
@@ -72,8 +95,85 @@
     :raises MalformedMessageError: if the value cannot be decoded.
     """
     wire = decode_wire(value, _Configuration)
+    tenants = [] if wire.tenants is msgspec.UNSET else _decode_tenants(wire)
     return QueueTable(
         version=wire.version,
         queues=tuple(route.to_queue() for route in wire.routes),
+        customers=_to_customers(tenants),
+        customer_by_digest=_customer_by_digest(tenants, wire.version),
+        needs_keys=wire.tenants is not msgspec.UNSET,
         max_body_bytes=wire.limits.max_body_bytes,
     )
+
+
+def _decode_tenants(wire: _Configuration) -> list[_Tenant]:
+    """Decode the customers; malformed and repeated entries are skipped."""
+    by_name: dict[str, _Tenant] = {}
+    for position, raw in enumerate(wire.tenants):
+        reason = ""
+        try:
+            tenant = decode_wire(bytes(raw), _Tenant)
+        except MalformedMessageError as error:
+            reason = error.message
+        else:
+            if not tenant.name:
+                reason = "the name is empty"
+            elif tenant.name in by_name:
+                reason = f"the name {tenant.name[:40]!r} stands twice"
+        if reason:
+            log_event(
+                logger,
+                "customer_skipped",
+                level=logging.ERROR,
+                config=wire.version,
+                position=position,
+                reason=reason[:120],
+            )
+            continue
+        by_name[tenant.name] = tenant
+    return list(by_name.values())
+
+
+def _to_customers(tenants: list[_Tenant]) -> tuple[Customer, ...]:
+    """Convert to the scheduler's model.
+
+    A weight that is not above 0 counts as the smallest of the others.
+    """
+    smallest = min((each.weight for each in tenants if each.weight > 0), default=1.0)
+    return tuple(
+        Customer(
+            customer_id=CustomerId(each.name),
+            weight=each.weight if each.weight > 0 else smallest,
+            cap=each.cap.to_size(),
+        )
+        for each in tenants
+    )
+
+
+def _customer_by_digest(
+    tenants: list[_Tenant], version: int
+) -> dict[bytes, CustomerId]:
+    """Return the customers by the digests of their keys.
+
+    A key that two customers have is valid for neither.
+    """
+    by_digest: dict[bytes, CustomerId] = {}
+    shared: set[bytes] = set()
+    for tenant in tenants:
+        customer_id = CustomerId(tenant.name)
+        for key in tenant.api_keys:
+            digest = sha256(key.encode()).digest()
+            if by_digest.setdefault(digest, customer_id) != customer_id:
+                shared.add(digest)
+                log_event(
+                    logger,
+                    "customer_key_skipped",
+                    level=logging.ERROR,
+                    config=version,
+                    customer=customer_id,
+                    other=by_digest[digest],
+                    reason="two customers have the same key",
+                )
+    for digest in shared:
+        del by_digest[digest]
+    return by_digest
--- a/pistachiolift/workflows/__init__.py
+++ b/pistachiolift/workflows/__init__.py
@@ -10,6 +10,7 @@
 )
 from .model import (
     AdvicePolicy,
+    Customer,
     EndKind,
     JobGraph,
     JobStatus,
@@ -43,6 +44,7 @@
     "SURVIVAL_S",
     "AdvicePolicy",
     "AskAdvice",
+    "Customer",
     "Decision",
     "EndKind",
     "GraphScheduler",
--- a/pistachiolift/workflows/lifecycle.py
+++ b/pistachiolift/workflows/lifecycle.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from ..common import JobId, WorkerId, log_event
+from ..common import CustomerId, JobId, WorkerId, log_event
 from .decisions import StopRun
 from .model import EndKind, JobGraph, JobStatus, Queue, StepKey, TaskKey, TaskRunStatus
 from .records import JobFinished, TaskFinished
@@ -34,6 +34,7 @@
         *,
         received_s: float,
         received_ms: int,
+        customer_id: CustomerId = CustomerId(""),
     ) -> JobEntry:
         """Add a job with all its occurrences.
 
@@ -46,6 +47,7 @@
             queue=queue,
             received_s=received_s,
             received_ms=received_ms,
+            customer_id=customer_id,
         )
         for number in range(max(1, graph.occurrences)):
             due_ms = graph.first_due_ms + number * graph.interval_ms
@@ -258,7 +260,14 @@
         self.finish_job(job, JobStatus.FAILED, reason, now_s)
         at_ms = job.received_ms + int((now_s - job.received_s) * 1000)
         job.last_record = self._state.record(
-            JobFinished(job.job_id, job.queue, job.status, job.received_ms, at_ms)
+            JobFinished(
+                job.job_id,
+                job.queue,
+                job.status,
+                job.received_ms,
+                at_ms,
+                job.customer_id,
+            )
         )
 
     def finish_job(
--- a/pistachiolift/workflows/model.py
+++ b/pistachiolift/workflows/model.py
@@ -5,11 +5,12 @@
 
 import msgspec
 
-from ..common import JobId, RackId, WorkerId
+from ..common import CustomerId, JobId, RackId, WorkerId
 
 __all__ = [
     "AdvicePolicy",
     "CrashCause",
+    "Customer",
     "EndKind",
     "JobGraph",
     "JobStatus",
@@ -115,6 +116,20 @@
     valid_s: float
 
 
+class Customer(msgspec.Struct, frozen=True, kw_only=True):
+    """A customer with its share of the workers.
+
+    :param weight: jobs per second that are the customer's due; relative to those of the
+        others, its share of the workers beyond that.
+    :param cap: limit of what its running tasks reserve on all workers; a component of
+        0 has no limit.
+    """
+
+    customer_id: CustomerId
+    weight: float = 1.0
+    cap: Size = Size()
+
+
 class Queue(msgspec.Struct, frozen=True, kw_only=True):
     """A kind of job with its scheduling policy.
 
@@ -123,6 +138,7 @@
     :param stretch: factor of the critical path in the latency objective of a job.
     :param target_s: constant part of the latency objective, in seconds.
     :param advice: set if workers must be approved for each step.
+    :param public: whether callers need no key.
     """
 
     queue_id: QueueId
@@ -134,6 +150,7 @@
     stretch: float = 1.0
     target_s: float = 0.0
     advice: AdvicePolicy | None = None
+    public: bool = False
 
 
 class Step(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/pistachiolift/workflows/records.py
+++ b/pistachiolift/workflows/records.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from ..common import JobId, WorkerId
+from ..common import CustomerId, JobId, WorkerId
 from .model import CrashCause, EndKind, JobGraph, JobStatus, Queue, TaskKey
 
 __all__ = [
@@ -26,12 +26,14 @@
 
     :param queue: the policy at that time, used if the queue is removed later.
     :param received_ms: Unix time of the first request, in milliseconds.
+    :param customer_id: the customer whose job it is; empty for none.
     """
 
     job_id: JobId
     queue: Queue
     received_ms: int
     graph: JobGraph
+    customer_id: CustomerId = CustomerId("")
 
 
 class JobCancelled(msgspec.Struct, frozen=True, tag="cancel", array_like=True):
@@ -98,6 +100,7 @@
     status: JobStatus
     received_ms: int
     at_ms: int
+    customer_id: CustomerId = CustomerId("")
 
 
 class JobForgotten(msgspec.Struct, frozen=True, tag="forget", array_like=True):
--- a/pistachiolift/workflows/replay.py
+++ b/pistachiolift/workflows/replay.py
@@ -115,6 +115,7 @@
             queue,
             received_s=self._monotonic_s(record.received_ms),
             received_ms=record.received_ms,
+            customer_id=record.customer_id,
         )
 
     def _apply_finished_job(self, record: JobFinished) -> None:
@@ -125,6 +126,7 @@
             record.queue,
             received_s=self._monotonic_s(record.received_ms),
             received_ms=record.received_ms,
+            customer_id=record.customer_id,
         )
         job.has_started = True
         job.status = record.status
@@ -272,7 +274,14 @@
             # Its last records may follow in the same write; they change nothing then.
             at_ms = wall_ms - int((now_s - job.finished_s) * 1000)
             kept.append(
-                JobFinished(job_id, job.queue, job.status, job.received_ms, at_ms)
+                JobFinished(
+                    job_id,
+                    job.queue,
+                    job.status,
+                    job.received_ms,
+                    at_ms,
+                    job.customer_id,
+                )
             )
         else:
             kept += _snapshot(state, job)
@@ -284,7 +293,7 @@
     job_id = job.job_id
     received_ms = job.received_ms
     records: list[LedgerRecord] = [
-        JobAccepted(job_id, job.queue, received_ms, job.graph)
+        JobAccepted(job_id, job.queue, received_ms, job.graph, job.customer_id)
     ]
     for step in job.steps():
         for index in sorted(step.finished):
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from ..common import JobId, WorkerId, log_event
+from ..common import CustomerId, JobId, WorkerId, log_event
 from .advice import AdvicePlanner
 from .crashes import CrashTracker
 from .decisions import Decision, StartRun
@@ -13,6 +13,7 @@
 from .fleet import Fleet
 from .lifecycle import Lifecycle
 from .model import (
+    Customer,
     EndKind,
     JobGraph,
     JobStatus,
@@ -135,6 +136,10 @@
         for job in self.state.jobs_by_id.values():
             job.queue = self.state.queues_by_id.get(job.queue.queue_id, job.queue)
 
+    def set_customers(self, customers: Iterable[Customer]) -> None:
+        """Replace the customers; jobs of a removed customer stay without its limits."""
+        self.state.customers_by_id = {each.customer_id: each for each in customers}
+
     # Calls of clients.
 
     def submit(
@@ -145,9 +150,11 @@
         *,
         received_s: float,
         received_ms: int,
+        customer_id: CustomerId = CustomerId(""),
     ) -> int:
         """Add a job unless it is known already.
 
+        :param customer_id: the customer whose job it is; empty for none.
         :returns: number of the record that must be durable before the job is reported
             as accepted.
         """
@@ -161,8 +168,9 @@
             queue,
             received_s=received_s,
             received_ms=received_ms,
+            customer_id=customer_id,
         )
-        record = JobAccepted(job_id, queue, received_ms, graph)
+        record = JobAccepted(job_id, queue, received_ms, graph, customer_id)
         job.accepted_record = self.state.record(record)
         return job.accepted_record
 
--- a/pistachiolift/workflows/scheduler_state.py
+++ b/pistachiolift/workflows/scheduler_state.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass, field
 
-from ..common import JobId, WorkerHealth, WorkerId
+from ..common import CustomerId, JobId, WorkerHealth, WorkerId
 from .decisions import Decision, JobChanged
-from .model import JobStatus, PoolId, Queue, QueueId, StepKey, TaskKey
+from .model import Customer, JobStatus, PoolId, Queue, QueueId, StepKey, TaskKey
 from .records import LedgerRecord
 from .state import JobEntry, StepEntry, TaskRun, WorkerEntry
 
@@ -30,6 +30,7 @@
 
     fence: int = 0
     queues_by_id: dict[QueueId, Queue] = field(default_factory=dict)
+    customers_by_id: dict[CustomerId, Customer] = field(default_factory=dict)
     jobs_by_id: dict[JobId, JobEntry] = field(default_factory=dict)
     workers_by_id: dict[WorkerId, WorkerEntry] = field(default_factory=dict)
     open_steps: dict[StepKey, StepEntry] = field(default_factory=dict)
--- a/pistachiolift/workflows/state.py
+++ b/pistachiolift/workflows/state.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from math import log
 
-from ..common import JobId, WorkerId
+from ..common import CustomerId, JobId, WorkerId
 from .model import (
     CrashCause,
     JobGraph,
@@ -236,6 +236,7 @@
 
     :param received_s: monotonic time of the first request.
     :param received_ms: Unix time of the first request, in milliseconds.
+    :param customer_id: the customer whose job it is; empty for none.
     :param finished_s: monotonic time at which the job finished, or ``None``.
     :param has_started: whether a run has started.
     :param accepted_record: number of the record that must be durable before a start.
@@ -247,6 +248,7 @@
     queue: Queue
     received_s: float
     received_ms: int
+    customer_id: CustomerId = CustomerId("")
     occurrences: list[OccurrenceEntry] = field(default_factory=list)
     status: JobStatus = JobStatus.PENDING
     finished_s: float | None = None
