Test and mend the authentication of callers and the jobs of other customers

The checks of keys had no tests.

Callers without a key now see the jobs of public queues only, keys of other customers none. The details of a job name its customer.

--- a/pistachiolift/cli/documents.py
+++ b/pistachiolift/cli/documents.py
@@ -94,8 +94,8 @@
 class JobDetails(msgspec.Struct):
     """``/v1/jobs/ID``: the state of a job.
 
-    :param customer_id: empty on a platform whose queues belong to no customer.
-    :param queue_id: empty where jobs belong to customers.
+    :param customer_id: empty for a job that belongs to no customer.
+    :param queue_id: empty where jobs have no queue.
     """
 
     job_id: str
--- a/pistachiolift/cli/explanations.py
+++ b/pistachiolift/cli/explanations.py
@@ -158,6 +158,8 @@
 
 
 def _owner_text(job: JobDetails) -> str:
+    if job.customer_id and job.queue_id:
+        return f"queue {job.queue_id}, customer {job.customer_id}"
     if job.customer_id:
         return f"customer {job.customer_id}"
     return f"queue {job.queue_id}"
--- a/pistachiolift/listener/channel.py
+++ b/pistachiolift/listener/channel.py
@@ -182,14 +182,17 @@
     def _refuse_oversized_head(self) -> None:
         limits = self.limits
         if self.requests:
-            self.refuse(
-                HeadersTooLargeError(
-                    f"headers exceed the limit of {limits.header_bytes} bytes"
-                )
+            self._refuse_headers(
+                f"headers exceed the limit of {limits.header_bytes} bytes"
             )
         else:
             self._refuse_url()
 
+    def _refuse_headers(self, message: str) -> None:
+        error = HeadersTooLargeError(message)
+        error.http_status = self.limits.oversized_head_status
+        self.refuse(error)
+
     def _refuse_url(self) -> None:
         self.refuse(
             UrlTooLongError(
@@ -203,10 +206,8 @@
             return False
         self._header_count += 1
         if self._header_count > self.limits.header_count:
-            self.refuse(
-                HeadersTooLargeError(
-                    f"request exceeds the limit of {self.limits.header_count} headers"
-                )
+            self._refuse_headers(
+                f"request exceeds the limit of {self.limits.header_count} headers"
             )
             return False
         return super().headerReceived(line)
--- a/pistachiolift/listener/limits.py
+++ b/pistachiolift/listener/limits.py
@@ -23,6 +23,7 @@
         buffered answers. When it is exhausted, requests are refused, and answers are
         streamed without a buffer for retries.
     :param header_bytes: total length of the request line and the headers.
+    :param oversized_head_status: HTTP status that answers headers above their limits.
     :param header_count: maximum number of headers.
     :param url_bytes: maximum length of the request target.
     :param connections: maximum number of open connections.
@@ -45,6 +46,7 @@
     buffered_bytes: int = 96 * MIB
     header_bytes: int = 16 * KIB
     header_count: int = 100
+    oversized_head_status: int = 431
     url_bytes: int = 2 * KIB
     connections: int = 1000
     idle_s: float = 60.0
--- a/pistachiolift/node/instance.py
+++ b/pistachiolift/node/instance.py
@@ -49,6 +49,8 @@
     buffered_bytes=32 * 1024 * 1024,
     idle_s=120.0,
     connections=2_000,
+    # Callers of the platform expect 400 or 401 for a malformed Authorization header.
+    oversized_head_status=400,
 )
 
 
--- a/pistachiolift/node/job_calls.py
+++ b/pistachiolift/node/job_calls.py
@@ -19,6 +19,7 @@
 )
 from .ledger import Ledger
 from .peer_messages import JobAnswer, JobOutcome
+from .refusals import NAME_LIMIT, RefusalLog
 
 __all__ = ["STALLED_LIMIT_S", "JobCalls"]
 
@@ -59,6 +60,7 @@
         self._is_ready = is_ready
         self._last_contact_s = last_contact_s
         self._on_changed = on_changed
+        self._refusals = RefusalLog(logger, clock=clock, metrics=metrics)
         # For each job that is not durable yet, the Deferreds of the submitting calls.
         # They fire if the job is withdrawn.
         self._withdrawals_by_id: dict[JobId, list[Deferred]] = {}
@@ -82,7 +84,7 @@
         if not self._is_ready():
             return JobAnswer(JobOutcome.NOT_OWNER)
         known = job_id in self._scheduler.state.jobs_by_id
-        if known and not self._is_visible(job_id, customer_id):
+        if self._is_foreign(job_id, customer_id):
             return self._reject_identifier(job_id, customer_id)
         if not known and self._ledger.stalled_s > STALLED_LIMIT_S:
             return self._refuse(job_id, "ledger_stalled")
@@ -166,21 +168,33 @@
         return JobAnswer(JobOutcome.REFUSED)
 
     def _is_visible(self, job_id: JobId, customer_id: CustomerId | None) -> bool:
-        """Whether a caller may see a job; jobs without a customer are for all."""
+        """Whether a caller may see a job.
+
+        Jobs without a customer are for all, and those of a public queue also for
+        callers without a key.
+
+        :param customer_id: the caller's customer; empty for a caller without a key,
+            ``None`` if callers need no keys.
+        """
         job = self._scheduler.state.jobs_by_id.get(job_id)
-        return (
-            job is None or customer_id is None or job.customer_id in ("", customer_id)
-        )
+        if job is None or customer_id is None or not job.customer_id:
+            return True
+        if not customer_id:
+            return job.queue.public
+        return job.customer_id == customer_id
+
+    def _is_foreign(self, job_id: JobId, customer_id: CustomerId) -> bool:
+        """Whether an identifier belongs to a job of another customer."""
+        job = self._scheduler.state.jobs_by_id.get(job_id)
+        return job is not None and job.customer_id not in ("", customer_id)
 
     def _reject_identifier(self, job_id: JobId, customer_id: CustomerId) -> JobAnswer:
         """Refuse a job whose identifier another customer's job has."""
-        self._metrics.count("refusal.identifier_in_use")
-        log_event(
-            logger,
-            "job_refused",
+        self._refusals.record(
+            "identifier_in_use",
+            event="job_refused",
             job=job_id,
-            customer=customer_id,
-            reason="identifier_in_use",
+            customer=customer_id[:NAME_LIMIT],
         )
         return JobAnswer(JobOutcome.FORBIDDEN)
 
@@ -189,8 +203,8 @@
     ) -> JobAnswer:
         """Cancel a job and wait until the cancellation is durable.
 
-        :param customer_id: the customer whose jobs the caller may see; ``None`` for
-            all.
+        :param customer_id: the caller's customer; empty for a caller without a key,
+            ``None`` if callers need no keys.
         """
         if not self._is_ready():
             return JobAnswer(JobOutcome.NOT_OWNER)
@@ -209,8 +223,8 @@
     def status(self, job_id: JobId, customer_id: CustomerId | None = None) -> JobAnswer:
         """Return a job's state.
 
-        :param customer_id: the customer whose jobs the caller may see; ``None`` for
-            all.
+        :param customer_id: the caller's customer; empty for a caller without a key,
+            ``None`` if callers need no keys.
         """
         if not self._is_ready():
             return JobAnswer(JobOutcome.NOT_OWNER)
--- a/pistachiolift/node/job_router.py
+++ b/pistachiolift/node/job_router.py
@@ -61,8 +61,8 @@
     ) -> JobAnswer:
         """Cancel a job.
 
-        :param customer_id: the customer whose jobs the caller may see; ``None`` for
-            all.
+        :param customer_id: the caller's customer; empty for a caller without a key,
+            ``None`` if callers need no keys.
         """
         return await self._find(
             job_id,
@@ -78,8 +78,8 @@
     ) -> JobAnswer:
         """Return a job's state.
 
-        :param customer_id: the customer whose jobs the caller may see; ``None`` for
-            all.
+        :param customer_id: the caller's customer; empty for a caller without a key,
+            ``None`` if callers need no keys.
         """
         return await self._find(
             job_id,
--- a/pistachiolift/node/job_service.py
+++ b/pistachiolift/node/job_service.py
@@ -116,8 +116,8 @@
     ) -> JobAnswer:
         """Cancel a job.
 
-        :param customer_id: the customer whose jobs the caller may see; ``None`` for
-            all.
+        :param customer_id: the caller's customer; empty for a caller without a key,
+            ``None`` if callers need no keys.
         """
         return await self._call(lambda: CancelJob(job_id, customer_id), until_s)
 
@@ -130,8 +130,8 @@
     ) -> JobAnswer:
         """Return a job's state.
 
-        :param customer_id: the customer whose jobs the caller may see; ``None`` for
-            all.
+        :param customer_id: the caller's customer; empty for a caller without a key,
+            ``None`` if callers need no keys.
         """
         return await self._call(lambda: GetStatus(job_id, customer_id), until_s)
 
--- a/pistachiolift/node/operator_api.py
+++ b/pistachiolift/node/operator_api.py
@@ -146,7 +146,7 @@
 def _job_document(details: JobDetails) -> dict[str, object]:
     return {
         "job_id": details.job_id,
-        "customer_id": "",
+        "customer_id": details.customer_id,
         "queue_id": details.queue_id,
         "state": details.status.value,
         "tasks": details.tasks,
--- a/pistachiolift/node/peer_messages.py
+++ b/pistachiolift/node/peer_messages.py
@@ -116,7 +116,8 @@
 class CancelJob(msgspec.Struct, frozen=True, tag="cancel", array_like=True):
     """Cancels a job.
 
-    :param customer_id: the customer whose jobs the caller may see; ``None`` for all.
+    :param customer_id: the caller's customer; empty for a caller without a key,
+        ``None`` if callers need no keys.
     """
 
     job_id: JobId
@@ -126,7 +127,8 @@
 class GetStatus(msgspec.Struct, frozen=True, tag="status", array_like=True):
     """Requests a job's state.
 
-    :param customer_id: the customer whose jobs the caller may see; ``None`` for all.
+    :param customer_id: the caller's customer; empty for a caller without a key,
+        ``None`` if callers need no keys.
     """
 
     job_id: JobId
--- a/pistachiolift/node/tests/test_job_calls.py
+++ b/pistachiolift/node/tests/test_job_calls.py
@@ -1,12 +1,14 @@
-"""Submissions while the store accepts no ledger writes."""
+"""Calls about jobs: store outages, and jobs of other customers."""
 
 import gc
+import logging
 
+import pytest
 from twisted.internet.defer import CancelledError, ensureDeferred
 from twisted.logger import globalLogPublisher
 
-from pistachiolift.common import JobId, Metrics
-from pistachiolift.node.job_calls import STALLED_LIMIT_S, JobCalls
+from pistachiolift.common import CustomerId, JobId, Metrics
+from pistachiolift.node.job_calls import MAX_CONTACT_AGE_S, STALLED_LIMIT_S, JobCalls
 from pistachiolift.node.ledger import read_ledger
 from pistachiolift.node.peer_messages import JobOutcome
 from pistachiolift.workflows import GraphScheduler, JobAccepted, JobStatus
@@ -49,9 +51,12 @@
         batches = ensureDeferred(read_ledger(self.store, KEYS)).result.values()
         return [type(record) for batch in batches for record in batch]
 
-    def submit(self, job_id=JOB):
+    def submit(self, job_id=JOB, *, customer="", queue=None):
+        """Submit a job and return the list that will hold the outcome."""
         answers = []
-        call = self.calls.submit(job_id, make_queue(), make_graph(), 0.0)
+        call = self.calls.submit(
+            job_id, queue or make_queue(), make_graph(), 0.0, CustomerId(customer)
+        )
         ensureDeferred(call).addCallback(lambda a: answers.append(a.outcome))
         return answers
 
@@ -160,3 +165,115 @@
         finally:
             globalLogPublisher.removeObserver(events.append)
         assert not [event for event in events if "log_failure" in event]
+
+
+class TestJobsOfOtherCustomers:
+    """Guards against customers that see, stop or take over the jobs of others."""
+
+    def _look(self, harness, customer_id):
+        return harness.calls.status(JOB, customer_id).outcome
+
+    def _cancel(self, harness, customer_id):
+        answers = []
+        call = ensureDeferred(harness.calls.cancel(JOB, customer_id))
+        call.addCallback(lambda answer: answers.append(answer.outcome))
+        harness.advance(0.1)
+        return answers
+
+    def test_they_are_answered_as_unknown(self):
+        harness = CallsHarness()
+        assert harness.submit(customer="a") == [JobOutcome.OK]
+        assert self._look(harness, "b") is JobOutcome.UNKNOWN_JOB
+        assert self._cancel(harness, "b") == [JobOutcome.UNKNOWN_JOB]
+        assert self._look(harness, "a") is JobOutcome.OK
+        assert harness.calls.status(JOB).status is JobStatus.PENDING
+        assert self._cancel(harness, "a") == [JobOutcome.OK]
+
+    def test_an_owner_that_may_be_replaced_does_not_call_them_unknown(self):
+        """The answer for another customer's job does not differ from an unknown one."""
+        harness = CallsHarness()
+        harness.submit(customer="a")
+        harness.advance(MAX_CONTACT_AGE_S + 0.5)
+        assert self._look(harness, "b") is JobOutcome.UNDECIDED
+        assert harness.calls.status(JobId("0" * 16), "b") == harness.calls.status(
+            JOB, "b"
+        )
+
+    def test_all_are_visible_if_callers_need_no_keys(self):
+        harness = CallsHarness()
+        harness.submit(customer="a")
+        assert self._look(harness, None) is JobOutcome.OK
+        assert self._cancel(harness, None) == [JobOutcome.OK]
+
+    def test_callers_without_a_key_see_those_of_public_queues_only(self):
+        harness = CallsHarness()
+        harness.submit(customer="a")
+        assert self._look(harness, "") is JobOutcome.UNKNOWN_JOB
+        assert self._cancel(harness, "") == [JobOutcome.UNKNOWN_JOB]
+        harness = CallsHarness()
+        harness.submit(customer="a", queue=make_queue(public=True))
+        assert self._look(harness, "") is JobOutcome.OK
+        assert self._look(harness, "b") is JobOutcome.UNKNOWN_JOB
+
+    def test_a_job_without_a_customer_is_for_all(self):
+        harness = CallsHarness()
+        harness.submit()
+        assert {self._look(harness, each) for each in ("", "a", None)} == {
+            JobOutcome.OK
+        }
+        assert harness.submit(customer="a") == [JobOutcome.OK]
+
+    @pytest.mark.parametrize("customer", ["b", ""])
+    def test_an_identifier_in_use_is_forbidden(self, customer):
+        harness = CallsHarness()
+        queue = make_queue(public=True)
+        assert harness.submit(customer="a", queue=queue) == [JobOutcome.OK]
+        forbidden = [JobOutcome.FORBIDDEN]
+        assert harness.submit(customer=customer, queue=queue) == forbidden
+        assert harness.submit(customer="a", queue=queue) == [JobOutcome.OK]
+        accepted = [kind for kind in harness.kinds() if kind is JobAccepted]
+        assert len(accepted) == 1
+
+    def test_a_finished_job_stays_with_its_customer(self):
+        harness = CallsHarness()
+        harness.submit(customer="a")
+        self._cancel(harness, "a")
+        assert self._look(harness, "b") is JobOutcome.UNKNOWN_JOB
+        assert harness.submit(customer="b") == [JobOutcome.FORBIDDEN]
+        assert harness.submit(customer="a") == [JobOutcome.OK]
+        assert harness.calls.status(JOB).status is JobStatus.CANCELLED
+
+    @pytest.mark.parametrize("compacted", [False, True])
+    @pytest.mark.parametrize("cancelled", [False, True])
+    def test_they_stay_so_under_the_next_owner(self, cancelled, compacted):
+        harness = CallsHarness()
+        harness.submit(customer="a")
+        if cancelled:
+            self._cancel(harness, "a")
+        harness.advance(0.1)
+        log = ensureDeferred(read_ledger(harness.store, KEYS)).result
+        records = [record for batch in log.values() for record in batch]
+        times = dict(now_s=harness.clock.monotonic_s(), wall_ms=1000)
+        if compacted:
+            records = harness.scheduler.compact(records, **times)
+        successor = CallsHarness()
+        successor.scheduler.replay(records, lease_end_s=0.0, **times)
+        assert self._look(successor, "a") is JobOutcome.OK
+        assert self._look(successor, "b") is JobOutcome.UNKNOWN_JOB
+        assert successor.submit(customer="b") == [JobOutcome.FORBIDDEN]
+
+    def test_a_flood_of_identifiers_in_use_is_logged_at_a_bounded_rate(self, caplog):
+        caplog.set_level(logging.INFO)
+        harness = CallsHarness()
+        harness.submit(customer="a")
+        for _ in range(500):
+            harness.submit(customer="b")
+            harness.clock.advance(0.0045)
+        lines = [r.message for r in caplog.records if "identifier_in_use" in r.message]
+        assert 2 <= len(lines) <= 3
+        assert all(f"job={JOB} customer=b" in line for line in lines)
+
+    def test_operators_are_shown_the_customer(self):
+        harness = CallsHarness()
+        harness.submit(customer="a")
+        assert harness.calls.explain(JOB).details.customer_id == "a"
--- a/pistachiolift/platform/caller_api.py
+++ b/pistachiolift/platform/caller_api.py
@@ -6,18 +6,18 @@
 from dataclasses import dataclass
 
 from ..common import (
-    Clock,
     CustomerId,
     InvalidInputError,
     JobId,
     MalformedMessageError,
     PistachioliftError,
-    log_event,
 )
 from ..listener import HandlerResource, StreamingRequest
-from ..node.authentication import authenticate
+from ..node.authentication import CallerRefusedError, authenticate
 from ..node.instance import NodeInstance
+from ..node.interfaces import QueueTable
 from ..node.peer_messages import JobAnswer, JobOutcome
+from ..node.refusals import RefusalLog
 from ..workflows import JobGraph, Queue, validate_graph
 from .jobs import decode_job, encode_status, encode_waiting
 
@@ -36,6 +36,10 @@
 # Retries of a client after its first attempt.
 CLIENT_RETRIES = 4
 
+# Lengths to which texts from callers are cut in log lines.
+PATH_LOGGED = 80
+MESSAGE_LOGGED = 200
+
 _HEADERS = [(b"Content-Type", b"application/json")]
 
 
@@ -46,23 +50,51 @@
     retry_after_s: float = 0.0
 
 
+@dataclass(slots=True)
+class _Call:
+    """A caller's request, and what is known of it so far.
+
+    :param refusals: counts and logs the request if it is refused.
+    :param table: configuration under which it is handled.
+    :param until_s: time by which it must be answered.
+    :param customer_id: the customer that makes it; empty for none.
+    """
+
+    instance: NodeInstance
+    request: StreamingRequest
+    refusals: RefusalLog
+    table: QueueTable | None
+    until_s: float
+    customer_id: CustomerId = CustomerId("")
+
+    def refuse(self, reason: str, **fields: object) -> None:
+        """Count and log that the call is refused."""
+        self.refusals.record(
+            reason,
+            customer_id=self.customer_id,
+            path=self.request.path[:PATH_LOGGED].decode("latin-1"),
+            config=0 if self.table is None else self.table.version,
+            **fields,
+        )
+
+
 def make_caller_api(instance: NodeInstance) -> HandlerResource:
     """Return the resource for callers of an instance."""
+    refusals = RefusalLog(logger, clock=instance.clock, metrics=instance.metrics)
 
     async def handle(request: StreamingRequest) -> None:
+        until_s = instance.clock.monotonic_s() + _deadline_s(request) - ANSWER_MARGIN_S
+        call = _Call(instance, request, refusals, instance.table, until_s)
+        headers = list(_HEADERS)
         try:
-            reply = await _handle(instance, request)
+            reply = await _handle(call)
+        except CallerRefusedError as error:
+            call.refuse(f"authentication.{error.reason.value}", message=error.message)
+            headers.append((b"WWW-Authenticate", b"Bearer"))
+            reply = _Reply(error.http_status)
         except PistachioliftError as error:
-            instance.metrics.count(f"refusal.{error.code.value}")
-            log_event(
-                logger,
-                "request_refused",
-                path=request.path[:80].decode("latin-1"),
-                code=error.code.value,
-                message=error.message[:200],
-            )
+            call.refuse(error.code.value, message=error.message[:MESSAGE_LOGGED])
             reply = _Reply(error.http_status)
-        headers = list(_HEADERS)
         if reply.retry_after_s:
             seconds = max(1, math.ceil(reply.retry_after_s))
             headers.append((b"Retry-After", b"%d" % seconds))
@@ -71,50 +103,39 @@
     return HandlerResource(handle)
 
 
-async def _handle(instance: NodeInstance, request: StreamingRequest) -> _Reply:
-    clock: Clock = instance.clock
-    until_s = clock.monotonic_s() + _deadline_s(request) - ANSWER_MARGIN_S
-    table = instance.table
+async def _handle(call: _Call) -> _Reply:
+    instance, request, table = call.instance, call.request, call.table
     if table is None:
-        instance.metrics.count("refusal.no_configuration")
+        call.refuse("no_configuration")
         return _Reply(503, retry_after_s=RETRY_AFTER_S)
     host = (request.getHeader("host") or "").split(":")[0].lower()
     path = request.path.decode("latin-1")
     queue = table.find(host, path)
     if queue is None:
-        instance.metrics.count("refusal.no_such_queue")
-        log_event(
-            logger,
-            "request_refused",
-            path=path[:80],
-            host=host[:80],
-            code="no_such_queue",
-            config=table.version,
-        )
+        call.refuse("no_such_queue", host=host[:PATH_LOGGED])
         return _Reply(404)
-    customer_id = authenticate(
+    call.customer_id = authenticate(
         table, queue, request.requestHeaders.getRawHeaders(b"authorization", [])
     )
     rest = path[len(queue.prefix) :]
     if not rest and request.method == b"GET":
-        return await _count_pending_jobs(instance, queue, until_s)
+        return await _count_pending_jobs(instance, queue, call.until_s)
     if not _JOB_ID.fullmatch(rest):
         raise InvalidInputError(f"job id {rest[:40]!r} is not 16 hexadecimal digits")
     job_id = JobId(rest)
     if request.method == b"POST":
-        return await _submit(instance, request, queue, job_id, customer_id, until_s)
-    # The jobs of a public queue are for all callers.
-    visible_to = None if queue.public or not table.needs_keys else customer_id
+        return await _submit(call, queue, job_id)
+    visible_to = call.customer_id if table.needs_keys else None
     if request.method == b"GET":
         answer = await instance.jobs.status(
-            job_id, until_s=until_s, customer_id=visible_to
+            job_id, until_s=call.until_s, customer_id=visible_to
         )
         if answer.outcome is JobOutcome.OK:
             return _Reply(200, encode_status(answer.status))
         return _error_reply(answer)
     if request.method == b"DELETE":
         answer = await instance.jobs.cancel(
-            job_id, until_s=until_s, customer_id=visible_to
+            job_id, until_s=call.until_s, customer_id=visible_to
         )
         return _Reply(200) if answer.outcome is JobOutcome.OK else _error_reply(answer)
     return _Reply(405)
@@ -129,25 +150,20 @@
     return _error_reply(answer)
 
 
-async def _submit(
-    instance: NodeInstance,
-    request: StreamingRequest,
-    queue: Queue,
-    job_id: JobId,
-    customer_id: CustomerId,
-    until_s: float,
-) -> _Reply:
-    body = await request.body.read_all(instance.table.max_body_bytes)
+async def _submit(call: _Call, queue: Queue, job_id: JobId) -> _Reply:
+    body = await call.request.body.read_all(call.table.max_body_bytes)
     try:
         graph = decode_job(body)
     except MalformedMessageError as error:
         raise InvalidInputError(error.message) from error
     validate_graph(graph)
-    answer = await instance.jobs.submit(
-        job_id, queue, graph, until_s=until_s, customer_id=customer_id
+    answer = await call.instance.jobs.submit(
+        job_id, queue, graph, until_s=call.until_s, customer_id=call.customer_id
     )
     if answer.outcome is JobOutcome.OK:
         return _Reply(200)
+    # The job service counts the outcome and logs it.
+    call.refusals.count_for_customer(answer.outcome.value, call.customer_id)
     return _error_reply(answer, queue, graph)
 
 
--- a/pistachiolift/platform/configuration.py
+++ b/pistachiolift/platform/configuration.py
@@ -7,7 +7,7 @@
 
 from ..common import CustomerId, MalformedMessageError, log_event
 from ..node.interfaces import QueueTable
-from ..workflows import AdvicePolicy, Customer, PoolId, Queue, QueueId
+from ..workflows import AdvicePolicy, Customer, PoolId, Queue, QueueId, Size
 from .wire import WireSize, decode_wire
 
 __all__ = ["CONFIGURATION_KEY", "OPERATOR_PREFIX", "decode_configuration"]
@@ -69,11 +69,11 @@
     """A customer."""
 
     name: str
-    api_keys: list[str] = []
+    api_keys: list[str] | None = None
     # Jobs per second, and share of the workers.
     weight: float = 0.0
     # Limit of what runs on all workers; a component of 0 has no limit.
-    cap: WireSize = msgspec.field(default_factory=WireSize)
+    cap: WireSize | None = None
 
 
 class _Limits(msgspec.Struct, rename="pascal", frozen=True):
@@ -84,9 +84,9 @@
     version: int
     routes: list[_Route] = []
     limits: _Limits = _Limits()
-    # Not present if callers need no key. Each entry is decoded by itself, so that a
+    # ``None`` if callers need no key. Each entry is decoded by itself, so that a
     # malformed one does not keep the others from being applied.
-    tenants: list[msgspec.Raw] | msgspec.UnsetType = msgspec.UNSET
+    tenants: list[msgspec.Raw] | None = None
 
 
 def decode_configuration(value: bytes) -> QueueTable:
@@ -95,13 +95,13 @@
     :raises MalformedMessageError: if the value cannot be decoded.
     """
     wire = decode_wire(value, _Configuration)
-    tenants = [] if wire.tenants is msgspec.UNSET else _decode_tenants(wire)
+    tenants = [] if wire.tenants is None else _decode_tenants(wire)
     return QueueTable(
         version=wire.version,
         queues=tuple(route.to_queue() for route in wire.routes),
         customers=_to_customers(tenants),
         customer_by_digest=_customer_by_digest(tenants, wire.version),
-        needs_keys=wire.tenants is not msgspec.UNSET,
+        needs_keys=wire.tenants is not None,
         max_body_bytes=wire.limits.max_body_bytes,
     )
 
@@ -119,7 +119,7 @@
             if not tenant.name:
                 reason = "the name is empty"
             elif tenant.name in by_name:
-                reason = f"the name {tenant.name[:40]!r} stands twice"
+                reason = f"another entry has the name {tenant.name[:40]!r}"
         if reason:
             log_event(
                 logger,
@@ -144,7 +144,7 @@
         Customer(
             customer_id=CustomerId(each.name),
             weight=each.weight if each.weight > 0 else smallest,
-            cap=each.cap.to_size(),
+            cap=Size() if each.cap is None else each.cap.to_size(),
         )
         for each in tenants
     )
@@ -158,22 +158,29 @@
     A key that two customers have is valid for neither.
     """
     by_digest: dict[bytes, CustomerId] = {}
-    shared: set[bytes] = set()
+    shared: dict[bytes, CustomerId] = {}
     for tenant in tenants:
         customer_id = CustomerId(tenant.name)
-        for key in tenant.api_keys:
+        for key in tenant.api_keys or ():
             digest = sha256(key.encode()).digest()
-            if by_digest.setdefault(digest, customer_id) != customer_id:
-                shared.add(digest)
-                log_event(
-                    logger,
-                    "customer_key_skipped",
-                    level=logging.ERROR,
-                    config=version,
-                    customer=customer_id,
-                    other=by_digest[digest],
-                    reason="two customers have the same key",
-                )
-    for digest in shared:
-        del by_digest[digest]
+            if not key.strip():
+                # It would admit callers whose header ends after the scheme.
+                _log_skipped_key(customer_id, version, "the key is empty")
+            elif by_digest.setdefault(digest, customer_id) != customer_id:
+                shared[digest] = customer_id
+    for digest, customer_id in shared.items():
+        other = by_digest.pop(digest)
+        reason = f"customer {other[:40]!r} has the same key"
+        _log_skipped_key(customer_id, version, reason)
     return by_digest
+
+
+def _log_skipped_key(customer_id: CustomerId, version: int, reason: str) -> None:
+    log_event(
+        logger,
+        "customer_key_skipped",
+        level=logging.ERROR,
+        config=version,
+        customer=customer_id[:40],
+        reason=reason,
+    )
--- a/pistachiolift/workflows/details.py
+++ b/pistachiolift/workflows/details.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..common import JobId, WaitReason, WorkerId
+from ..common import CustomerId, JobId, WaitReason, WorkerId
 from .model import JobStatus, TaskRunStatus, WorkerState
 from .placement import room_for_step, with_required_label
 from .scheduler_state import SchedulerState
@@ -44,6 +44,7 @@
 class JobDetails(msgspec.Struct, frozen=True, kw_only=True):
     """State of a job at its owner, with task counts over all steps.
 
+    :param customer_id: the customer whose job it is; empty for none.
     :param durable: whether its acceptance is durable; no task starts before.
     :param listed_tasks: the first tasks that have not succeeded.
     """
@@ -57,6 +58,7 @@
     retrying: int
     not_started: int
     durable: bool
+    customer_id: CustomerId = CustomerId("")
     listed_tasks: tuple[TaskDetails, ...] = ()
 
 
@@ -104,6 +106,7 @@
         retrying=retrying,
         not_started=waiting - retrying,
         durable=job.accepted_record <= state.committed,
+        customer_id=job.customer_id,
         listed_tasks=tuple(unfinished[:MAX_LISTED_TASKS]),
     )
 
