--- a/pistachiolift/platform/store.py
+++ b/pistachiolift/platform/store.py
@@ -38,6 +38,11 @@
 # Upper bound of the adaptive time limit for a page of a listing, which has up to 1 MB.
 MAX_PAGE_TIMEOUT_S = 2.0
 
+# Time limit of the small read that precedes a listing after a lost one. It is twice the
+# answer time of a slow store, and far below the time limit of a page, so that the
+# return of a silent store is noticed soon.
+PROBE_TIMEOUT_S = 0.5
+
 # Time that a watch call may take beyond its requested wait.
 WATCH_SLACK_S = 0.6
 
@@ -109,6 +114,8 @@
         self._list_timer = AnswerTimer(
             min_timeout_s=MAX_TIMEOUT_S, max_timeout_s=MAX_PAGE_TIMEOUT_S
         )
+        # Whether the newest listing was not answered in time.
+        self._listing_lost = False
 
     async def _call(
         self,
@@ -137,6 +144,14 @@
         timer.record_answer(self._reactor.seconds() - sent_s)
         return result
 
+    async def _probe(self, key: str) -> None:
+        """Read one key, to find out whether the store answers.
+
+        :raises StoreUnavailableError: if it does not.
+        """
+        path = "/api/kv-key?" + urlencode({"Key": key})
+        await self._send("GET", path, None, PROBE_TIMEOUT_S, (200, 404))
+
     async def _send(
         self,
         method: str,
@@ -169,6 +184,14 @@
         The revision is that of the first page, so that a watch from there reports the
         changes made while the pages were read.
         """
+        if self._listing_lost:
+            await self._probe(prefix)
+        self._listing_lost = True
+        listing = await self._read_pages(prefix)
+        self._listing_lost = False
+        return listing
+
+    async def _read_pages(self, prefix: str) -> Listing:
         entries: dict[str, Entry] = {}
         revision = None
         after = ""
