Let an unfit owner hand over before it has read the ledger

The minimum protects decisions, and a recovering owner makes none.

The new test fails without the change.

--- a/pistachiolift/node/handover.py
+++ b/pistachiolift/node/handover.py
@@ -34,7 +34,7 @@
 MAX_CONTACT_AGE_S = 2.5
 
 # Shortest ownership before a handover to a fitter peer: each handover costs about half
-# a second without decisions.
+# a second without decisions. An owner that is still recovering makes none.
 MIN_OWNERSHIP_S = 3.0
 FITTER_RATIO = 2.0
 PROBE_TIMEOUT_S = 0.5
@@ -59,6 +59,7 @@
     :param peers: returns the open connections of other instances.
     :param fitness: returns how well this instance can own the partition in addition to
         the others that it owns, 0 to 1.
+    :param recovering: returns whether this instance is still reading the ledger.
     """
 
     def __init__(
@@ -70,12 +71,14 @@
         metrics: Metrics,
         peers: Callable[[], list[PeerConnection]],
         fitness: Callable[[], float],
+        recovering: Callable[[], bool],
     ):
         self._ownership = ownership
         self._clock = clock
         self._metrics = metrics
         self._peers = peers
         self._fitness = fitness
+        self._recovering = recovering
         self._last_attempt_s = float("-inf")
         self._checking = LoopingCall(self._check)
         self._checking.clock = reactor
@@ -100,7 +103,7 @@
         peers = self._ranked_peers()
         if self._lost_store(now_s):
             reason = HandoverReason.STORE_OUT_OF_REACH
-        elif now_s - self._ownership.claimed_s > MIN_OWNERSHIP_S:
+        elif self._recovering() or now_s - self._ownership.claimed_s > MIN_OWNERSHIP_S:
             reason = HandoverReason.FITTER_PEER
             peers = [peer for peer in peers if self._is_much_fitter(peer)]
         else:
--- a/pistachiolift/node/partition.py
+++ b/pistachiolift/node/partition.py
@@ -123,6 +123,7 @@
             self.ownership,
             peers=self._peers,
             fitness=self._fitness,
+            recovering=lambda: self._owner is not None and not self._owner.ready,
             **common,
         )
         self.jobs = JobService(
--- a/pistachiolift/node/tests/test_handover.py
+++ b/pistachiolift/node/tests/test_handover.py
@@ -78,6 +78,7 @@
         self.reactor, self.clock = ReactorClock(), ManualClock()
         self.owner = Owner()
         self.owner.claimed_s = self.clock.monotonic_s()
+        self.recovering = False
         self.monitor = HandoverMonitor(
             self.reactor,
             self.owner,
@@ -85,6 +86,7 @@
             metrics=Metrics(),
             peers=lambda: peers,
             fitness=lambda: fitness,
+            recovering=lambda: self.recovering,
         )
         self.monitor.start()
 
@@ -113,6 +115,15 @@
         assert asked(peers) == ["large"]
         assert cell.owner.lost == ["fitter_peer"]
 
+    def test_an_unfit_owner_hands_over_before_it_has_recovered(self):
+        """Guards against a ledger that is read over a slow link after an outage."""
+        peers = [Peer("small"), Peer("large", peer_fitness=1.0)]
+        cell = Cell(peers, fitness=0.2)
+        cell.recovering = True
+        cell.advance(0.2)
+        assert asked(peers) == ["large"]
+        assert cell.owner.lost == ["fitter_peer"]
+
     @pytest.mark.parametrize(
         "peer",
         [
