Make unfit instances claim a second later than the others

The fittest instance claims first only if all notice at the same time that the owner is gone.

Instances below a quarter of the needed fitness wait for a second more, in which a fitter one claims. The new test fails without the change.

--- a/pistachiolift/node/ownership.py
+++ b/pistachiolift/node/ownership.py
@@ -55,6 +55,11 @@
 CLAIM_JITTER_S = 0.04
 # Additional delay of the claim of the least fit instance.
 CLAIM_DELAY_S = 0.12
+# An instance below this fitness takes seconds to read the ledger of a full partition.
+# It claims only after fitter instances have had the time to notice that the store
+# answers again: one call's time limit of 0.8 s and a retry.
+UNFIT_LIMIT = 0.25
+UNFIT_CLAIM_DELAY_S = 1.0
 RECORD_LIMIT_BYTES = 4_096
 
 
@@ -413,6 +418,8 @@
     def _claim_delay_s(self) -> float:
         """Return how long to wait so that fitter instances can claim first."""
         unfit_s = (1 - self._fitness) * CLAIM_DELAY_S
+        if self._fitness < UNFIT_LIMIT:
+            unfit_s += UNFIT_CLAIM_DELAY_S
         return random.uniform(0, CLAIM_JITTER_S) + unfit_s + self._extra_claim_delay_s()
 
     async def _claim(self) -> None:
--- a/pistachiolift/node/tests/test_ownership.py
+++ b/pistachiolift/node/tests/test_ownership.py
@@ -25,7 +25,8 @@
 class Cell:
     """Instances that share a store and a clock."""
 
-    def __init__(self, instances=3):
+    def __init__(self, instances=3, fitness=1.0):
+        self.fitness = fitness
         self.reactor = ReactorClock()
         self.clock = ManualClock()
         self.store = FakeStore()
@@ -58,6 +59,7 @@
             on_owner=lambda record: None,
             on_claimed=claimed,
             on_lost=lost,
+            fitness=self.fitness,
         )
 
     def advance(self, interval_s):
@@ -90,6 +92,26 @@
         names = {o.owner.instance_id for o in cell.ownerships}
         assert names == {f"n{cell.owner()}"}
 
+    def test_unfit_instances_leave_time_for_the_claim_of_a_fit_one(self):
+        """Guards against an owner on a slow link after an outage of the store.
+
+        The fit instance notices the return of the store up to a second later.
+        """
+        cell = Cell(instances=3, fitness=0.1)
+        cell.advance(0.9)
+        assert cell.owners() == []
+        cell.fitness = 1.0
+        fit = cell._make(3)
+        cell.ownerships.append(fit)
+        fit.start()
+        cell.advance(1.0)
+        assert cell.owners() == [3]
+
+    def test_unfit_instances_claim_if_there_is_no_other(self):
+        cell = Cell(instances=3, fitness=0.1)
+        cell.advance(2.0)
+        assert len(cell.owners()) == 1
+
     def test_a_claim_whose_answer_was_lost_is_found(self):
         cell = Cell(instances=1)
         cell.store.lost_answers = 1
