--- a/pistachiolift/node/tests/test_job_service.py
+++ b/pistachiolift/node/tests/test_job_service.py
@@ -35,7 +35,7 @@
         self.calls = self
         self.answer = Deferred()
 
-    async def submit(self, job_id, queue, graph, age_s):
+    async def submit(self, job_id, queue, graph, age_s, customer_id):
         return await self.answer
 
 
