Order waiting work by what its delay costs, and customers' excess after due work

Customers had no rate, so that one of them could take all workers.

A token bucket for each customer marks jobs as excess at submission; the mark is kept in the ledger, and the buckets are rebuilt from the received times. With one priority and no customers the order is unchanged. test_orders now passes policies instead of replacing a function.

--- a/pistachiolift/workflows/dispatch.py
+++ b/pistachiolift/workflows/dispatch.py
@@ -5,11 +5,11 @@
 from .decisions import StartRun
 from .lifecycle import Lifecycle
 from .model import PoolId, TaskRunStatus
+from .order import OrderPolicy, WaitingOrder
 from .placement import WorkerChoice, eligible_workers, plan_gang, room_for_step
 from .records import RunPlaced
 from .scheduler_state import SchedulerState
 from .state import StepEntry, TaskRun, WorkerEntry
-from .urgency import rank
 
 __all__ = ["Dispatcher"]
 
@@ -24,14 +24,20 @@
     :param state: the owner's jobs and workers.
     :param lifecycle: records the runs.
     :param advice: requests tickets for steps that need advice.
+    :param policy: order of the waiting steps; :class:`CostAware` by default.
     """
 
     def __init__(
-        self, state: SchedulerState, lifecycle: Lifecycle, advice: AdvicePlanner
+        self,
+        state: SchedulerState,
+        lifecycle: Lifecycle,
+        advice: AdvicePlanner,
+        policy: OrderPolicy | None = None,
     ):
         self._state = state
         self._lifecycle = lifecycle
         self._advice = advice
+        self.order = WaitingOrder(state, policy)
         # Workers that get no ordinary runs in the next pass, so that the runs that
         # are started alone find a worker.
         self._kept_free: set[WorkerId] = set()
@@ -45,9 +51,7 @@
         self._open_due_steps(wall_ms)
         if not self._state.open_steps:
             return
-        steps = sorted(
-            self._state.open_steps.values(), key=lambda s: rank(s, now_s, wall_ms)
-        )
+        steps = self.order.arrange(now_s, wall_ms)
         usable_by_pool: dict[PoolId, dict[WorkerId, WorkerEntry]] = {}
         blocked: frozenset[WorkerId] = frozenset()
         kept_free, self._kept_free = self._kept_free, set()
--- a/pistachiolift/workflows/lifecycle.py
+++ b/pistachiolift/workflows/lifecycle.py
@@ -35,6 +35,7 @@
         received_s: float,
         received_ms: int,
         customer_id: CustomerId = CustomerId(""),
+        excess: bool = False,
     ) -> JobEntry:
         """Add a job with all its occurrences.
 
@@ -48,6 +49,7 @@
             received_s=received_s,
             received_ms=received_ms,
             customer_id=customer_id,
+            excess=excess,
         )
         for number in range(max(1, graph.occurrences)):
             due_ms = graph.first_due_ms + number * graph.interval_ms
@@ -267,6 +269,7 @@
                 job.received_ms,
                 at_ms,
                 job.customer_id,
+                job.excess,
             )
         )
 
--- a/pistachiolift/workflows/records.py
+++ b/pistachiolift/workflows/records.py
@@ -27,6 +27,7 @@
     :param queue: the policy at that time, used if the queue is removed later.
     :param received_ms: Unix time of the first request, in milliseconds.
     :param customer_id: the customer whose job it is; empty for none.
+    :param excess: whether its customer had submitted more than its rate allows.
     """
 
     job_id: JobId
@@ -34,6 +35,7 @@
     received_ms: int
     graph: JobGraph
     customer_id: CustomerId = CustomerId("")
+    excess: bool = False
 
 
 class JobCancelled(msgspec.Struct, frozen=True, tag="cancel", array_like=True):
@@ -93,6 +95,7 @@
     """A finished job, without its graph.
 
     :param at_ms: Unix time at which the job finished, in milliseconds.
+    :param excess: as in :class:`JobAccepted`.
     """
 
     job_id: JobId
@@ -101,6 +104,7 @@
     received_ms: int
     at_ms: int
     customer_id: CustomerId = CustomerId("")
+    excess: bool = False
 
 
 class JobForgotten(msgspec.Struct, frozen=True, tag="forget", array_like=True):
--- a/pistachiolift/workflows/replay.py
+++ b/pistachiolift/workflows/replay.py
@@ -116,6 +116,7 @@
             received_s=self._monotonic_s(record.received_ms),
             received_ms=record.received_ms,
             customer_id=record.customer_id,
+            excess=record.excess,
         )
 
     def _apply_finished_job(self, record: JobFinished) -> None:
@@ -127,6 +128,7 @@
             received_s=self._monotonic_s(record.received_ms),
             received_ms=record.received_ms,
             customer_id=record.customer_id,
+            excess=record.excess,
         )
         job.has_started = True
         job.status = record.status
@@ -281,6 +283,7 @@
                     job.received_ms,
                     at_ms,
                     job.customer_id,
+                    job.excess,
                 )
             )
         else:
@@ -293,7 +296,9 @@
     job_id = job.job_id
     received_ms = job.received_ms
     records: list[LedgerRecord] = [
-        JobAccepted(job_id, job.queue, received_ms, job.graph, job.customer_id)
+        JobAccepted(
+            job_id, job.queue, received_ms, job.graph, job.customer_id, job.excess
+        )
     ]
     for step in job.steps():
         for index in sorted(step.finished):
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -23,6 +23,7 @@
     TaskKey,
     TaskRunStatus,
 )
+from .order import OrderPolicy
 from .progress import ProgressMonitor
 from .records import (
     JobAccepted,
@@ -68,16 +69,25 @@
     :param keep_final_s: retention period of finished jobs, in seconds.
     :param longest_lease_s: time by which the longest lease that a worker accepts has
         certainly expired, in seconds.
+    :param policy: order of the waiting steps; :class:`CostAware` by default.
     """
 
-    def __init__(self, *, fence: int, keep_final_s: float, longest_lease_s: float):
+    def __init__(
+        self,
+        *,
+        fence: int,
+        keep_final_s: float,
+        longest_lease_s: float,
+        policy: OrderPolicy | None = None,
+    ):
         self.state = SchedulerState(fence=fence)
         self._keep_final_s = keep_final_s
         self._longest_lease_s = longest_lease_s
         self._lifecycle = Lifecycle(self.state)
         self._crashes = CrashTracker(self.state, self._lifecycle)
         self.advice = AdvicePlanner(self.state)
-        self._dispatcher = Dispatcher(self.state, self._lifecycle, self.advice)
+        self._dispatcher = Dispatcher(self.state, self._lifecycle, self.advice, policy)
+        self.order = self._dispatcher.order
         self._progress = ProgressMonitor(self.state, self._lifecycle)
         self._sharing = SharingController(self.state)
         self.fleet = Fleet(
@@ -114,6 +124,7 @@
         )
         for record in records:
             replay.apply(record)
+        self.state.rates.rebuild(self.state.jobs_by_id.values())
         for job in self.state.jobs_by_id.values():
             job.last_record = job.accepted_record = 0
         # Verdicts and crashes that are counted now are not durable yet.
@@ -139,6 +150,7 @@
     def set_customers(self, customers: Iterable[Customer]) -> None:
         """Replace the customers; jobs of a removed customer stay without its limits."""
         self.state.customers_by_id = {each.customer_id: each for each in customers}
+        self.state.rates.set_customers(self.state.customers_by_id.values())
 
     # Calls of clients.
 
@@ -169,8 +181,9 @@
             received_s=received_s,
             received_ms=received_ms,
             customer_id=customer_id,
+            excess=self.state.rates.take(customer_id, received_ms),
         )
-        record = JobAccepted(job_id, queue, received_ms, graph, customer_id)
+        record = JobAccepted(job_id, queue, received_ms, graph, customer_id, job.excess)
         job.accepted_record = self.state.record(record)
         return job.accepted_record
 
@@ -185,6 +198,7 @@
         for step in job.steps():
             for run in list(step.runs_by_index.values()):
                 self._lifecycle.stop(run, "job_refused")
+        self.state.rates.give_back(job)
         self.state.drop_job(job_id)
 
     def cancel(self, job_id: JobId, *, now_s: float, wall_ms: int) -> int | None:
--- a/pistachiolift/workflows/scheduler_state.py
+++ b/pistachiolift/workflows/scheduler_state.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from ..common import CustomerId, JobId, WorkerHealth, WorkerId
+from .customer_rates import CustomerRates
 from .decisions import Decision, JobChanged
 from .model import Customer, JobStatus, PoolId, Queue, QueueId, StepKey, TaskKey
 from .records import LedgerRecord
@@ -20,6 +21,7 @@
     """State shared by the components of the scheduler.
 
     :param fence: this owner's fencing token; run numbers are derived from it.
+    :param rates: division of the customers' jobs into due work and excess.
     :param open_steps: steps with tasks to place whose predecessors are complete.
     :param timed_steps: steps that wait for the due time of their occurrence.
     :param records: records to be committed, in order.
@@ -31,6 +33,7 @@
     fence: int = 0
     queues_by_id: dict[QueueId, Queue] = field(default_factory=dict)
     customers_by_id: dict[CustomerId, Customer] = field(default_factory=dict)
+    rates: CustomerRates = field(default_factory=CustomerRates)
     jobs_by_id: dict[JobId, JobEntry] = field(default_factory=dict)
     workers_by_id: dict[WorkerId, WorkerEntry] = field(default_factory=dict)
     open_steps: dict[StepKey, StepEntry] = field(default_factory=dict)
--- a/pistachiolift/workflows/state.py
+++ b/pistachiolift/workflows/state.py
@@ -237,6 +237,7 @@
     :param received_s: monotonic time of the first request.
     :param received_ms: Unix time of the first request, in milliseconds.
     :param customer_id: the customer whose job it is; empty for none.
+    :param excess: whether its customer had submitted more than its rate allows.
     :param finished_s: monotonic time at which the job finished, or ``None``.
     :param has_started: whether a run has started.
     :param accepted_record: number of the record that must be durable before a start.
@@ -249,6 +250,7 @@
     received_s: float
     received_ms: int
     customer_id: CustomerId = CustomerId("")
+    excess: bool = False
     occurrences: list[OccurrenceEntry] = field(default_factory=list)
     status: JobStatus = JobStatus.PENDING
     finished_s: float | None = None
--- a/pistachiolift/workflows/tests/test_orders.py
+++ b/pistachiolift/workflows/tests/test_orders.py
@@ -10,8 +10,9 @@
 
 from pistachiolift.workflows import JobStatus, dispatch
 from pistachiolift.workflows.model import AdvicePolicy
+from pistachiolift.workflows.order import BandsFirst, CostAware, OrderPolicy
 from pistachiolift.workflows.placement import WorkerChoice, room_for_step
-from pistachiolift.workflows.urgency import critical_path_s, objective_s, rank
+from pistachiolift.workflows.urgency import critical_path_s, measure, objective_s
 
 from .virtual_cell import VirtualCell, make_graph, make_queue, make_step
 
@@ -78,29 +79,34 @@
 # Step orders.
 
 
-def first_come(step, now_s, wall_ms):
-    return (step.job.received_s,)
+class FirstCome(OrderPolicy):
+    def key(self, step, now_s, wall_ms):
+        return (step.job.received_s,)
 
 
-def priority_only(step, now_s, wall_ms):
-    return step.job.queue.priority, step.job.received_s
+class PriorityOnly(OrderPolicy):
+    def key(self, step, now_s, wall_ms):
+        return step.job.queue.priority, step.job.received_s
 
 
-def worth_at_risk(step, now_s, wall_ms):
-    """Put on-time steps before late ones, then sort by worth per core-second."""
-    band, _, latest_s = rank(step, now_s, wall_ms)
-    work = sum(
-        each.count * each.size.cpu_milli * each.estimate_s
-        for each in step.job.graph.steps
-    )
-    return band, -WORTH[step.job.queue.queue_id] / work, latest_s
+class WorthAtRisk(OrderPolicy):
+    """Puts on-time steps before late ones, then sorts by worth per core-second."""
+
+    def key(self, step, now_s, wall_ms):
+        band, latest_s = measure(step, now_s, wall_ms)
+        work = sum(
+            each.count * each.size.cpu_milli * each.estimate_s
+            for each in step.job.graph.steps
+        )
+        return band, -WORTH[step.job.queue.queue_id] / work, latest_s
 
 
 ORDERS = {
-    "first come": first_come,
-    "priority only": priority_only,
-    "worth at risk": worth_at_risk,
-    "in use": rank,
+    "first come": FirstCome,
+    "priority only": PriorityOnly,
+    "worth at risk": WorthAtRisk,
+    "bands first": BandsFirst,
+    "in use": CostAware,
 }
 
 
@@ -123,9 +129,8 @@
 
 def run_burst(monkeypatch, order, placement, burst_of):
     """Run a burst of one kind; return the earned share of the worth by kind."""
-    monkeypatch.setattr(dispatch, "rank", ORDERS[order])
     monkeypatch.setattr(dispatch, "WorkerChoice", PLACEMENTS[placement])
-    cell = VirtualCell(workers=24, cpu=32_000, memory=65_536)
+    cell = VirtualCell(workers=24, cpu=32_000, memory=65_536, policy=ORDERS[order]())
     cell.scheduler.advice.instances = 9
     cell.scheduler.set_queues([each.queue for each in KINDS])
     good = {each.queue.queue_id: each.good for each in KINDS}
--- a/pistachiolift/workflows/tests/virtual_cell.py
+++ b/pistachiolift/workflows/tests/virtual_cell.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from pistachiolift.common import JobId, RackId, WorkerId
+from pistachiolift.common import CustomerId, JobId, RackId, WorkerId
 from pistachiolift.workflows import (
     SURVIVAL_S,
     AskAdvice,
@@ -118,15 +118,28 @@
     """One scheduler and its workers.
 
     :param workers: number of workers, six to a rack.
+    :param policy: order of the waiting steps, by default the one in force.
     """
 
-    def __init__(self, *, workers=4, cpu=8000, memory=16_000, seed=1, queues=()):
+    def __init__(
+        self,
+        *,
+        workers=4,
+        cpu=8000,
+        memory=16_000,
+        seed=1,
+        queues=(),
+        customers=(),
+        policy=None,
+    ):
         self.rng = random.Random(seed)
         self.now_s = 100.0
         self._events: list = []
         self._order = itertools.count()
+        self._policy = policy
         self.scheduler = self._make_scheduler(1)
         self.scheduler.set_queues(queues)
+        self.scheduler.set_customers(customers)
         self.workers_by_id: dict[WorkerId, FakeWorker] = {}
         self.done_tasks: set = set()
         self.started: dict = {}
@@ -156,10 +169,12 @@
 
     # Setup.
 
-    @staticmethod
-    def _make_scheduler(fence) -> GraphScheduler:
+    def _make_scheduler(self, fence) -> GraphScheduler:
         return GraphScheduler(
-            fence=fence, keep_final_s=60.0, longest_lease_s=LEASE_LIMIT_S
+            fence=fence,
+            keep_final_s=60.0,
+            longest_lease_s=LEASE_LIMIT_S,
+            policy=self._policy,
         )
 
     def add_worker(self, index, *, cpu=8000, memory=16_000, incarnation=1):
@@ -204,12 +219,19 @@
         """Unix time, in milliseconds."""
         return int((self.now_s + WALL_OFFSET_S) * 1000)
 
-    def submit(self, job_id: str, queue: Queue, graph: JobGraph) -> JobId:
+    def submit(
+        self, job_id: str, queue: Queue, graph: JobGraph, customer_id=""
+    ) -> JobId:
         """Submit a job now."""
         job_id = JobId(job_id)
         self.submitted_s.setdefault(job_id, self.now_s)
         self.scheduler.submit(
-            job_id, queue, graph, received_s=self.now_s, received_ms=self.wall_ms
+            job_id,
+            queue,
+            graph,
+            received_s=self.now_s,
+            received_ms=self.wall_ms,
+            customer_id=CustomerId(customer_id),
         )
         self._decide()
         return job_id
@@ -584,8 +606,10 @@
             directory = [fake.worker for fake in self.workers_by_id.values()]
         self._fence += 1
         queues = list(self.scheduler.state.queues_by_id.values())
+        customers = list(self.scheduler.state.customers_by_id.values())
         self.scheduler = self._make_scheduler(self._fence)
         self.scheduler.set_queues(queues)
+        self.scheduler.set_customers(customers)
         self._held.clear()
         self._unwritten.clear()
         for worker in directory:
--- a/pistachiolift/workflows/urgency.py
+++ b/pistachiolift/workflows/urgency.py
@@ -1,14 +1,24 @@
-"""Order in which waiting steps are placed."""
+"""Latency objectives of jobs, and how waiting steps stand to them."""
+
+from enum import IntEnum
 
 from .model import Step
 from .state import JobEntry, StepEntry
 
-__all__ = ["critical_path_s", "objective_s", "rank"]
+__all__ = ["Band", "critical_path_s", "measure", "objective_s", "waited_s"]
 
 # A late result keeps a part of its value up to this multiple of the objective.
 LATE_LIMIT_FACTOR = 3.0
 
 
+class Band(IntEnum):
+    """Value of a step's job if the step starts now."""
+
+    ON_TIME = 0
+    LATE = 1
+    USELESS = 2
+
+
 def critical_path_s(entry: JobEntry, *, from_step: int = 0) -> float:
     """Return the estimated duration of a job's critical path, in seconds.
 
@@ -50,28 +60,40 @@
     )
 
 
-def rank(step: StepEntry, now_s: float, wall_ms: float) -> tuple[int, int, float]:
-    """Return the sort key of a step; the smallest is placed first.
+def _received_s(step: StepEntry, now_s: float, wall_ms: float) -> float:
+    """Return the time from which the objective counts; monotonic time."""
+    job = step.job
+    if not job.graph.occurrences:
+        return job.received_s
+    due_ms = job.occurrences[step.key.occurrence].due_ms
+    return now_s - (wall_ms - due_ms) / 1000
+
+
+def waited_s(step: StepEntry, now_s: float, wall_ms: float) -> float:
+    """Return the time since a step's job was received or was due, in seconds.
+
+    :param now_s: monotonic time.
+    :param wall_ms: Unix time, in milliseconds.
+    """
+    return now_s - _received_s(step, now_s, wall_ms)
+
 
-    Steps that can still meet their objective come first, then those whose result will
-    be late but useful, then the others. Within each band, steps are sorted by priority
-    and then by the latest start time that meets the objective.
+def measure(step: StepEntry, now_s: float, wall_ms: float) -> tuple[Band, float]:
+    """Return a step's band if it starts now, and its latest start to be on time.
 
     :param now_s: monotonic time.
     :param wall_ms: Unix time, in milliseconds.
+    :returns: the band, and the monotonic time of the latest start.
     """
     job = step.job
-    received_s = job.received_s
-    if job.graph.occurrences:
-        due_ms = job.occurrences[step.key.occurrence].due_ms
-        received_s = now_s - (wall_ms - due_ms) / 1000
+    received_s = _received_s(step, now_s, wall_ms)
     objective = objective_s(job)
     remaining = critical_path_s(job, from_step=step.key.step)
     finish_s = now_s + remaining
     if finish_s <= received_s + objective:
-        band = 0
+        band = Band.ON_TIME
     elif finish_s <= received_s + LATE_LIMIT_FACTOR * objective:
-        band = 1
+        band = Band.LATE
     else:
-        band = 2
-    return band, job.queue.priority, received_s + objective - remaining
+        band = Band.USELESS
+    return band, received_s + objective - remaining
