Refuse new jobs that cannot end in time

A job that could not end within three times its objective was held until its caller gave up, although a refusal at once lets the caller try again.

The owner now decides before it adds a job: it estimates how long the work ahead in the order fills the pool, with half of the declared times, and refuses the job if it could then not end in time. What is uncertain counts for the job. Refusals carry Retry-After, log their figures and are counted; the errors of the predicted waits are histograms by queue.

--- a/pistachiolift/node/job_calls.py
+++ b/pistachiolift/node/job_calls.py
@@ -7,8 +7,10 @@
 
 from ..common import Clock, CustomerId, JobId, Metrics, log_event
 from ..workflows import (
+    AdmissionDecision,
     GraphScheduler,
     JobAccepted,
+    JobChanged,
     JobForgotten,
     JobGraph,
     LedgerRecord,
@@ -20,6 +22,7 @@
 from .ledger import Ledger
 from .peer_messages import JobAnswer, JobOutcome
 from .refusals import NAME_LIMIT, RefusalLog
+from .wait_predictions import WaitPredictions
 
 __all__ = ["STALLED_LIMIT_S", "JobCalls"]
 
@@ -60,6 +63,7 @@
         self._is_ready = is_ready
         self._last_contact_s = last_contact_s
         self._on_changed = on_changed
+        self._predictions = WaitPredictions(metrics)
         self._refusals = RefusalLog(logger, clock=clock, metrics=metrics)
         # For each job that is not durable yet, the Deferreds of the submitting calls.
         # They fire if the job is withdrawn.
@@ -88,13 +92,30 @@
             return self._reject_identifier(job_id, customer_id)
         if not known and self._ledger.stalled_s > STALLED_LIMIT_S:
             return self._refuse(job_id, "ledger_stalled")
-        now_s = self._clock.monotonic_s()
+        now_s, wall_ms = self._clock.monotonic_s(), self._wall_ms()
+        received_s, received_ms = self._scheduler.admission.first_received(
+            job_id, now_s - age_s, wall_ms - int(age_s * 1000)
+        )
+        if not known:
+            decision = self._scheduler.admission.decide(
+                job_id,
+                queue,
+                graph,
+                received_s=received_s,
+                received_ms=received_ms,
+                now_s=now_s,
+                wall_ms=wall_ms,
+                customer_id=customer_id,
+            )
+            if not decision.admitted:
+                return self._refuse_overload(job_id, queue, customer_id, decision)
+            self._predictions.add(job_id, queue.queue_id, decision, now_s)
         number = self._scheduler.submit(
             job_id,
             queue,
             graph,
-            received_s=now_s - age_s,
-            received_ms=self._wall_ms() - int(age_s * 1000),
+            received_s=received_s,
+            received_ms=received_ms,
             customer_id=customer_id,
         )
         self._on_changed()
@@ -152,6 +173,7 @@
         if not isinstance(record, JobAccepted):
             return record
         self._scheduler.withdraw(record.job_id)
+        self._predictions.drop(record.job_id)
         for withdrawal in self._withdrawals_by_id.pop(record.job_id, ()):
             withdrawal.callback(None)
         return JobForgotten(record.job_id)
@@ -167,6 +189,39 @@
         )
         return JobAnswer(JobOutcome.REFUSED)
 
+    def _refuse_overload(
+        self,
+        job_id: JobId,
+        queue: Queue,
+        customer_id: CustomerId,
+        decision: AdmissionDecision,
+    ) -> JobAnswer:
+        """Refuse a job that cannot end in time."""
+        self._metrics.count(f"refusal.admission.{decision.reason.value}")
+        log_event(
+            logger,
+            "job_refused",
+            job=job_id,
+            queue=queue.queue_id,
+            customer=customer_id,
+            reason=decision.reason.value,
+            retry_after_s=decision.retry_after_s,
+            excess=decision.excess,
+            least_wait_s=decision.least_wait_s,
+            most_wait_s=decision.most_wait_s,
+            ahead_s=decision.ahead_s,
+            running_s=decision.running_s,
+            capacity_milli=decision.capacity_milli,
+            totals_age_s=decision.age_s,
+        )
+        return JobAnswer(
+            JobOutcome.REFUSED, retry_after_s=float(decision.retry_after_s)
+        )
+
+    def handle_job_changed(self, change: JobChanged) -> None:
+        """Compare the predicted with the actual wait once a job starts or ends."""
+        self._predictions.resolve(change, self._clock.monotonic_s())
+
     def _is_visible(self, job_id: JobId, customer_id: CustomerId | None) -> bool:
         """Whether a caller may see a job.
 
--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -270,6 +270,7 @@
                 )
             case JobChanged():
                 self._metrics.count(f"jobs.{decision.status.value}")
+                self.calls.handle_job_changed(decision)
                 log_job_changed(decision)
 
     def _send_starts(self) -> None:
--- a/pistachiolift/workflows/__init__.py
+++ b/pistachiolift/workflows/__init__.py
@@ -1,5 +1,6 @@
 """Scheduling decisions for jobs that are graphs of steps; performs no I/O."""
 
+from .admission import AdmissionDecision, AdmissionReason
 from .decisions import AskAdvice, Decision, JobChanged, SetRunSpeed, StartRun, StopRun
 from .details import (
     JobDetails,
@@ -42,6 +43,8 @@
 
 __all__ = [
     "SURVIVAL_S",
+    "AdmissionDecision",
+    "AdmissionReason",
     "AdvicePolicy",
     "AskAdvice",
     "Customer",
--- a/pistachiolift/workflows/customer_rates.py
+++ b/pistachiolift/workflows/customer_rates.py
@@ -101,6 +101,17 @@
         bucket.tokens -= 1
         return False
 
+    def would_exceed(self, customer_id: CustomerId, received_ms: int) -> bool:
+        """Whether a job would be excess; takes no token.
+
+        :param received_ms: Unix time of the first request, in milliseconds.
+        """
+        bucket = self._buckets_by_id.get(customer_id)
+        if bucket is None:
+            return False
+        bucket.refill(received_ms)
+        return bucket.tokens < 1
+
     def give_back(self, job: JobEntry) -> None:
         """Return the token of a job that was refused before it was accepted."""
         bucket = self._buckets_by_id.get(job.customer_id)
--- a/pistachiolift/workflows/order.py
+++ b/pistachiolift/workflows/order.py
@@ -172,6 +172,17 @@
         excess.sort(key=first)
         return [step for _, step in due] + self._share_out([step for _, step in excess])
 
+    def key(self, step: StepEntry, now_s: float, wall_ms: float) -> tuple:
+        """Return the sort key of a step among the steps that are due, or excess.
+
+        :param now_s: monotonic time.
+        :param wall_ms: Unix time, in milliseconds.
+        """
+        raised = self._ageing.raised_by_id.get(step.job.job_id)
+        if raised is not None:
+            return (RAISED_CLASS, raised, step.key.step)
+        return self._policy.key(step, now_s, wall_ms)
+
     def _is_simple(self) -> bool:
         state = self._state
         if state.customers_by_id:
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from ..common import CustomerId, JobId, WorkerId, log_event
+from .admission import Admission
 from .advice import AdvicePlanner
 from .crashes import CrashTracker
 from .decisions import Decision, StartRun
@@ -88,6 +89,7 @@
         self.advice = AdvicePlanner(self.state)
         self._dispatcher = Dispatcher(self.state, self._lifecycle, self.advice, policy)
         self.order = self._dispatcher.order
+        self.admission = Admission(self.state, self.order)
         self._progress = ProgressMonitor(self.state, self._lifecycle)
         self._sharing = SharingController(self.state)
         self.fleet = Fleet(
@@ -183,6 +185,7 @@
             customer_id=customer_id,
             excess=self.state.rates.take(customer_id, received_ms),
         )
+        self.admission.record_submission(job)
         record = JobAccepted(job_id, queue, received_ms, graph, customer_id, job.excess)
         job.accepted_record = self.state.record(record)
         return job.accepted_record
@@ -369,6 +372,7 @@
         self._progress.check(now_s)
         self._sharing.check(now_s)
         self.fleet.check(now_s)
+        self.admission.observe(now_s)
         for job_id, job in list(self.state.jobs_by_id.items()):
             if (
                 job.finished_s is not None
