Judge caps, keep the totals of waiting work cheap, and test the admission's answers

Totals are taken at most twice a second, less the work that may have been done since, and jobs accepted since are added. What is left of runs is judged by half of their declared times. Caps are judged once starts wait for them (caps_in_force, false as yet).

--- a/pistachiolift/workflows/admission.py
+++ b/pistachiolift/workflows/admission.py
@@ -1,6 +1,7 @@
 """Decides whether a new job is accepted, or refused because it cannot end in time."""
 
 from collections import OrderedDict
+from collections.abc import Iterator
 from enum import Enum
 from math import ceil
 from zlib import crc32
@@ -8,29 +9,27 @@
 import msgspec
 
 from ..common import CustomerId, JobId
-from .backlog import (
-    NOTHING,
-    RESOURCES,
-    Backlog,
-    add_work,
-    mean_duration_s,
-    task_work,
-)
+from .backlog import NOTHING, RESOURCES, SHORTEST_SHARE, Backlog
 from .fleet_capacity import FleetCapacity
-from .model import JobGraph, Queue, Size, StepKey
+from .model import JobGraph, Queue, StepKey
 from .order import WaitingOrder
 from .scheduler_state import SchedulerState
 from .state import JobEntry, StepEntry
-from .urgency import LATE_LIMIT_FACTOR, critical_path_s, objective_s
+from .urgency import LATE_LIMIT_FACTOR, objective_s
+from .wait_estimate import (
+    WaitEstimate,
+    amounts,
+    estimate_waits,
+    least_duration_s,
+)
 
 __all__ = ["Admission", "AdmissionDecision", "AdmissionReason"]
 
-# Declared times are wrong by up to a factor of two, so that work may take half of the
-# time that is declared for it.
-SHORTEST_SHARE = 0.5
-
-# Longest age of the totals of waiting and running work, in seconds.
-BACKLOG_AGE_S = 0.2
+# Longest age of the totals of waiting and running work, in seconds. Totalling 2,000
+# steps and the runs of 270 workers takes some milliseconds.
+BACKLOG_AGE_S = 0.5
+# Time between two counts of the workers.
+OBSERVE_INTERVAL_S = 0.5
 
 # Clients retry four times; with at most 4 s between, the retries fall into the time in
 # which most jobs are still worth something.
@@ -53,8 +52,12 @@
     TOO_LATE = "too_late"
     # A task or gang does not fit on all workers of its pool together.
     FITS_NOWHERE = "fits_nowhere"
+    # A task or gang is larger than its customer's cap.
+    ABOVE_CAP = "above_cap"
     # The work ahead of it fills its pool for too long.
     NO_CAPACITY = "no_capacity"
+    # The work ahead of it fills its customer's cap for too long.
+    CAP_FILLED = "cap_filled"
 
 
 class AdmissionDecision(msgspec.Struct, frozen=True, kw_only=True):
@@ -87,19 +90,6 @@
 NOT_JUDGED = AdmissionDecision(reason=AdmissionReason.NOT_JUDGED)
 
 
-class _Load(msgspec.Struct, frozen=True):
-    """How long the work ahead of a job occupies its pool, by the scarcest resource.
-
-    :param least_s: shortest time until there is room for the job.
-    :param expected_s: the same if all declared times are right.
-    """
-
-    least_s: float = 0.0
-    expected_s: float = 0.0
-    ahead_s: float = 0.0
-    running_s: float = 0.0
-
-
 class Admission:
     """Refuses new jobs that certainly cannot end in three times their objective.
 
@@ -111,12 +101,22 @@
 
     :param state: the owner's jobs and workers.
     :param order: order in which waiting steps are placed.
+    :param caps_in_force: whether starts wait for room under the customers' caps. If
+        they do not, no job is refused because of a cap.
     """
 
-    def __init__(self, state: SchedulerState, order: WaitingOrder):
+    def __init__(
+        self,
+        state: SchedulerState,
+        order: WaitingOrder,
+        *,
+        caps_in_force: bool = False,
+    ):
         self._state = state
         self._order = order
+        self._caps_in_force = caps_in_force
         self._capacity = FleetCapacity(state)
+        self._observed_s = float("-inf")
         self._backlog: Backlog | None = None
         # Monotonic and Unix time of the first request of refused jobs.
         self._first_received: OrderedDict[JobId, tuple[float, int]] = OrderedDict()
@@ -128,7 +128,8 @@
 
     def observe(self, now_s: float) -> None:
         """Take note of the workers; called regularly."""
-        if self.in_force:
+        if self.in_force and now_s - self._observed_s >= OBSERVE_INTERVAL_S:
+            self._observed_s = now_s
             self._capacity.observe(now_s)
 
     def record_submission(self, job: JobEntry) -> None:
@@ -180,62 +181,104 @@
         return decision
 
     def _judge(self, job: JobEntry, now_s: float, wall_ms: int) -> AdmissionDecision:
-        pool_id = job.queue.pool_id
         if not self._fits(job):
             return self._refuse(job, AdmissionReason.FITS_NOWHERE, RETRY_MOST_S)
-        backlog = self._backlog
-        if backlog is None or now_s - backlog.taken_s > BACKLOG_AGE_S:
-            backlog = self._backlog = Backlog(
-                self._state,
-                self._capacity,
-                lambda step: self._order.key(step, now_s, wall_ms),
-                now_s=now_s,
-            )
-        total = self._capacity.total(pool_id)
-        held = backlog.held_by_pool.get(pool_id, NOTHING)
-        free = (
-            total.cpu_milli - held[0],
-            total.memory_mb - held[1],
-            total.accelerators - held[2],
-        )
-        own = NOTHING
-        for step in job.graph.steps:
-            own = add_work(
-                own,
-                task_work(step.reserved, step.count, step.estimate_s, step.estimate_s),
-            )
-        whole = _amounts(total)
-        shortest_s = SHORTEST_SHARE * max(
-            critical_path_s(job), *(_time_s(own[i], whole[i]) for i in range(RESOURCES))
-        )
+        if self._is_above_cap(job):
+            return self._refuse(job, AdmissionReason.ABOVE_CAP, RETRY_MOST_S)
+        backlog = self._newest_backlog(now_s, wall_ms)
+        total = amounts(self._capacity.total(job.queue.pool_id))
+        shortest_s = SHORTEST_SHARE * least_duration_s(job, total)
         end_s = job.received_s + LATE_LIMIT_FACTOR * objective_s(job)
         most_wait_s = end_s - now_s - shortest_s
         key = self._key(job, now_s, wall_ms)
-        loads = [self._load(backlog, job, key, "", free, most_wait_s)]
-        label = job.graph.steps[0].required_label
-        if label:
-            labelled = self._capacity.total(pool_id, label)
-            loads.append(
-                self._load(backlog, job, key, label, _amounts(labelled), most_wait_s)
-            )
-        worst = max(loads, key=lambda load: load.least_s)
+        age_s = now_s - backlog.taken_s
+        waits = [
+            (each, AdmissionReason.NO_CAPACITY)
+            for each in self._pool_waits(job, backlog, key, most_wait_s, age_s)
+        ]
+        waits += [
+            (each, AdmissionReason.CAP_FILLED)
+            for each in self._cap_waits(job, backlog, key, age_s)
+        ]
+        worst, reason = max(
+            waits,
+            key=lambda item: item[0].least_s,
+            default=(WaitEstimate(), AdmissionReason.IN_TIME),
+        )
         figures = dict(
             excess=job.excess,
-            wait_s=max(load.expected_s for load in loads),
+            wait_s=max((each.expected_s for each, _ in waits), default=0.0),
             least_wait_s=worst.least_s,
             most_wait_s=most_wait_s,
             ahead_s=worst.ahead_s,
             running_s=worst.running_s,
-            capacity_milli=total.cpu_milli,
-            age_s=now_s - backlog.taken_s,
+            capacity_milli=total[0],
+            age_s=age_s,
         )
         if most_wait_s < 0:
             return self._refuse(job, AdmissionReason.TOO_LATE, RETRY_MOST_S, **figures)
         if worst.least_s > most_wait_s:
             shortage_s = (worst.least_s - most_wait_s) / SHORTEST_SHARE
-            return self._refuse(job, AdmissionReason.NO_CAPACITY, shortage_s, **figures)
+            return self._refuse(job, reason, shortage_s, **figures)
         return AdmissionDecision(reason=AdmissionReason.IN_TIME, **figures)
 
+    def _pool_waits(
+        self,
+        job: JobEntry,
+        backlog: Backlog,
+        key: tuple,
+        most_wait_s: float,
+        age_s: float,
+    ) -> Iterator[WaitEstimate]:
+        """Return how long the work ahead fills the pool, and the labelled workers."""
+        pool_id, first = job.queue.pool_id, job.graph.steps[0]
+        total = amounts(self._capacity.total(pool_id))
+        held = backlog.held_by_pool.get(pool_id, NOTHING)
+        capacity_by_label = {
+            "": tuple(total[index] - held[index] for index in range(RESOURCES))
+        }
+        label = first.required_label
+        if label:
+            capacity_by_label[label] = amounts(self._capacity.total(pool_id, label))
+
+        def limit_of(customer_id: CustomerId, index: int) -> float:
+            """Return what a customer's cap allows until the last useful start."""
+            return self._cap_of(customer_id)[index] * max(0.0, most_wait_s)
+
+        for each, capacity in capacity_by_label.items():
+            yield from estimate_waits(
+                list(backlog.ahead_of(job, key, label=each)),
+                amounts(first.reserved),
+                capacity,
+                limit_of=limit_of,
+                age_s=age_s,
+            )
+
+    def _cap_waits(
+        self, job: JobEntry, backlog: Backlog, key: tuple, age_s: float
+    ) -> Iterator[WaitEstimate]:
+        """Return how long the customer's own work ahead fills its cap."""
+        if not self._caps_in_force:
+            return
+        cap = self._cap_of(job.customer_id)
+        first = amounts(job.graph.steps[0].reserved)
+        needed = tuple(
+            amount if limit else 0 for amount, limit in zip(first, cap, strict=True)
+        )
+        parts = list(backlog.ahead_of(job, key, label=None, only_own=True))
+        yield from estimate_waits(parts, needed, cap, age_s=age_s)
+
+    def _newest_backlog(self, now_s: float, wall_ms: int) -> Backlog:
+        backlog = self._backlog
+        if backlog is None or now_s - backlog.taken_s > BACKLOG_AGE_S:
+            backlog = self._backlog = Backlog(
+                self._state,
+                self._capacity,
+                lambda step: self._order.key(step, now_s, wall_ms),
+                now_s=now_s,
+            )
+        return backlog
+
     def _fits(self, job: JobEntry) -> bool:
         """Whether each task and each gang fits on the workers if they are empty."""
         for step in job.graph.steps:
@@ -257,57 +300,22 @@
         entry = StepEntry(StepKey(job.job_id, 0, 0), step, job, set(range(step.count)))
         return self._order.key(entry, now_s, wall_ms)
 
-    def _load(
-        self,
-        backlog: Backlog,
-        job: JobEntry,
-        key: tuple,
-        label: str,
-        capacity: tuple[float, ...],
-        most_wait_s: float,
-    ) -> _Load:
-        """Return how long the work ahead fills the workers with a label.
-
-        A customer's work counts up to what its cap allows until the last useful start,
-        since the rest does not keep others from starting.
-        """
-        parts = list(backlog.ahead_of(job, key, label=label))
-        used = NOTHING
-        for _, waiting, running in parts:
-            used = add_work(add_work(used, waiting), running)
-        # When the job starts, tasks ahead of it still run, on average for half of
-        # their durations.
-        overlap_s = mean_duration_s(used) / 2
-        needed = job.graph.steps[0].reserved
-        worst = _Load()
-        for index, amount in enumerate(_amounts(needed)):
-            if not amount:
-                continue
-            least = 0.0
-            for customer_id, waiting, running in parts:
-                limit = self._cap_of(customer_id)[index] * max(0.0, most_wait_s)
-                counted = SHORTEST_SHARE * waiting[index]
-                least += min(counted, limit) if limit else counted
-                least += SHORTEST_SHARE * running[index]
-            waiting_work = sum(part[1][index] for part in parts)
-            running_work = sum(part[2][index] for part in parts)
-            if not waiting_work:
-                # Room may become free at any time.
-                continue
-            load = _Load(
-                _time_s(least, capacity[index]) - SHORTEST_SHARE * overlap_s,
-                _time_s(waiting_work + running_work, capacity[index]) - overlap_s,
-                _time_s(waiting_work, capacity[index]),
-                _time_s(running_work, capacity[index]),
-            )
-            if load.least_s > worst.least_s or load.expected_s > worst.expected_s:
-                worst = load
-        return worst
+    def _is_above_cap(self, job: JobEntry) -> bool:
+        """Whether a task or a gang of the job is larger than its customer's cap."""
+        if not self._caps_in_force:
+            return False
+        cap = self._cap_of(job.customer_id)
+        for step in job.graph.steps:
+            count = step.count if step.gang else 1
+            for amount, limit in zip(amounts(step.reserved), cap, strict=True):
+                if limit and count * amount > limit:
+                    return True
+        return False
 
     def _cap_of(self, customer_id: CustomerId) -> tuple[int, int, int]:
         """Return the cap of a customer; 0 for no limit."""
         customer = self._state.customers_by_id.get(customer_id)
-        return (0, 0, 0) if customer is None else _amounts(customer.cap)
+        return (0, 0, 0) if customer is None else amounts(customer.cap)
 
     def _refuse(
         self,
@@ -334,17 +342,6 @@
             first.popitem(last=False)
 
 
-def _amounts(size: Size) -> tuple[int, int, int]:
-    return size.cpu_milli, size.memory_mb, size.accelerators
-
-
-def _time_s(work: float, capacity: float) -> float:
-    """Return the time that work takes on a capacity; 0 for no work."""
-    if not work:
-        return 0.0
-    return work / capacity if capacity > 0 else float("inf")
-
-
 def _spread_s(job_id: JobId, shortage_s: float) -> int:
     """Return the seconds after which a job should be sent again.
 
--- a/pistachiolift/workflows/backlog.py
+++ b/pistachiolift/workflows/backlog.py
@@ -1,9 +1,11 @@
 """Declared work that waits or runs, by its place in the order."""
 
 from bisect import bisect_right
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
+from itertools import accumulate
 from operator import add, itemgetter
+from typing import NamedTuple
 
 from ..common import CustomerId
 from .fleet_capacity import FleetCapacity
@@ -15,7 +17,9 @@
     "Backlog",
     "NOTHING",
     "RESOURCES",
+    "SHORTEST_SHARE",
     "Work",
+    "WorkAhead",
     "add_work",
     "mean_duration_s",
     "task_work",
@@ -26,6 +30,11 @@
 # with the duration.
 Work = tuple[float, float, float, float, float]
 RESOURCES = 3
+
+# Declared times are wrong by up to a factor of two, so that work may take half of the
+# time that is declared for it.
+SHORTEST_SHARE = 0.5
+
 NOTHING: Work = (0.0, 0.0, 0.0, 0.0, 0.0)
 
 # Returns the sort key of a step.
@@ -61,8 +70,20 @@
     return work[4] / work[3] if work[3] else 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class _Class:
+class WorkAhead(NamedTuple):
+    """Work of a customer that precedes a job.
+
+    :param running_least: what is left of the running work, by resource, if the tasks
+        take the shortest time that is likely.
+    """
+
+    customer_id: CustomerId
+    waiting: Work
+    running: Work
+    running_least: tuple[float, ...]
+
+
+class _Class(NamedTuple):
     """Work that precedes the same jobs up to its place in the order."""
 
     pool_id: PoolId
@@ -72,19 +93,49 @@
     customer_id: CustomerId
 
 
+def _total(works: Iterable[Work]) -> Work:
+    return tuple(map(sum, zip(*works, strict=True))) or NOTHING
+
+
 @dataclass(slots=True)
 class _Entries:
     """The waiting steps of a class and its running work."""
 
     steps: list[tuple[StepEntry, Work]] = field(default_factory=list)
     waiting: Work = NOTHING
-    running: Work = NOTHING
+    running: list[float] = field(default_factory=lambda: list(NOTHING))
+    # What is left of it if the tasks take the shortest time that is likely.
+    running_least: list[float] = field(default_factory=lambda: [0.0] * RESOURCES)
     # The sort keys of the steps in ascending order, and the work up to each.
     keys: list[tuple] | None = None
     sums: list[Work] = field(default_factory=list)
     # Steps that have come since, with their keys.
     added: list[tuple[tuple, Work]] = field(default_factory=list)
 
+    def part(self, customer_id: CustomerId, waiting: Work) -> WorkAhead:
+        """Return the running work with a part of the waiting work."""
+        return WorkAhead(
+            customer_id, waiting, tuple(self.running), tuple(self.running_least)
+        )
+
+    def add_run(self, size: Size, age_s: float, declared_s: float) -> None:
+        """Add what is left of a run."""
+        # The sum of :func:`add_work`, without a new tuple for each run.
+        left_s = declared_s - age_s
+        weight = (size.cpu_milli + 1) * declared_s
+        total = self.running
+        total[0] += size.cpu_milli * left_s
+        total[1] += size.memory_mb * left_s
+        total[2] += size.accelerators * left_s
+        total[3] += weight
+        total[4] += weight * declared_s
+        left_s = SHORTEST_SHARE * declared_s - age_s
+        if left_s > 0:
+            least = self.running_least
+            least[0] += size.cpu_milli * left_s
+            least[1] += size.memory_mb * left_s
+            least[2] += size.accelerators * left_s
+
     def ahead_of(self, key: tuple, order_key: OrderKey) -> Work:
         """Return the waiting work that precedes a new step with a sort key.
 
@@ -94,10 +145,8 @@
             keyed = [(order_key(step), work) for step, work in self.steps]
             keyed.sort(key=itemgetter(0))
             self.keys = [each for each, _ in keyed]
-            total = NOTHING
-            for _, work in keyed:
-                total = add_work(total, work)
-                self.sums.append(total)
+            columns = zip(*(work for _, work in keyed), strict=True)
+            self.sums = list(zip(*map(accumulate, columns), strict=True))
         position = bisect_right(self.keys, key)
         ahead = self.sums[position - 1] if position else NOTHING
         for each, work in self.added:
@@ -137,15 +186,17 @@
             if work is not None:
                 entries = self._entries(step.job, step.step.required_label)
                 entries.steps.append((step, work))
-                entries.waiting = add_work(entries.waiting, work)
+        for entries in self._entries_by_class.values():
+            entries.waiting = _total(work for _, work in entries.steps)
         self._add_running(now_s)
 
     def _entries(self, job: JobEntry, label: str) -> _Entries:
         queue = job.queue
-        key = _Class(queue.pool_id, label, job.excess, queue.priority, job.customer_id)
+        # A plain tuple equals the named one and is made in less time.
+        key = (queue.pool_id, label, job.excess, queue.priority, job.customer_id)
         found = self._entries_by_class.get(key)
         if found is None:
-            found = self._entries_by_class[key] = _Entries()
+            found = self._entries_by_class[_Class(*key)] = _Entries()
         return found
 
     def add_job(self, job: JobEntry) -> None:
@@ -176,15 +227,16 @@
     def _fits_somewhere(self, entry: StepEntry) -> bool:
         step, pool_id = entry.step, entry.job.queue.pool_id
         needed = step.count if step.gang else 1
-        key = (pool_id, step.required_label, step.reserved, needed, step.max_per_worker)
+        size, label = step.size, step.required_label
+        limit = step.max_per_worker
+        key = (
+            *(pool_id, label, needed, limit, step.fills),
+            *(size.cpu_milli, size.memory_mb, size.accelerators),
+        )
         known = self._fits.get(key)
         if known is None:
             room = self._capacity.room_for(
-                pool_id,
-                step.required_label,
-                step.reserved,
-                most=needed,
-                per_worker=step.max_per_worker,
+                pool_id, label, step.reserved, most=needed, per_worker=limit
             )
             known = self._fits[key] = room >= needed
         return known
@@ -192,47 +244,47 @@
     def _add_running(self, now_s: float) -> None:
         jobs = self._state.jobs_by_id
         for worker in self._state.workers_by_id.values():
-            for (task, _), run in worker.runs.items():
+            for run in worker.runs.values():
+                task = run.task
                 job = jobs.get(task.job_id)
                 if job is None or not 0 <= task.step < len(job.graph.steps):
                     continue
                 step = job.graph.steps[task.step]
                 if step.long_running:
-                    pool_id = job.queue.pool_id
-                    held = self.held_by_pool.get(pool_id, NOTHING)
-                    self.held_by_pool[pool_id] = add_work(
-                        held, task_work(run.size, 1, 1.0, 0.0)
-                    )
+                    self._add_held(job.queue.pool_id, run.size)
                     continue
-                left_s = step.estimate_s - (now_s - run.placed_s)
-                if left_s > 0:
+                age_s = now_s - run.placed_s
+                if age_s < step.estimate_s:
                     entries = self._entries(job, step.required_label)
-                    entries.running = add_work(
-                        entries.running,
-                        task_work(run.size, 1, left_s, step.estimate_s),
-                    )
+                    entries.add_run(run.size, age_s, step.estimate_s)
+
+    def _add_held(self, pool_id: PoolId, size: Size) -> None:
+        held = self.held_by_pool.get(pool_id, NOTHING)
+        self.held_by_pool[pool_id] = add_work(held, task_work(size, 1, 1.0, 0.0))
 
     def ahead_of(
-        self, job: JobEntry, key: tuple, *, label: str, only_own: bool = False
-    ) -> Iterator[tuple[CustomerId, Work, Work]]:
-        """Return the work that precedes a job: the customer, what waits, what runs.
+        self, job: JobEntry, key: tuple, *, label: str | None, only_own: bool = False
+    ) -> Iterator[WorkAhead]:
+        """Return the work that precedes a job.
 
         Work of a lower priority does not precede a due job, whatever the order. All
         due work precedes an excess job, and so does excess work of its customer.
 
         :param key: sort key of the job's first step.
         :param label: label of the workers that the work needs; empty for work that can
-            use all.
+            use all, ``None`` for both.
         :param only_own: leave out the work of other customers.
         """
         for each, entries in self._entries_by_class.items():
-            if each.pool_id != job.queue.pool_id or each.label != label:
+            if each.pool_id != job.queue.pool_id:
+                continue
+            if label is not None and each.label != label:
                 continue
             own = each.customer_id == job.customer_id
             if only_own and not own:
                 continue
             if job.excess and not each.excess:
-                yield each.customer_id, entries.waiting, entries.running
+                yield entries.part(each.customer_id, entries.waiting)
                 continue
             if each.priority > job.queue.priority or each.excess != job.excess:
                 continue
@@ -241,4 +293,4 @@
             waiting = entries.waiting
             if waiting != NOTHING:
                 waiting = entries.ahead_of(key, self._order_key)
-            yield each.customer_id, waiting, entries.running
+            yield entries.part(each.customer_id, waiting)
