Move the quota table to common, over one base of resource amounts

The workflow scheduler needs the same accounting as the product's own cell, for its own size type. QuotaTable moves to common/quota_table.py; Resources and Size derive from ResourceAmounts, which has the arithmetic, so that there is one copy.

The tests of jobs, home, workflows and common pass.

--- a/pistachiolift/common/__init__.py
+++ b/pistachiolift/common/__init__.py
@@ -11,16 +11,23 @@
 from .lazy_exports import lazy_exports
 from .logs import configure_logging, log_event
 from .metrics import Metrics
+from .quota_table import QuotaDemand, QuotaTable, QuotaUse
 from .rendezvous import rendezvous_ranking, stable_hash
+from .resource_amounts import NO_LIMIT, ResourceAmounts
 from .urgency import Urgency
 from .wait_reason import WaitReason
 from .worker_health import WorkerHealth
 
 __all__ = [
+    "NO_LIMIT",
     "Clock",
     "ManualClock",
     "Message",
     "Metrics",
+    "QuotaDemand",
+    "QuotaTable",
+    "QuotaUse",
+    "ResourceAmounts",
     "SystemClock",
     "Urgency",
     "WaitReason",
--- a/pistachiolift/home/quota_manager.py
+++ b/pistachiolift/home/quota_manager.py
@@ -17,10 +17,11 @@
     Metrics,
     PartitionId,
     PistachioliftError,
+    QuotaUse,
     VersionConflictError,
     log_event,
 )
-from ..jobs import QuotaUse, Resources
+from ..jobs import Resources
 from .quota_shares import NO_RESOURCES, UNLIMITED, CustomerShare, QuotaRecord
 
 __all__ = ["JobQuotas", "QuotaManager", "QuotaUser"]
@@ -123,7 +124,7 @@
         for customer_id in {*uses, *self._share_by_customer}:
             self.apply_limit(customer_id)
             if customer_id in self._share_by_customer:
-                use = uses.get(customer_id, QuotaUse())
+                use = uses.get(customer_id, QuotaUse(NO_RESOURCES))
                 self._start(customer_id, self._adjust_share(customer_id, use))
 
     def _start(self, customer_id: CustomerId, work: Coroutine) -> None:
--- a/pistachiolift/home/quota_shares.py
+++ b/pistachiolift/home/quota_shares.py
@@ -15,8 +15,8 @@
 
 import msgspec
 
-from ..common import Epoch, PartitionId
-from ..jobs import QuotaDemand, Resources
+from ..common import NO_LIMIT, Epoch, PartitionId, QuotaDemand
+from ..jobs import Resources
 
 __all__ = [
     "NO_RESOURCES",
@@ -31,8 +31,6 @@
 # other faster, so a running job does not return and reacquire its share.
 RELEASE_AFTER_S = 5.0
 NO_RESOURCES = Resources()
-# Represents a component without a limit; sums of it stay exact.
-NO_LIMIT = 2**62
 UNLIMITED = Resources(NO_LIMIT, NO_LIMIT, NO_LIMIT)
 
 
--- a/pistachiolift/home/tests/test_quota_shares.py
+++ b/pistachiolift/home/tests/test_quota_shares.py
@@ -3,13 +3,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from pistachiolift.common import QuotaDemand
 from pistachiolift.home.quota_shares import (
     RELEASE_AFTER_S,
     CustomerShare,
     QuotaRecord,
     next_share,
 )
-from pistachiolift.jobs import QuotaDemand, Resources
+from pistachiolift.jobs import Resources
 
 QUOTA = Resources(6, 2**62, 2**62)
 PARTITIONS = 2
--- a/pistachiolift/jobs/__init__.py
+++ b/pistachiolift/jobs/__init__.py
@@ -46,7 +46,6 @@
     ServicePolicy,
 )
 from .preemption import PreemptionPlan, PreemptionPlanner
-from .quota import QuotaDemand, QuotaTable, QuotaUse
 from .scheduler import JobScheduler
 from .tasks import TaskRecord
 from .views import JobDetails, SchedulerStatus, TaskDetails
@@ -79,9 +78,6 @@
     "PolicyName",
     "PreemptionPlan",
     "PreemptionPlanner",
-    "QuotaDemand",
-    "QuotaTable",
-    "QuotaUse",
     "RenewLease",
     "ReportedState",
     "Resources",
--- a/pistachiolift/jobs/model.py
+++ b/pistachiolift/jobs/model.py
@@ -5,7 +5,15 @@
 
 import msgspec
 
-from ..common import CustomerId, InvalidInputError, JobId, RackId, TaskId, WorkerId
+from ..common import (
+    CustomerId,
+    InvalidInputError,
+    JobId,
+    RackId,
+    ResourceAmounts,
+    TaskId,
+    WorkerId,
+)
 from .constants import (
     MAX_ACCELERATORS,
     MAX_ATTEMPTS,
@@ -116,56 +124,9 @@
     GANG_RESTART = "gang_restart"
 
 
-class Resources(msgspec.Struct, frozen=True, array_like=True):
+class Resources(ResourceAmounts, frozen=True, array_like=True):
     """Processors in thousandths of a core, memory in megabytes, accelerators."""
 
-    cpu_milli: int = 0
-    memory_mb: int = 0
-    accelerators: int = 0
-
-    def fits_in(self, room: "Resources") -> bool:
-        """Whether no component exceeds that of ``room``."""
-        return (
-            self.cpu_milli <= room.cpu_milli
-            and self.memory_mb <= room.memory_mb
-            and self.accelerators <= room.accelerators
-        )
-
-    def plus(self, other: "Resources") -> "Resources":
-        """Return the component-wise sum."""
-        return Resources(
-            self.cpu_milli + other.cpu_milli,
-            self.memory_mb + other.memory_mb,
-            self.accelerators + other.accelerators,
-        )
-
-    def minus(self, other: "Resources") -> "Resources":
-        """Return the component-wise difference, which may be negative."""
-        return Resources(
-            self.cpu_milli - other.cpu_milli,
-            self.memory_mb - other.memory_mb,
-            self.accelerators - other.accelerators,
-        )
-
-    def times(self, count: int) -> "Resources":
-        """Return the size of ``count`` equal tasks."""
-        return Resources(
-            self.cpu_milli * count, self.memory_mb * count, self.accelerators * count
-        )
-
-    def count_in(self, room: "Resources") -> int:
-        """Return how many tasks of this size fit into ``room``."""
-        counts = [
-            have // need if have > 0 else 0
-            for need, have in (
-                (self.cpu_milli, room.cpu_milli),
-                (self.memory_mb, room.memory_mb),
-                (self.accelerators, room.accelerators),
-            )
-            if need
-        ]
-        return min(counts, default=0)
-
 
 class JobSpec(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Specification of a job as submitted by a customer.
--- a/pistachiolift/jobs/scheduler.py
+++ b/pistachiolift/jobs/scheduler.py
@@ -16,6 +16,8 @@
     NotFoundError,
     PartitionId,
     QueueFullError,
+    QuotaDemand,
+    QuotaUse,
     StoreUnavailableError,
     WorkerId,
 )
@@ -50,7 +52,6 @@
     validate_spec,
 )
 from .policies import PlacementPolicy, make_policies
-from .quota import QuotaDemand, QuotaUse
 from .records import JobRecord
 from .recovery import Recovery
 from .state import SchedulerState
@@ -309,7 +310,7 @@
         self._state.queue.wake_customer(customer_id, MAX_JOBS)
         return self.tick(now_s)
 
-    def quota_uses(self) -> dict[CustomerId, QuotaUse]:
+    def quota_uses(self) -> dict[CustomerId, QuotaUse[Resources]]:
         """Return the reserved and awaited resources of each customer with jobs."""
         uses = {
             customer_id: QuotaUse(used)
@@ -317,7 +318,7 @@
         }
         queued = [j for j in self._state.jobs_by_id.values() if j.queue_key is not None]
         for job in sorted(queued, key=lambda job: job.queue_key):
-            use = uses.setdefault(job.customer_id, QuotaUse())
+            use = uses.setdefault(job.customer_id, QuotaUse(Resources()))
             tasks, size = job.placeable, job.spec.resources
             unit, count = (size.times(tasks), 1) if job.is_gang else (size, tasks)
             if tasks:
--- a/pistachiolift/jobs/state.py
+++ b/pistachiolift/jobs/state.py
@@ -3,14 +3,21 @@
 import random
 from collections import Counter, OrderedDict
 
-from ..common import Epoch, JobId, Metrics, PartitionId, WorkerHealth, WorkerId
+from ..common import (
+    Epoch,
+    JobId,
+    Metrics,
+    PartitionId,
+    QuotaTable,
+    WorkerHealth,
+    WorkerId,
+)
 from .decisions import JobDecision
 from .index import WorkerIndex
 from .ledger import LedgerBuffer
 from .model import Resources, WorkerStatus
 from .preemption import PreemptionPlanner
 from .queue import JobQueue
-from .quota import QuotaTable
 from .records import JobRecord
 from .timers import Timers
 from .workers import WorkerState
@@ -47,7 +54,7 @@
         # Workers whose room has grown since it was last offered to blocked jobs.
         self.roomy_workers_by_id: dict[WorkerId, WorkerState] = {}
         self.queue = JobQueue()
-        self.quota = QuotaTable()
+        self.quota = QuotaTable(Resources())
         self.health = WorkerHealth()
         self.planner = PreemptionPlanner()
         self.ledger = LedgerBuffer(interval_s=ledger_interval_s, rng=rng)
--- a/pistachiolift/jobs/tests/test_health.py
+++ b/pistachiolift/jobs/tests/test_health.py
@@ -2,12 +2,11 @@
 
 import pytest
 
-from pistachiolift.common import InvalidInputError, WorkerHealth
+from pistachiolift.common import InvalidInputError, QuotaTable, WorkerHealth
 from pistachiolift.jobs import (
     EndReason,
     NoPlacementReason,
     PolicyName,
-    QuotaTable,
     ReportedState,
     Resources,
     validate_spec,
@@ -114,7 +113,7 @@
 class TestQuotaTable:
     def test_share_reduced_below_use(self):
         """Guards against a negative balance when a share shrinks."""
-        quota = QuotaTable()
+        quota = QuotaTable(Resources())
         quota.charge("c1", Resources(2000, 100, 1))
         quota.set_share("c1", Resources(2000, 500, 1))
         assert not quota.allows("c1", Resources(1, 1, 0))
--- a/pistachiolift/workflows/model.py
+++ b/pistachiolift/workflows/model.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from ..common import CustomerId, JobId, RackId, WorkerId
+from ..common import CustomerId, JobId, RackId, ResourceAmounts, WorkerId
 
 __all__ = [
     "AdvicePolicy",
@@ -82,25 +82,12 @@
     DRAINING = "draining"
 
 
-class Size(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
-    """An amount of a worker's resources.
-
-    :param cpu_milli: thousandths of a core.
-    :param memory_mb: megabytes.
-    :param accelerators: whole devices.
-    """
-
-    cpu_milli: int = 0
-    memory_mb: int = 0
-    accelerators: int = 0
+class Size(ResourceAmounts, frozen=True, kw_only=True, omit_defaults=True):
+    """An amount of a worker's resources."""
 
     def holds(self, other: "Size") -> bool:
         """Whether another amount fits into this one."""
-        return (
-            other.cpu_milli <= self.cpu_milli
-            and other.memory_mb <= self.memory_mb
-            and other.accelerators <= self.accelerators
-        )
+        return other.fits_in(self)
 
 
 class AdvicePolicy(msgspec.Struct, frozen=True, kw_only=True):
