--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -24,6 +24,7 @@
 )
 from .advice_service import AdviceService
 from .background import run_in_background
+from .cap_gauges import CapGauges
 from .decision_log import log_job_changed, log_start, log_stop
 from .interfaces import (
     COMMAND_TIMEOUT_S,
@@ -135,6 +136,7 @@
             last_contact_s=last_contact_s,
             on_changed=self._execute_and_reschedule,
         )
+        self._cap_gauges = CapGauges(metrics, prefix=f"partition.{keys.number}")
         self._drivers_by_id: dict[WorkerId, WorkerDriver] = {}
         self._poll_limiter = PollLimiter(lambda: len(self._drivers_by_id))
         self._table = QueueTable()
@@ -311,6 +313,7 @@
         self._metrics.gauge(f"{name}.jobs_known", len(state.jobs_by_id))
         self._metrics.gauge(f"{name}.steps_open", len(state.open_steps))
         self._metrics.gauge(f"{name}.workers_known", len(state.workers_by_id))
+        self._cap_gauges.update(state.caps)
 
     def _handle_durable(self, count: int) -> None:
         self._record_contact(self.ledger.last_contact_s)
--- a/pistachiolift/workflows/__init__.py
+++ b/pistachiolift/workflows/__init__.py
@@ -1,5 +1,6 @@
 """Scheduling decisions for jobs that are graphs of steps; performs no I/O."""
 
+from .caps import CustomerCaps
 from .decisions import AskAdvice, Decision, JobChanged, SetRunSpeed, StartRun, StopRun
 from .details import (
     JobDetails,
@@ -17,6 +18,7 @@
     PoolId,
     Queue,
     QueueId,
+    RunCharge,
     Size,
     Step,
     StepKey,
@@ -45,6 +47,7 @@
     "AdvicePolicy",
     "AskAdvice",
     "Customer",
+    "CustomerCaps",
     "Decision",
     "EndKind",
     "GraphScheduler",
@@ -62,6 +65,7 @@
     "QueueId",
     "ReportedEnd",
     "ReportedRun",
+    "RunCharge",
     "RunPlaced",
     "SetRunSpeed",
     "Size",
--- a/pistachiolift/workflows/dispatch.py
+++ b/pistachiolift/workflows/dispatch.py
@@ -2,6 +2,7 @@
 
 from ..common import WorkerId
 from .advice import AdvicePlanner
+from .cap_gate import CapGate
 from .decisions import StartRun
 from .lifecycle import Lifecycle
 from .model import PoolId, TaskRunStatus
@@ -35,6 +36,7 @@
         # Workers that get no ordinary runs in the next pass, so that the runs that
         # are started alone find a worker.
         self._kept_free: set[WorkerId] = set()
+        self._gate = CapGate(state)
 
     def run(self, now_s: float, wall_ms: float) -> None:
         """Place all waiting tasks that fit now.
@@ -43,6 +45,7 @@
         :param wall_ms: Unix time, in milliseconds.
         """
         self._open_due_steps(wall_ms)
+        self._gate.begin_pass(now_s)
         if not self._state.open_steps:
             return
         steps = sorted(
@@ -66,7 +69,8 @@
                 self._place_isolated_tasks(step, usable, blocked, now_s)
                 self._place_tasks(step, usable, blocked | kept_free, now_s)
             if step.waiting and step.job.queue.advice is not None:
-                waiting.append(step)
+                if self._gate.may_ask_adviser(step):
+                    waiting.append(step)
         self._advice.plan(waiting, usable_by_pool, now_s)
 
     def _open_due_steps(self, wall_ms: float) -> None:
@@ -87,6 +91,10 @@
         """Start a gang if it fits; otherwise return the workers to keep free for it."""
         if len(step.waiting) != step.step.count or step.is_held(0, now_s):
             return frozenset()
+        size = step.step.size.times(step.step.count)
+        if not self._gate.allows(step, size, usable_by_id, now_s):
+            # No worker is kept free for it, which would delay other customers.
+            return frozenset()
         health = self._state.health
         eligible = eligible_workers(step, usable_by_id, now_s)
         if step.is_isolated(0):
@@ -113,6 +121,10 @@
         blocked: frozenset[WorkerId],
         now_s: float,
     ) -> None:
+        if step.waiting <= step.isolated:
+            return
+        if not self._allows_task(step, usable_by_id, now_s):
+            return
         candidates = _workers_with_room(step, usable_by_id, blocked, now_s)
         if not candidates:
             return
@@ -120,6 +132,8 @@
         for index in sorted(step.waiting):
             if step.is_isolated(index):
                 continue
+            if not self._allows_task(step, usable_by_id, now_s):
+                return
             worker = choice.choose(index)
             if worker is None:
                 return
@@ -148,7 +162,7 @@
         for index in sorted(step.waiting & step.isolated):
             if step.is_held(index, now_s):
                 continue
-            if spare < 1:
+            if spare < 1 or not self._allows_task(step, usable_by_id, now_s):
                 return
             spare -= 1
             worker = choice.choose(index)
@@ -158,6 +172,11 @@
             number = step.next_number([index], self._state.fence * RUNS_PER_FENCE)
             self._start(step, index, number, worker, now_s)
 
+    def _allows_task(
+        self, step: StepEntry, usable_by_id: dict[WorkerId, WorkerEntry], now_s: float
+    ) -> bool:
+        return self._gate.allows(step, step.step.size, usable_by_id, now_s)
+
     def _keep_worker_free(self, candidates: list[WorkerEntry]) -> None:
         """Give one of the workers no ordinary runs in the next pass."""
         found = [entry for entry in candidates if entry.unproven and not entry.isolated]
@@ -181,11 +200,18 @@
             status=TaskRunStatus.STARTING,
             placed_s=now_s,
             alone=step.is_isolated(index),
+            charge=step.charge,
         )
         self._lifecycle.add_run(step, run, worker)
         self._state.health.record_placement(worker.worker_id)
         record = self._state.record(
-            RunPlaced(run.task, number, worker.worker_id, worker.worker.incarnation)
+            RunPlaced(
+                run.task,
+                number,
+                worker.worker_id,
+                worker.worker.incarnation,
+                run.charge,
+            )
         )
         self._state.emit(
             StartRun(
--- a/pistachiolift/workflows/fleet.py
+++ b/pistachiolift/workflows/fleet.py
@@ -1,10 +1,12 @@
 """State of the workers from the directory, their reachability and run reports."""
 
+from dataclasses import dataclass, field
+
 from ..common import WorkerId
 from .advice import AdvicePlanner
 from .crashes import CrashTracker
 from .lifecycle import Lifecycle
-from .model import EndKind, Worker
+from .model import EndKind, RunCharge, TaskKey, Worker
 from .records import WorkerInUse, WorkerReleased
 from .run_reports import ReportedEnd, ReportedRun, RunReportHandler
 from .scheduler_state import SchedulerState
@@ -21,6 +23,21 @@
 UNCERTAIN_START_TIMEOUT_S = 12.0
 
 
+@dataclass(slots=True)
+class UncertainStarts:
+    """What the replacement of a worker process may have started.
+
+    :param end_s: time at which the runs end if the replacement does not appear.
+    :param possible_charges_by_run: see :class:`WorkerEntry`.
+    """
+
+    end_s: float
+    runs: list[TaskRun]
+    possible_charges_by_run: dict[tuple[TaskKey, int], RunCharge] = field(
+        default_factory=dict
+    )
+
+
 class Fleet:
     """Tracks the workers and ends the runs of those that are lost.
 
@@ -48,10 +65,8 @@
         self._longest_lease_s = longest_lease_s
         self._report_handler = RunReportHandler(state, lifecycle, crashes)
         # Runs whose start may have reached the replacement of a worker process, maybe
-        # none, with the time at which they end if the replacement does not appear.
-        self._uncertain_starts_by_worker: dict[
-            WorkerId, tuple[float, list[TaskRun]]
-        ] = {}
+        # none.
+        self._uncertain_starts_by_worker: dict[WorkerId, UncertainStarts] = {}
 
     def update_worker(self, worker: Worker, *, now_s: float) -> None:
         """Apply a directory entry; a newer incarnation ends all runs of the old one.
@@ -71,7 +86,8 @@
                 self.remove_worker(worker.worker_id, now_s=now_s, replaced=True)
                 entry = None
         if entry is None:
-            entry = self._state.workers_by_id[worker.worker_id] = WorkerEntry(worker)
+            entry = WorkerEntry(worker, self._state.caps)
+            self._state.workers_by_id[worker.worker_id] = entry
             self._advice.discard_approvals(worker.worker_id)
             self._block_uncertain_starts(entry, now_s)
             return
@@ -82,12 +98,34 @@
         uncertain = self._uncertain_starts_by_worker.pop(entry.worker_id, None)
         if uncertain is None:
             return
-        for run in uncertain[1]:
+        for run in uncertain.runs:
             self._lifecycle.block_uncertain_start(run, entry)
+        for key, charge in uncertain.possible_charges_by_run.items():
+            entry.charge_possible_run(key, charge)
+        self._release_uncertain(uncertain)
         # Starts and polls carry the end of a lease on the clock of the old process,
         # which the new one, whose clock has begun again, cuts to the longest lease.
         entry.lease_end_s = now_s + self._longest_lease_s
 
+    def _take_uncertain(self, entry: WorkerEntry, now_s: float) -> None:
+        """Keep what the replacement of a process may have, which still counts."""
+        uncertain = UncertainStarts(
+            now_s + UNCERTAIN_START_TIMEOUT_S,
+            self._lifecycle.take_uncertain_starts(entry),
+            entry.release_possible_runs(),
+        )
+        for run in uncertain.runs:
+            self._state.charge_uncertain_run(run.key, run.charge)
+        for key, charge in uncertain.possible_charges_by_run.items():
+            self._state.charge_uncertain_run(key, charge)
+        self._uncertain_starts_by_worker[entry.worker_id] = uncertain
+
+    def _release_uncertain(self, uncertain: UncertainStarts) -> None:
+        for run in uncertain.runs:
+            self._state.release_uncertain_run(run.key)
+        for key in uncertain.possible_charges_by_run:
+            self._state.release_uncertain_run(key)
+
     def mark_unregistered(self, worker_id: WorkerId) -> None:
         """Record that a worker is no longer in the directory."""
         entry = self._state.workers_by_id.get(worker_id)
@@ -107,10 +145,7 @@
             return
         runs = list(entry.runs.values())
         if replaced:
-            self._uncertain_starts_by_worker[worker_id] = (
-                now_s + UNCERTAIN_START_TIMEOUT_S,
-                self._lifecycle.take_uncertain_starts(entry),
-            )
+            self._take_uncertain(entry, now_s)
         self._lifecycle.end_runs_of(entry, now_s=now_s)
         self._crashes.record_crash(entry.worker, runs, now_s, replaced=replaced)
         self._state.health.forget_worker(worker_id)
@@ -187,10 +222,11 @@
     def check(self, now_s: float) -> None:
         """End the runs of lost workers, and uncertain starts after their timeout."""
         self._crashes.check(now_s)
-        for worker_id, (end_s, runs) in list(self._uncertain_starts_by_worker.items()):
-            if now_s > end_s:
+        for worker_id, uncertain in list(self._uncertain_starts_by_worker.items()):
+            if now_s > uncertain.end_s:
                 del self._uncertain_starts_by_worker[worker_id]
-                for run in runs:
+                self._release_uncertain(uncertain)
+                for run in uncertain.runs:
                     self._lifecycle.end_without_result(
                         run, EndKind.LEASE_EXPIRED, now_s
                     )
@@ -208,7 +244,7 @@
             return
         if not entry.registered:
             self.remove_worker(worker_id, now_s=now_s)
-        elif entry.has_reported or entry.runs:
+        elif entry.has_reported or entry.runs or entry.possible_charges_by_run:
             # Later reports are handled like those of a new worker.
             entry.has_reported = False
             runs = list(entry.runs.values())
--- a/pistachiolift/workflows/lifecycle.py
+++ b/pistachiolift/workflows/lifecycle.py
@@ -327,6 +327,7 @@
                 runs=len(worker.runs),
                 lease_end_s=worker.lease_end_s,
             )
+        worker.release_possible_runs()
         for run in list(worker.runs.values()):
             worker.release(run)
             self.end_without_result(run, EndKind.LEASE_EXPIRED, now_s)
--- a/pistachiolift/workflows/model.py
+++ b/pistachiolift/workflows/model.py
@@ -17,6 +17,7 @@
     "PoolId",
     "Queue",
     "QueueId",
+    "RunCharge",
     "Size",
     "Step",
     "StepKey",
@@ -117,6 +118,16 @@
     cap: Size = Size()
 
 
+class RunCharge(msgspec.Struct, frozen=True, array_like=True):
+    """What a run counts against the cap of its customer.
+
+    :param size: resources of the task; a filling task counts with its processors.
+    """
+
+    customer_id: CustomerId
+    size: Size
+
+
 class Queue(msgspec.Struct, frozen=True, kw_only=True):
     """A kind of job with its scheduling policy.
 
--- a/pistachiolift/workflows/placement.py
+++ b/pistachiolift/workflows/placement.py
@@ -10,6 +10,7 @@
 __all__ = [
     "GangPlan",
     "WorkerChoice",
+    "could_place",
     "eligible_workers",
     "plan_gang",
     "room_for_step",
@@ -80,6 +81,15 @@
     return max(0, room)
 
 
+def could_place(step: StepEntry, workers: list[WorkerEntry]) -> bool:
+    """Whether a task, or a gang as a whole, fits on the workers once they are empty."""
+    workers = with_required_label(step, workers)
+    if step.step.gang:
+        return bool(_find_workers_to_hold(step, workers))
+    size = step.step.reserved
+    return any(entry.worker.capacity.holds(size) for entry in workers)
+
+
 class WorkerChoice:
     """Chooses the workers of a step's single tasks, one after the other.
 
--- a/pistachiolift/workflows/records.py
+++ b/pistachiolift/workflows/records.py
@@ -3,7 +3,15 @@
 import msgspec
 
 from ..common import CustomerId, JobId, WorkerId
-from .model import CrashCause, EndKind, JobGraph, JobStatus, Queue, TaskKey
+from .model import (
+    CrashCause,
+    EndKind,
+    JobGraph,
+    JobStatus,
+    Queue,
+    RunCharge,
+    TaskKey,
+)
 
 __all__ = [
     "JobAccepted",
@@ -69,12 +77,15 @@
 
     :param incarnation: start time of the worker's process; a process older than the
         one in the directory has ended.
+    :param charge: what the run counts against its customer's cap, also when its job is
+        no longer known; ``None`` without a customer.
     """
 
     task: TaskKey
     run: int
     worker_id: WorkerId
     incarnation: int
+    charge: RunCharge | None = None
 
 
 class RunCrashed(msgspec.Struct, frozen=True, tag="crash", array_like=True):
--- a/pistachiolift/workflows/replay.py
+++ b/pistachiolift/workflows/replay.py
@@ -60,6 +60,9 @@
         self._wall_ms = wall_ms
         self._in_use: dict[WorkerId, WorkerInUse] = {}
         self._placed: dict[TaskKey, RunPlaced] = {}
+        # All runs that count against a cap, also of jobs that have been forgotten.
+        self._charged: dict[tuple[TaskKey, int], RunPlaced] = {}
+        self._ended: set[tuple[TaskKey, int]] = set()
 
     def _monotonic_s(self, unix_ms: int) -> float:
         """Convert the Unix time of a past event to monotonic time."""
@@ -93,6 +96,10 @@
                 known = self._placed.get(record.task)
                 if known is None or known.run <= record.run:
                     self._placed[record.task] = record
+                if record.charge is not None:
+                    # Compaction repeats it behind a later end only if it is running.
+                    self._ended.discard((record.task, record.run))
+                    self._charged[record.task, record.run] = record
             case JobForgotten():
                 self._state.drop_job(record.job_id)
             case WorkerInUse():
@@ -133,6 +140,7 @@
         job.finished_s = self._monotonic_s(record.at_ms)
 
     def _apply_task_end(self, record: TaskFinished) -> None:
+        self._ended.add((record.task, record.run))
         step = self._state.step_of(record.task)
         if step is None:
             return
@@ -173,6 +181,22 @@
             self._add_worker(use, lease_end_s)
         for placed in self._placed.values():
             self._add_run(placed, replaced_lease_end_s)
+        for placed in self._charged.values():
+            self._charge_run(placed, replaced_lease_end_s)
+
+    def _charge_run(self, placed: RunPlaced, replaced_lease_end_s: float) -> None:
+        """Count a run that was not added, unless its process is known to have ended.
+
+        Its job may have finished, but its worker has not said that it has stopped.
+        """
+        worker = self._state.workers_by_id.get(placed.worker_id)
+        if worker is None or worker.worker.incarnation < placed.incarnation:
+            return
+        if (placed.task, placed.run) in self._ended:
+            return
+        if worker.worker.incarnation > placed.incarnation:
+            worker.lease_end_s = max(worker.lease_end_s, replaced_lease_end_s)
+        worker.charge_possible_run((placed.task, placed.run), placed.charge)
 
     def _add_worker(self, use: WorkerInUse, lease_end_s: float) -> None:
         entry = self._state.workers_by_id.get(use.worker_id)
@@ -190,7 +214,7 @@
                 state=WorkerState.DRAINING,
                 capacity=Size(),
             )
-            entry = WorkerEntry(gone, registered=False)
+            entry = WorkerEntry(gone, self._state.caps, registered=False)
             self._state.workers_by_id[use.worker_id] = entry
         entry.recorded = True
         entry.lease_end_s = lease_end_s
@@ -219,6 +243,7 @@
             # The first report request raises the fencing token at the worker, so that
             # it rejects a delayed start of the earlier owner.
             answered_s=0.0,
+            charge=step.charge,
         )
         if worker.worker.incarnation > placed.incarnation:
             # The older process has ended, but its replacement may have got the start.
@@ -250,6 +275,7 @@
     """
     jobs: dict[JobId, None] = {}
     workers: list[LedgerRecord] = []
+    charged: dict[tuple[TaskKey, int], RunPlaced] = {}
     for record in records:
         match record:
             case JobAccepted() | JobFinished():
@@ -265,6 +291,9 @@
             case RunPlaced():
                 # The JobAccepted record may be in a newer value of the log.
                 jobs[record.task.job_id] = None
+                key = record.task, record.run
+                if record.charge and state.is_charged(record.worker_id, key):
+                    charged[key] = record
     kept = workers
     for job_id in jobs:
         job = state.jobs_by_id.get(job_id)
@@ -285,7 +314,9 @@
             )
         else:
             kept += _snapshot(state, job)
-    return kept
+    # The snapshot of a job does not contain the runs that it needs no longer.
+    known = {(r.task, r.run) for r in kept if isinstance(r, RunPlaced)}
+    return kept + [record for key, record in charged.items() if key not in known]
 
 
 def _snapshot(state: SchedulerState, job: JobEntry) -> list[LedgerRecord]:
@@ -319,6 +350,7 @@
                 run.number,
                 run.worker_id,
                 state.workers_by_id[run.worker_id].worker.incarnation,
+                run.charge,
             )
             for run in step.runs_by_index.values()
             if run.worker_id in state.workers_by_id
--- a/pistachiolift/workflows/run_reports.py
+++ b/pistachiolift/workflows/run_reports.py
@@ -7,7 +7,7 @@
 from ..common import log_event
 from .crashes import CrashTracker
 from .lifecycle import Lifecycle
-from .model import EndKind, Size, TaskKey, TaskRunStatus
+from .model import EndKind, RunCharge, Size, TaskKey, TaskRunStatus
 from .scheduler_state import SchedulerState
 from .state import StepEntry, TaskRun, WorkerEntry
 
@@ -99,6 +99,7 @@
             self._crashes.handle_reported_run(reported.task, reported.number)
             self._apply_running(worker, reported, sent_s, now_s)
         if complete:
+            worker.release_possible_runs()
             self._end_missing(worker, present, sent_s, now_s)
 
     def _apply_running(
@@ -147,6 +148,7 @@
             placed_s=now_s,
             sent=True,
             answered_s=now_s,
+            charge=self._charge(worker, step, reported),
         )
         if step is None:
             worker.reserve(run)
@@ -177,6 +179,15 @@
         self._lifecycle.confirm_run(run, now_s)
         return run
 
+    @staticmethod
+    def _charge(
+        worker: WorkerEntry, step: StepEntry | None, reported: ReportedRun
+    ) -> RunCharge | None:
+        """Return what a found run counts; its job may be known no longer."""
+        if step is not None:
+            return step.charge
+        return worker.possible_charges_by_run.get((reported.task, reported.number))
+
     def _end_missing(
         self, worker: WorkerEntry, present: set, sent_s: float, now_s: float
     ) -> None:
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -139,6 +139,7 @@
     def set_customers(self, customers: Iterable[Customer]) -> None:
         """Replace the customers; jobs of a removed customer stay without its limits."""
         self.state.customers_by_id = {each.customer_id: each for each in customers}
+        self.state.caps.set_customers(self.state.customers_by_id.values())
 
     # Calls of clients.
 
@@ -237,7 +238,10 @@
                 return None
             order = msgspec.structs.replace(order, ticket=ticket)
         if not self._has_room_to_send(run, step):
-            self._withdraw_start(run)
+            self._withdraw_start(run, "capacity_shrunk")
+            return None
+        if self._exceeds_cap(run, step):
+            self._withdraw_start(run, "cap_lowered")
             return None
         run.sent = True
         return order
@@ -263,7 +267,19 @@
             if worker_id in workers
         )
 
-    def _withdraw_start(self, run: TaskRun) -> None:
+    def _exceeds_cap(self, run: TaskRun, step: StepEntry | None) -> bool:
+        """Whether the customer's cap has been lowered below its use meanwhile.
+
+        The rest of a gang is sent if the start of a member has been sent.
+        """
+        if run.charge is None or not self.state.caps.is_exceeded(
+            run.charge.customer_id
+        ):
+            return False
+        gang = step is not None and step.step.gang
+        return not (gang and any(r.sent for r in step.runs_by_index.values()))
+
+    def _withdraw_start(self, run: TaskRun, reason: str) -> None:
         """Place a run anew, and with it its gang, whose start is not sent."""
         worker = self.state.workers_by_id[run.worker_id]
         log_event(
@@ -274,9 +290,9 @@
             run=run.number,
             worker=run.worker_id,
             free_cpu_milli=worker.free_cpu_milli,
-            reason="capacity_shrunk",
+            reason=reason,
         )
-        self._lifecycle.stop(run, "capacity_shrunk")
+        self._lifecycle.stop(run, reason)
 
     def handle_start_answer(
         self,
--- a/pistachiolift/workflows/scheduler_state.py
+++ b/pistachiolift/workflows/scheduler_state.py
@@ -3,8 +3,18 @@
 from dataclasses import dataclass, field
 
 from ..common import CustomerId, JobId, WorkerHealth, WorkerId
+from .caps import CustomerCaps
 from .decisions import Decision, JobChanged
-from .model import Customer, JobStatus, PoolId, Queue, QueueId, StepKey, TaskKey
+from .model import (
+    Customer,
+    JobStatus,
+    PoolId,
+    Queue,
+    QueueId,
+    RunCharge,
+    StepKey,
+    TaskKey,
+)
 from .records import LedgerRecord
 from .state import JobEntry, StepEntry, TaskRun, WorkerEntry
 
@@ -20,6 +30,9 @@
     """State shared by the components of the scheduler.
 
     :param fence: this owner's fencing token; run numbers are derived from it.
+    :param caps: what the customers' runs reserve, and the limits.
+    :param uncertain_charges_by_run: charges of runs whose worker process was replaced
+        and that its replacement, not in the directory yet, may have started.
     :param open_steps: steps with tasks to place whose predecessors are complete.
     :param timed_steps: steps that wait for the due time of their occurrence.
     :param records: records to be committed, in order.
@@ -31,6 +44,10 @@
     fence: int = 0
     queues_by_id: dict[QueueId, Queue] = field(default_factory=dict)
     customers_by_id: dict[CustomerId, Customer] = field(default_factory=dict)
+    caps: CustomerCaps = field(default_factory=CustomerCaps)
+    uncertain_charges_by_run: dict[tuple[TaskKey, int], RunCharge] = field(
+        default_factory=dict
+    )
     jobs_by_id: dict[JobId, JobEntry] = field(default_factory=dict)
     workers_by_id: dict[WorkerId, WorkerEntry] = field(default_factory=dict)
     open_steps: dict[StepKey, StepEntry] = field(default_factory=dict)
@@ -101,6 +118,24 @@
             and accepts(worker_id, now_s)
         }
 
+    def charge_uncertain_run(self, key: tuple, charge: RunCharge | None) -> None:
+        """Count a run while it is not known whether the replacement has it."""
+        if charge is not None and key not in self.uncertain_charges_by_run:
+            self.uncertain_charges_by_run[key] = charge
+            self.caps.charge(charge)
+
+    def release_uncertain_run(self, key: tuple) -> None:
+        """Stop counting an uncertain run that is charged elsewhere or has ended."""
+        self.caps.release(self.uncertain_charges_by_run.pop(key, None))
+
+    def is_charged(self, worker_id: WorkerId, key: tuple) -> bool:
+        """Whether a run placed on a worker still counts against a cap."""
+        entry = self.workers_by_id.get(worker_id)
+        return key in self.uncertain_charges_by_run or (
+            entry is not None
+            and (key in entry.runs or key in entry.possible_charges_by_run)
+        )
+
     def run(self, worker_id: WorkerId, key: tuple) -> TaskRun | None:
         """Return a run at a worker, or ``None`` if the owner has no record of it."""
         entry = self.workers_by_id.get(worker_id)
--- a/pistachiolift/workflows/state.py
+++ b/pistachiolift/workflows/state.py
@@ -5,11 +5,13 @@
 from math import log
 
 from ..common import CustomerId, JobId, WorkerId
+from .caps import CustomerCaps
 from .model import (
     CrashCause,
     JobGraph,
     JobStatus,
     Queue,
+    RunCharge,
     Size,
     Step,
     StepKey,
@@ -88,6 +90,7 @@
     :param progressed_s: time at which ``percent`` last changed.
     :param survived: whether a report has shown it some time after its start.
     :param alone: whether its worker gets no other run until it has survived.
+    :param charge: what it counts against its customer's cap; ``None`` without one.
     """
 
     task: TaskKey
@@ -107,6 +110,7 @@
     speed_set_s: float = 0.0
     survived: bool = False
     alone: bool = False
+    charge: RunCharge | None = None
 
     @property
     def key(self) -> tuple[TaskKey, int]:
@@ -166,6 +170,12 @@
         """Whether all tasks have succeeded."""
         return len(self.finished) == self.step.count
 
+    @property
+    def charge(self) -> RunCharge | None:
+        """What one of the tasks counts against its customer's cap."""
+        customer_id = self.job.customer_id
+        return RunCharge(customer_id, self.step.size) if customer_id else None
+
     def failure_slot(self, index: int) -> int:
         """Return the index under which the failed runs of a task are stored."""
         return 0 if self.step.gang else index
@@ -267,6 +277,10 @@
 class WorkerEntry:
     """A worker and the runs placed on it.
 
+    The runs are charged to their customers here, where their resources are reserved and
+    freed, so that no way of adding or ending a run is missed.
+
+    :param caps: adds up the charges of all workers.
     :param has_reported: whether a complete run report was applied under this owner.
     :param reachable: whether the worker answered the last poll.
     :param registered: whether the worker is in the directory.
@@ -279,9 +293,12 @@
     :param lease_end_s: time after which no run can still be running on the worker.
     :param unproven: keys of the runs that have not survived their start yet.
     :param isolated: keys of those that were started alone.
+    :param possible_charges_by_run: charges of runs that earlier owners placed and that
+        may still be on the worker, although their tasks need them no longer.
     """
 
     worker: Worker
+    caps: CustomerCaps
     has_reported: bool = False
     reachable: bool = True
     registered: bool = True
@@ -299,6 +316,9 @@
     fill_percent: int | None = None
     unproven: set[tuple[TaskKey, int]] = field(default_factory=set)
     isolated: set[tuple[TaskKey, int]] = field(default_factory=set)
+    possible_charges_by_run: dict[tuple[TaskKey, int], RunCharge] = field(
+        default_factory=dict
+    )
 
     @property
     def worker_id(self) -> WorkerId:
@@ -370,6 +390,8 @@
         """Add a run and reserve its resources."""
         self.runs[run.key] = run
         self._add(run.size, 1)
+        self.caps.charge(run.charge)
+        self.caps.release(self.possible_charges_by_run.pop(run.key, None))
         if not run.survived:
             self.unproven.add(run.key)
             if run.alone:
@@ -391,8 +413,22 @@
         self.unproven.discard(run.key)
         self.isolated.discard(run.key)
         self._add(run.size, -1)
+        self.caps.release(run.charge)
         return True
 
+    def charge_possible_run(self, key: tuple[TaskKey, int], charge: RunCharge) -> None:
+        """Count a run that may still be on the worker, until it reports."""
+        if key not in self.runs and key not in self.possible_charges_by_run:
+            self.possible_charges_by_run[key] = charge
+            self.caps.charge(charge)
+
+    def release_possible_runs(self) -> dict[tuple[TaskKey, int], RunCharge]:
+        """Stop counting, and return, what may have been on the worker."""
+        charges, self.possible_charges_by_run = self.possible_charges_by_run, {}
+        for charge in charges.values():
+            self.caps.release(charge)
+        return charges
+
     def _add(self, size: Size, sign: int) -> None:
         self.used_cpu_milli += sign * size.cpu_milli
         self.used_memory_mb += sign * size.memory_mb
--- /dev/null
+++ b/pistachiolift/workflows/tests/test_caps.py
@@ -0,0 +1,555 @@
+"""Caps of customers; the cell checks each start against them (C7)."""
+
+import logging
+import random
+import time
+
+import pytest
+
+from pistachiolift.common import JobId, RackId, WorkerId
+from pistachiolift.workflows import (
+    GraphScheduler,
+    JobStatus,
+    PoolId,
+    ReportedEnd,
+    Size,
+    Worker,
+    WorkerState,
+)
+
+from .cap_check import make_customer
+from .virtual_cell import (
+    LEASE_LIMIT_S,
+    LEASE_S,
+    MESSAGE_S,
+    TICK_S,
+    VirtualCell,
+    make_graph,
+    make_queue,
+    make_step,
+)
+
+
+def submit_stream(cell, queue, customer, *, per_s, until_s, tasks=4, **changes):
+    """Submit jobs of random sizes at a steady rate."""
+    for number in range(int(per_s * until_s)):
+        step = make_step(
+            tasks,
+            cpu=cell.rng.choice([500, 1000, 2000, 3000]),
+            estimate_s=cell.rng.uniform(0.3, 1.5),
+            **changes,
+        )
+        cell.at(
+            number / per_s,
+            lambda n, s: cell.submit(
+                f"{customer}-{n}", queue, make_graph(s), customer_id=customer
+            ),
+            number,
+            step,
+        )
+
+
+def replace_owner(cell) -> None:
+    """Replace the owner; forget the jobs that it had not accepted yet."""
+    cell.replace_owner()
+    for job_id in list(cell.submitted_s):
+        if cell.status(job_id) is None and job_id not in cell.finished_s:
+            assert cell.submitted_s.pop(job_id) > cell.now_s - 2 * MESSAGE_S
+
+
+class TestHotCustomer:
+    """Guards against a customer that takes the workers beyond its cap (C7)."""
+
+    @pytest.mark.parametrize("seed", range(4))
+    def test_seven_times_its_rate(self, seed):
+        cell = VirtualCell(workers=12, seed=seed)
+        cell.set_customers(make_customer("hot", cpu=20_000), make_customer("calm"))
+        queue = make_queue(target_s=20.0)
+        submit_stream(cell, queue, "hot", per_s=21, until_s=10)
+        submit_stream(cell, queue, "calm", per_s=2, until_s=10)
+        cell.run(10)
+        # The cap is used to the full: only a part of one task is left.
+        assert cell.caps.peak_by_customer["hot"] > 17_000
+        calm = [j for j in cell.submitted_s if j.startswith("calm")]
+        assert max(cell.wait_s(j) for j in calm if j in cell.first_start_s) < 0.5
+        cell.run(120)
+        assert cell.finished_s.keys() == cell.submitted_s.keys()
+        assert not cell.scheduler.state.caps.used_by_customer()
+
+    def test_component_of_zero_is_not_limited(self):
+        cell = VirtualCell(workers=4)
+        cell.set_customers(make_customer(memory=250))
+        cell.submit("a", make_queue(), make_graph(make_step(9)), customer_id="c")
+        cell.run(0.5)
+        assert cell.caps.running("c") == Size(cpu_milli=2000, memory_mb=200)
+
+    def test_jobs_without_a_customer_and_customers_without_a_cap(self):
+        """A job of a public route has no cap, nor has an unknown customer."""
+        cell = VirtualCell(workers=4)
+        cell.set_customers(make_customer(cpu=1000), make_customer("free"))
+        for name in ("", "free", "removed"):
+            graph = make_graph(make_step(8))
+            cell.submit(f"j{name}", make_queue(), graph, customer_id=name)
+        cell.run(0.5)
+        started = {job_id: len(cell.runs_by_job[job_id]) for job_id in cell.submitted_s}
+        assert started == {"j": 8, "jfree": 8, "jremoved": 8}
+
+    def test_fills_count_with_their_processors(self):
+        cell = VirtualCell(workers=4)
+        cell.set_customers(make_customer(cpu=2500))
+        step = make_step(6, fills=True, estimate_s=5.0)
+        cell.submit("fill", make_queue(), make_graph(step), customer_id="c")
+        cell.run(1)
+        assert cell.caps.running("c").cpu_milli == 2000
+
+
+class TestOrderUnderTheCap:
+    """Guards against large tasks and gangs that small ones keep from starting (G2)."""
+
+    def test_gang_starts_although_small_tasks_keep_coming(self):
+        cell = VirtualCell(workers=12)
+        cell.set_customers(make_customer(cpu=20_000))
+        urgent = make_queue()
+        small = make_queue("small", priority=2)
+        for number in range(400):
+            graph = make_graph(make_step(2, estimate_s=1.0))
+            name = f"s{number}"
+            cell.at(
+                0.05 * number,
+                lambda n, g: cell.submit(n, small, g, customer_id="c"),
+                name,
+                graph,
+            )
+        cell.run(5)
+        gang = make_step(16, gang=True)
+        job = cell.submit("gang", urgent, make_graph(gang), customer_id="c")
+        cell.run(30)
+        assert cell.wait_s(job) < 3.0
+
+    def test_large_task_starts_although_small_tasks_keep_coming(self):
+        cell = VirtualCell(workers=12)
+        cell.set_customers(make_customer(cpu=10_000))
+        urgent = make_queue()
+        small = make_queue("small", priority=2)
+        for number in range(400):
+            graph = make_graph(make_step(2, estimate_s=1.0))
+            cell.at(
+                0.05 * number,
+                lambda n, g: cell.submit(n, small, g, customer_id="c"),
+                f"s{number}",
+                graph,
+            )
+        cell.run(5)
+        job = cell.submit(
+            "large", urgent, make_graph(make_step(cpu=7000)), customer_id="c"
+        )
+        cell.run(30)
+        assert cell.wait_s(job) < 3.0
+
+    @pytest.mark.parametrize("gang", [False, True])
+    def test_larger_than_the_cap_does_not_block_its_customer(self, gang):
+        cell = VirtualCell(workers=4)
+        cell.set_customers(make_customer(cpu=4000))
+        size = {"cpu": 1000, "count": 5, "gang": True} if gang else {"cpu": 5000}
+        big = make_graph(make_step(**size))
+        cell.submit("big", make_queue(), big, customer_id="c")
+        cell.run(1)
+        job = cell.submit(
+            "a", make_queue("later", priority=3), make_graph(), customer_id="c"
+        )
+        cell.run(1)
+        assert cell.wait_s(job) < 0.2
+        assert not cell.runs_by_job[JobId("big")]
+
+    def test_gang_that_waits_for_its_cap_keeps_no_worker_free(self):
+        """Other customers use the workers meanwhile."""
+        cell = VirtualCell(workers=2)
+        cell.set_customers(make_customer(cpu=8000))
+        service = make_graph(make_step(2, cpu=2000, long_running=True))
+        cell.submit("service", make_queue(), service, customer_id="c")
+        cell.run(1)
+        gang = make_graph(make_step(6, gang=True))
+        cell.submit("gang", make_queue(), gang, customer_id="c")
+        cell.run(1)
+        other = make_queue("other", priority=3)
+        job = cell.submit("other", other, make_graph(make_step(12)))
+        cell.run(1)
+        assert len(cell.runs_by_job[job]) == 12
+
+    def test_room_below_half_of_the_cap_is_used(self):
+        """Guards against a waiting gang that leaves the cap unused (C7)."""
+        cell = VirtualCell(workers=6)
+        cell.set_customers(make_customer(cpu=20_000))
+        service = make_graph(make_step(4, cpu=2000, long_running=True))
+        cell.submit("service", make_queue(), service, customer_id="c")
+        cell.run(1)
+        gang = make_graph(make_step(14, gang=True))
+        cell.submit("gang", make_queue(), gang, customer_id="c")
+        later = make_queue("later", priority=3)
+        jobs = [
+            cell.submit(f"s{n}", later, make_graph(make_step(2)), customer_id="c")
+            for n in range(3)
+        ]
+        cell.run(60)
+        assert max(cell.wait_s(job) for job in jobs[:1]) < 3.0
+        assert {cell.status(job) for job in jobs} == {JobStatus.COMPLETED}
+
+    def test_gang_above_half_of_the_cap_starts_in_bounded_time(self):
+        """Guards against small jobs that a waiting gang lets pass for ever (G2)."""
+        cell = VirtualCell(workers=6)
+        cell.set_customers(make_customer(cpu=20_000))
+        later = make_queue("later", priority=3)
+        for number in range(400):
+            step = make_step(estimate_s=cell.rng.uniform(3, 7))
+            cell.at(
+                0.15 * number,
+                lambda n, s: cell.submit(n, later, make_graph(s), customer_id="c"),
+                f"s{number}",
+                step,
+            )
+        cell.run(5)
+        gang = make_step(20, gang=True)
+        urgent = make_queue(target_s=100.0)
+        job = cell.submit("gang", urgent, make_graph(gang), customer_id="c")
+        cell.run(55)
+        # Two periods of the wait, and the run time of one task.
+        assert cell.wait_s(job) < 39.0
+
+
+class TestRunsThatStillCount:
+    """Guards against runs that are forgotten while they may still be running (C7)."""
+
+    def test_unreachable_workers(self):
+        cell = VirtualCell(workers=6)
+        cell.set_customers(make_customer(cpu=12_000))
+        job = cell.submit(
+            "a", make_queue(), make_graph(make_step(60, estimate_s=2)), customer_id="c"
+        )
+        cell.run(1)
+        used = {worker_id for _, worker_id, _ in cell.runs_by_job[job]}
+        for worker_id in used:
+            cell.workers_by_id[worker_id].cut = True
+        cell.run(LEASE_S - 0.5)
+        # Nothing new: each of these runs may still be running.
+        assert len(cell.runs_by_job[job]) == 12
+        cell.run(4)
+        assert len(cell.runs_by_job[job]) > 12
+        for worker_id in used:
+            cell.workers_by_id[worker_id].cut = False
+        cell.run(40)
+        assert cell.status(job) is JobStatus.COMPLETED
+
+    def test_starts_without_an_answer(self):
+        cell = VirtualCell(workers=6, seed=3)
+        cell.set_customers(make_customer(cpu=10_000))
+        for fake in cell.workers_by_id.values():
+            fake.late_share = 0.3
+        submit_stream(cell, make_queue(), "c", per_s=8, until_s=20)
+        cell.run(60)
+        assert cell.caps.starts_by_customer["c"] > 100
+
+    @pytest.mark.parametrize("crash_s", [0.3, 0.304, 0.31, 0.5])
+    def test_replaced_worker_may_have_the_start(self, crash_s):
+        cell = VirtualCell(workers=4)
+        cell.restart_s = 0.5
+        cell.set_customers(make_customer(cpu=6000))
+        submit_stream(cell, make_queue(), "c", per_s=10, until_s=10)
+        cell.at(crash_s, cell.crash_silently, cell.workers_by_id[WorkerId("w0")])
+        cell.run(30)
+        assert cell.caps.starts_by_customer["c"] > 100
+
+    def test_uncertain_starts_count_until_the_replacement_appears(self):
+        cell = VirtualCell(workers=1)
+        cell.set_customers(make_customer(cpu=4000))
+        cell.submit("a", make_queue(), make_graph(make_step(4)), customer_id="c")
+        cell.run(0.05)
+        scheduler = cell.scheduler
+        fake = cell.workers_by_id.pop(WorkerId("w0"))
+        fake.alive = False
+        scheduler.fleet.remove_worker(
+            fake.worker.worker_id, now_s=cell.now_s, replaced=True
+        )
+        assert scheduler.state.caps.used("c") == Size(cpu_milli=4000, memory_mb=400)
+        cell.run(5)
+        assert scheduler.state.caps.used("c") == Size(cpu_milli=4000, memory_mb=400)
+        cell.add_worker(0, incarnation=2)
+        cell.run(0.001)
+        cell.caps.check_totals()
+        cell.run(8)
+        assert cell.status(JobId("a")) is JobStatus.COMPLETED
+
+    def test_all_power_lost(self):
+        """All workers are cut off, and come back as new processes."""
+        cell = VirtualCell(workers=6, seed=5)
+        cell.set_customers(make_customer(cpu=16_000), make_customer("d", cpu=9000))
+        submit_stream(cell, make_queue(), "c", per_s=4, until_s=30)
+        submit_stream(cell, make_queue("b"), "d", per_s=3, until_s=30)
+        cell.run(5)
+        for fake in list(cell.workers_by_id.values()):
+            cell.crash_silently(fake)
+        cell.run(2)
+        replace_owner(cell)
+        cell.run(90)
+        cell.caps.check_totals()
+        assert cell.finished_s.keys() == cell.submitted_s.keys()
+
+
+class TestChangedCaps:
+    """Guards against a lowered cap that stops work, or that more is started under."""
+
+    def test_lowered_far_below_the_use(self):
+        cell = VirtualCell(workers=6)
+        cell.set_customers(make_customer(cpu=30_000))
+        graph = make_graph(make_step(200, estimate_s=2.0))
+        job = cell.submit("a", make_queue(), graph, customer_id="c")
+        cell.run(1)
+        assert cell.caps.running("c").cpu_milli == 30_000
+        cell.set_customers(make_customer(cpu=3000))
+        cell.run(0.9)
+        assert cell.caps.running("c").cpu_milli == 30_000
+        cell.run(2)
+        assert cell.caps.running("c").cpu_milli == 3000
+        cell.set_customers(make_customer(cpu=20_000))
+        cell.run(0.2)
+        assert cell.caps.running("c").cpu_milli == 20_000
+        cell.run(60)
+        assert cell.status(job) is JobStatus.COMPLETED
+
+    @pytest.mark.parametrize("gang", [False, True])
+    def test_lowered_while_starts_wait_for_the_store(self, gang):
+        """The placements were made under the old cap, but the tasks do not run yet."""
+        cell = VirtualCell(workers=6)
+        cell.set_customers(make_customer(cpu=30_000))
+        cell.store_up = False
+        graph = make_graph(make_step(20, gang=gang))
+        job = cell.submit("a", make_queue(), graph, customer_id="c")
+        cell.run(1)
+        cell.set_customers(make_customer(cpu=3000))
+        cell.run(1)
+        cell.store_up = True
+        cell.run(2)
+        assert cell.caps.peak_by_customer["c"] == (0 if gang else 3000)
+        cell.set_customers()
+        cell.run(10)
+        assert cell.status(job) is JobStatus.COMPLETED
+
+
+class TestTakeover:
+    """Guards against a new owner that does not count what the earlier one placed."""
+
+    @pytest.mark.parametrize("seed", range(6))
+    def test_starts_in_flight(self, seed):
+        cell = VirtualCell(workers=6, seed=seed)
+        cell.set_customers(make_customer(cpu=10_000))
+        submit_stream(cell, make_queue(), "c", per_s=6, until_s=20)
+        for number in range(8):
+            cell.run(cell.rng.uniform(0.2, 3.0))
+            if number % 3 == 2:
+                cell.compact()
+            replace_owner(cell)
+        cell.run(150)
+        assert cell.finished_s.keys() == cell.submitted_s.keys()
+
+    @pytest.mark.parametrize("compact", [False, True])
+    @pytest.mark.parametrize("forget", [False, True])
+    def test_cancelled_jobs_on_unreachable_workers(self, compact, forget):
+        """The runs go on, although the job may not even be known any more."""
+        cell = VirtualCell(workers=6)
+        cell.set_customers(make_customer(cpu=6000))
+        queue = make_queue()
+        old = cell.submit(
+            "old", queue, make_graph(make_step(6, estimate_s=60)), customer_id="c"
+        )
+        cell.run(1)
+        for _, worker_id, _ in cell.runs_by_job[old]:
+            cell.workers_by_id[worker_id].cut = True
+        cell.cancel(old)
+        cell.run(0.1)
+        if forget:
+            cell.scheduler.state.jobs_by_id[old].finished_s -= 1000
+            cell.run(0.2)
+            assert cell.status(old) is None
+        if compact:
+            cell.compact()
+        replace_owner(cell)
+        assert cell.scheduler.state.caps.used("c").cpu_milli == 6000
+        new = cell.submit("new", queue, make_graph(make_step(6)), customer_id="c")
+        cell.run(2)
+        assert not cell.runs_by_job[new]
+        cell.run(6)
+        assert cell.status(new) is JobStatus.COMPLETED
+        assert not cell.scheduler.state.caps.used_by_customer()
+
+    def test_run_of_a_forgotten_job_that_is_slow_to_stop(self):
+        """The worker reports it, but the new owner knows nothing of its job."""
+        cell = VirtualCell(workers=1)
+        cell.set_customers(make_customer(cpu=5000))
+        old = cell.submit(
+            "old",
+            make_queue(),
+            make_graph(make_step(4, estimate_s=60)),
+            customer_id="c",
+        )
+        cell.run(1)
+        cell.workers_by_id[WorkerId("w0")].late_share = 1.0
+        cell.cancel(old)
+        cell.scheduler.state.jobs_by_id[old].finished_s -= 1000
+        cell.run(0.2)
+        cell.compact()
+        replace_owner(cell)
+        cell.add_worker(1)
+        new = cell.submit(
+            "new", make_queue(), make_graph(make_step(4)), customer_id="c"
+        )
+        cell.run(2)
+        assert len(cell.runs_by_job[new]) <= 2
+        assert cell.caps.peak_by_customer["c"] == 5000
+        cell.workers_by_id[WorkerId("w0")].late_share = 0.0
+        cell.run(10)
+        assert cell.status(new) is JobStatus.COMPLETED
+
+    def test_finished_work_does_not_count(self):
+        """Guards against a cap that is held for tasks which the ledger says ended."""
+        cell = VirtualCell(workers=4)
+        cell.set_customers(make_customer(cpu=8000))
+        queue = make_queue()
+        for number in range(5):
+            cell.submit(f"j{number}", queue, make_graph(make_step(8)), customer_id="c")
+        cell.run(20)
+        for fake in cell.workers_by_id.values():
+            fake.cut = True
+        replace_owner(cell)
+        assert cell.scheduler.state.caps.used("c") == Size()
+
+    @pytest.mark.parametrize("seed", range(20))
+    def test_all_faults_together(self, seed):
+        cell = VirtualCell(workers=8, seed=seed)
+        cell.restart_s = 1.0
+        rng = random.Random(seed)
+        cell.set_customers(make_customer(cpu=16_000), make_customer("d", cpu=9000))
+        queues = [make_queue(max_failures=100), make_queue("b", max_failures=100)]
+        submit_stream(cell, queues[0], "c", per_s=4, until_s=30)
+        submit_stream(cell, queues[1], "d", per_s=2, until_s=30, gang=True)
+        for _ in range(40):
+            cell.run(rng.uniform(0.1, 1.5))
+            fakes = list(cell.workers_by_id.values())
+            fake = rng.choice(fakes)
+            action = rng.randrange(6)
+            if action == 0:
+                fake.cut = not fake.cut
+            elif action == 1:
+                fake.late_share = rng.choice([0.0, 0.5])
+            elif action == 2 and fake.alive:
+                cell.crash_silently(fake)
+            elif action == 3:
+                replace_owner(cell)
+            elif action == 4:
+                known = [j for j in cell.submitted_s if cell.status(j)]
+                cell.cancel(rng.choice(known))
+            else:
+                cell.set_customers(
+                    make_customer(cpu=rng.choice([4000, 16_000])),
+                    make_customer("d", cpu=rng.choice([9000, 20_000])),
+                )
+                if rng.random() < 0.5:
+                    cell.compact()
+        for fake in cell.workers_by_id.values():
+            fake.cut, fake.late_share = False, 0.0
+        cell.set_customers()
+        cell.run(120)
+        assert not cell.scheduler.state.caps.used_by_customer()
+
+
+class TestLog:
+    """Guards against one line for each pass while a customer waits (G6)."""
+
+    def test_beginning_and_end_of_a_wait(self, caplog):
+        caplog.set_level(logging.INFO)
+        cell = VirtualCell(workers=6)
+        cell.set_customers(make_customer(cpu=4000))
+        for number in range(30):
+            cell.submit(f"j{number}", make_queue(), make_graph(), customer_id="c")
+        cell.run(30)
+        events = [m for m in caplog.messages if "cap_" in m]
+        assert [m.split()[0] for m in events] == [
+            "event=cap_reached",
+            "event=cap_wait_ended",
+        ] or [m.split()[0] for m in events] == ["cap_reached", "cap_wait_ended"]
+
+
+class TestCostOfAPass:
+    """Guards against a pass that takes too long with many waiting steps (G4)."""
+
+    WORKERS = 270
+    STEPS = 2000
+    CUSTOMERS = 20
+
+    def _scheduler(self, customers) -> GraphScheduler:
+        scheduler = GraphScheduler(
+            fence=1, keep_final_s=60.0, longest_lease_s=LEASE_LIMIT_S
+        )
+        scheduler.set_customers(customers)
+        for index in range(self.WORKERS):
+            worker = Worker(
+                worker_id=WorkerId(f"w{index}"),
+                address="10.0.0.1:1",
+                pool_id=PoolId("pool"),
+                zone="z",
+                incarnation=1,
+                state=WorkerState.READY,
+                capacity=Size(cpu_milli=32_000, memory_mb=64_000),
+                rack=RackId(f"r{index % 20}"),
+            )
+            scheduler.fleet.update_worker(worker, now_s=1.0)
+            self._report(scheduler, worker, [], 1.0)
+        rng = random.Random(1)
+        for number in range(self.STEPS):
+            step = make_step(
+                rng.randint(1, 20),
+                cpu=rng.choice([1000, 7000, 18_000]),
+                gang=number % 10 == 0,
+            )
+            scheduler.submit(
+                JobId(f"j{number}"),
+                make_queue(),
+                make_graph(step),
+                received_s=1.0,
+                received_ms=1000,
+                customer_id=f"c{number % self.CUSTOMERS}",
+            )
+        scheduler.dispatch(now_s=2.0, wall_ms=2000)
+        scheduler.record_commit(len(scheduler.take_records()))
+        scheduler.take_decisions()
+        return scheduler
+
+    @staticmethod
+    def _report(scheduler, worker, ended: list[ReportedEnd], now_s):
+        scheduler.fleet.apply_report(
+            worker.worker_id,
+            [],
+            ended,
+            complete=True,
+            sent_s=now_s,
+            now_s=now_s,
+            wall_ms=int(now_s * 1000),
+        )
+        scheduler.record_commit(len(scheduler.take_records()))
+
+    @staticmethod
+    def _pass_ms(scheduler) -> float:
+        """Return the shortest of several passes, in milliseconds of processor time."""
+        times = []
+        for number in range(7):
+            begun_s = time.process_time()
+            scheduler.dispatch(now_s=3.0 + TICK_S * number, wall_ms=3000)
+            times.append((time.process_time() - begun_s) * 1000)
+        return min(times)
+
+    def test_customers_at_their_caps(self):
+        customers = [
+            make_customer(f"c{number}", cpu=400_000) for number in range(self.CUSTOMERS)
+        ]
+        scheduler = self._scheduler(customers)
+        assert len(scheduler.state.open_steps) > 0.8 * self.STEPS
+        # The whole pass, with the order of the steps.
+        assert self._pass_ms(scheduler) < 5.0
--- a/pistachiolift/workflows/tests/test_placement.py
+++ b/pistachiolift/workflows/tests/test_placement.py
@@ -5,6 +5,7 @@
 
 from pistachiolift.common import JobId, RackId, WorkerHealth, WorkerId
 from pistachiolift.workflows import JobGraph, PoolId, Size, Step, Worker, WorkerState
+from pistachiolift.workflows.caps import CustomerCaps
 from pistachiolift.workflows.model import StepKey, TaskKey, TaskRunStatus
 from pistachiolift.workflows.placement import WorkerChoice, room_for_step
 from pistachiolift.workflows.state import JobEntry, StepEntry, TaskRun, WorkerEntry
@@ -23,7 +24,7 @@
         capacity=Size(cpu_milli=cpu, memory_mb=1_000),
         rack=RackId(rack),
     )
-    return WorkerEntry(worker, has_reported=True)
+    return WorkerEntry(worker, CustomerCaps(), has_reported=True)
 
 
 def make_step_entry(spec, failed_on):
--- a/pistachiolift/workflows/tests/virtual_cell.py
+++ b/pistachiolift/workflows/tests/virtual_cell.py
@@ -2,7 +2,7 @@
 
 The cell checks the invariants at every start: no worker exceeds its capacity, a shrunk
 one once the owner must know of it; no task runs twice at the same time or after its
-success; and steps start in order.
+success; steps start in order; and no customer exceeds its cap.
 """
 
 import heapq
@@ -12,10 +12,11 @@
 
 import msgspec
 
-from pistachiolift.common import JobId, RackId, WorkerId
+from pistachiolift.common import CustomerId, JobId, RackId, WorkerId
 from pistachiolift.workflows import (
     SURVIVAL_S,
     AskAdvice,
+    Customer,
     EndKind,
     GraphScheduler,
     JobGraph,
@@ -35,6 +36,8 @@
 )
 from pistachiolift.workflows.dispatch import RUNS_PER_FENCE
 
+from .cap_check import CapCheck
+
 WALL_OFFSET_S = 1.7e9
 MESSAGE_S = 0.004
 STOP_S = 0.1
@@ -124,6 +127,7 @@
         self.rng = random.Random(seed)
         self.now_s = 100.0
         self._events: list = []
+        self.caps = CapCheck(self)
         self._order = itertools.count()
         self.scheduler = self._make_scheduler(1)
         self.scheduler.set_queues(queues)
@@ -204,12 +208,25 @@
         """Unix time, in milliseconds."""
         return int((self.now_s + WALL_OFFSET_S) * 1000)
 
-    def submit(self, job_id: str, queue: Queue, graph: JobGraph) -> JobId:
+    def set_customers(self, *customers: Customer) -> None:
+        """Apply a version of the configuration with other customers."""
+        self.caps.set_customers(customers)
+        self.scheduler.set_customers(customers)
+
+    def submit(
+        self, job_id: str, queue: Queue, graph: JobGraph, *, customer_id=""
+    ) -> JobId:
         """Submit a job now."""
         job_id = JobId(job_id)
         self.submitted_s.setdefault(job_id, self.now_s)
+        self.caps.add_job(job_id, graph, customer_id)
         self.scheduler.submit(
-            job_id, queue, graph, received_s=self.now_s, received_ms=self.wall_ms
+            job_id,
+            queue,
+            graph,
+            received_s=self.now_s,
+            received_ms=self.wall_ms,
+            customer_id=CustomerId(customer_id),
         )
         self._decide()
         return job_id
@@ -251,6 +268,7 @@
 
     def _decide(self) -> None:
         self.scheduler.dispatch(now_s=self.now_s, wall_ms=self.wall_ms)
+        self.caps.check_totals()
         records = self.scheduler.take_records()
         if records:
             self._unwritten.append(records)
@@ -356,6 +374,7 @@
         self._start_run(fake, order)
 
     def _check_start(self, fake: FakeWorker, order: StartRun, sent_s: float) -> None:
+        self.caps.check_start(order.task, sent_s - MESSAGE_S)
         job = self.scheduler.state.jobs_by_id[order.task.job_id]
         step = job.graph.steps[order.task.step]
         if job.queue.advice is not None:
@@ -533,7 +552,7 @@
         if fake.hangs:
             return 0
         task = key[0]
-        step = self.scheduler.state.jobs_by_id[task.job_id].graph.steps[task.step]
+        step = self.caps.graph(task.job_id).steps[task.step]
         age_s = self.now_s - fake.running[key]
         duration_s = max(0.01, self.duration_of(task, step) * fake.slowness)
         # A gang member that has done its part stays at 100 % until the others are done.
@@ -560,6 +579,9 @@
         self._after(self.restart_s, self._restart, fake)
 
     def _remove_entry(self, fake: FakeWorker) -> None:
+        if self.workers_by_id.get(fake.worker.worker_id) is not fake:
+            # Its replacement has overwritten the entry.
+            return
         self.scheduler.fleet.mark_unregistered(fake.worker.worker_id)
         del self.workers_by_id[fake.worker.worker_id]
 
@@ -586,6 +608,7 @@
         queues = list(self.scheduler.state.queues_by_id.values())
         self.scheduler = self._make_scheduler(self._fence)
         self.scheduler.set_queues(queues)
+        self.scheduler.set_customers(self.caps.customers)
         self._held.clear()
         self._unwritten.clear()
         for worker in directory:
@@ -600,6 +623,12 @@
             self._send_report(fake)
         self._decide()
 
+    def compact(self) -> None:
+        """Compact all durable records."""
+        self.committed = self.scheduler.compact(
+            self.committed, now_s=self.now_s, wall_ms=self.wall_ms
+        )
+
     # Results.
 
     def status(self, job_id: JobId) -> JobStatus | None:
