--- a/pistachiolift/workflows/model.py
+++ b/pistachiolift/workflows/model.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from ..common import CustomerId, JobId, RackId, WorkerId
+from ..common import CustomerId, JobId, RackId, ResourceAmounts, WorkerId
 
 __all__ = [
     "AdvicePolicy",
@@ -17,6 +17,7 @@
     "PoolId",
     "Queue",
     "QueueId",
+    "RunCharge",
     "Size",
     "Step",
     "StepKey",
@@ -82,25 +83,12 @@
     DRAINING = "draining"
 
 
-class Size(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
-    """An amount of a worker's resources.
-
-    :param cpu_milli: thousandths of a core.
-    :param memory_mb: megabytes.
-    :param accelerators: whole devices.
-    """
-
-    cpu_milli: int = 0
-    memory_mb: int = 0
-    accelerators: int = 0
+class Size(ResourceAmounts, frozen=True, kw_only=True, omit_defaults=True):
+    """An amount of a worker's resources."""
 
     def holds(self, other: "Size") -> bool:
         """Whether another amount fits into this one."""
-        return (
-            other.cpu_milli <= self.cpu_milli
-            and other.memory_mb <= self.memory_mb
-            and other.accelerators <= self.accelerators
-        )
+        return other.fits_in(self)
 
 
 class AdvicePolicy(msgspec.Struct, frozen=True, kw_only=True):
@@ -130,6 +118,16 @@
     cap: Size = Size()
 
 
+class RunCharge(msgspec.Struct, frozen=True, array_like=True):
+    """What a run counts against the cap of its customer.
+
+    :param size: resources of the task; a filling task counts with its processors.
+    """
+
+    customer_id: CustomerId
+    size: Size
+
+
 class Queue(msgspec.Struct, frozen=True, kw_only=True):
     """A kind of job with its scheduling policy.
 
