Exchange configurations between instances

Cause: each instance read the configuration from the store only, so that an instance the store rejects kept removed keys until the store answered it again.

Change: pings and pongs carry the version in force and the age of its confirmation. An instance that learns of a newer version fetches the stored bytes and applies them through ConfigurationWatch, upwards only, and reports the version to its peers at once. One that reaches the store waits 0.25 s for its own watch first, so that the owner does not send each version to all. A value that is too long for a frame is not exchanged.

--- /dev/null
+++ b/pistachiolift/node/configuration_exchange.py
@@ -0,0 +1,219 @@
+"""Exchange of configurations between instances, for those that the store rejects."""
+
+import logging
+from collections.abc import Callable, Iterable
+
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.task import LoopingCall, deferLater
+
+from ..common import Clock, Metrics, NoOwnerError, log_event
+from .background import run_in_background
+from .peer_link import PeerConnection
+from .peer_messages import (
+    FRAME_LIMIT_BYTES,
+    ConfigurationReply,
+    GetConfiguration,
+    PeerState,
+)
+from .store_watches import ConfigurationWatch
+
+__all__ = ["ConfigurationExchange"]
+
+logger = logging.getLogger(__name__)
+
+# Longest time for the answer to a fetch. Two fetches of this length and the pings
+# before them are possible within the 3 s that a configuration may take.
+FETCH_TIMEOUT_S = 0.5
+
+# Time for which an instance that reaches the store waits for its own watch before a
+# fetch. Without it, each new version would be sent to all instances by the owner.
+OWN_WATCH_DELAY_S = 0.25
+
+# Time for which the bytes of a version are not fetched from a peer again after they
+# could not be applied: fetches at each ping would repeat the transfer in vain.
+UNUSABLE_PAUSE_S = 5.0
+
+# Longest value that fits into a frame together with the rest of the message.
+VALUE_LIMIT_BYTES = FRAME_LIMIT_BYTES - 1024
+
+CHECK_INTERVAL_S = 0.5
+
+# A configuration must be in force 3 s after the store has acknowledged it. One that
+# was confirmed longer ago than that may have been replaced.
+UNCONFIRMED_S = 3.0
+
+
+class ConfigurationExchange:
+    """Fetches newer configurations from peers, and answers their fetches.
+
+    Each instance reports the version that it has with its pings and pongs. An instance
+    that learns of a newer version fetches the stored bytes and applies them as if it
+    had read them from the store. It then reports the version to all its peers at once.
+
+    :param watch: applies configurations.
+    :param connections: returns the open connections to other instances.
+    """
+
+    def __init__(
+        self,
+        reactor: IReactorTime,
+        *,
+        watch: ConfigurationWatch,
+        connections: Callable[[], Iterable[PeerConnection]],
+        clock: Clock,
+        metrics: Metrics,
+    ):
+        self._reactor = reactor
+        self._watch = watch
+        self._connections = connections
+        self._clock = clock
+        self._metrics = metrics
+        self._fetching: set[int] = set()
+        self._paused_until_s: dict[tuple[str, int], float] = {}
+        self._unconfirmed = False
+        self._checking = LoopingCall(self._check)
+        self._checking.clock = reactor
+
+    def start(self) -> None:
+        """Start to report the age of the configuration."""
+        self._checking.start(CHECK_INTERVAL_S, now=False)
+
+    def stop(self) -> None:
+        """Stop reporting the age."""
+        if self._checking.running:
+            self._checking.stop()
+
+    def announce(self) -> None:
+        """Report the version in force to all peers, without waiting for a ping."""
+        for connection in list(self._connections()):
+            connection.send_state()
+
+    def answer(self) -> ConfigurationReply:
+        """Answer a peer's fetch."""
+        watch = self._watch
+        if watch.table is None:
+            return ConfigurationReply()
+        value: bytes | None = watch.value
+        if len(value) > VALUE_LIMIT_BYTES:
+            log_event(
+                logger,
+                "configuration_too_long_to_exchange",
+                level=logging.WARNING,
+                config=watch.table.version,
+                value_bytes=len(value),
+                limit_bytes=VALUE_LIMIT_BYTES,
+            )
+            value = None
+        return ConfigurationReply(watch.table.version, value, self._watch.age_s)
+
+    def handle_state(self, connection: PeerConnection, state: PeerState) -> None:
+        """Compare a peer's version with the one in force, and fetch a newer one."""
+        offered = state.configuration_version
+        if offered is None:
+            return
+        if self._watch.table is not None and offered == self._watch.table.version:
+            now_s = self._clock.monotonic_s()
+            self._watch.record_confirmation(now_s - state.configuration_age_s)
+            return
+        if not self._is_wanted(connection, offered) or offered in self._fetching:
+            return
+        self._fetching.add(offered)
+        run_in_background(
+            self._fetch(connection, offered),
+            logger=logger,
+            event="configuration_fetch_failed",
+            config=offered,
+        ).addBoth(lambda _: self._fetching.discard(offered))
+
+    def _is_newer(self, version: int) -> bool:
+        return self._watch.table is None or version > self._watch.table.version
+
+    def _is_wanted(self, connection: PeerConnection, version: int) -> bool:
+        """Whether a version is newer, and its bytes from this peer may be usable."""
+        if connection.peer is None or not self._is_newer(version):
+            return False
+        until_s = self._paused_until_s.get((connection.peer.instance_id, version), 0.0)
+        return self._clock.monotonic_s() >= until_s
+
+    async def _fetch(self, connection: PeerConnection, version: int) -> None:
+        """Fetch a version from the peer that offers it, or else from other peers."""
+        if self._watch.connected:
+            await deferLater(self._reactor, OWN_WATCH_DELAY_S)
+        tried: list[PeerConnection] = []
+        while connection is not None and self._is_newer(version):
+            tried.append(connection)
+            await self._fetch_from(connection, version)
+            connection = next(
+                (
+                    each
+                    for each in self._connections()
+                    if each not in tried
+                    and each.peer_state is not None
+                    and each.peer_state.configuration_version == version
+                    and self._is_wanted(each, version)
+                ),
+                None,
+            )
+
+    async def _fetch_from(self, connection: PeerConnection, version: int) -> None:
+        peer = connection.peer.instance_id
+        sent_s = self._clock.monotonic_s()
+        try:
+            reply = await connection.call(GetConfiguration(), timeout_s=FETCH_TIMEOUT_S)
+        except NoOwnerError as error:
+            self._record_failure(peer, version, error.message)
+            return
+        if not isinstance(reply, ConfigurationReply):
+            # An instance that does not know the partition answers all calls so.
+            self._record_failure(peer, version, f"answer is a {type(reply).__name__}")
+            return
+        if reply.value is None:
+            self._record_failure(peer, version, "value is too long for a frame")
+        else:
+            self._metrics.count("configuration.fetched")
+            self._watch.apply(reply.value, source=peer, read_s=sent_s - reply.age_s)
+        if self._is_newer(version):
+            self._pause(peer, version)
+
+    def _record_failure(self, peer: str, version: int, reason: str) -> None:
+        self._metrics.count("configuration.fetch_failed")
+        log_event(
+            logger,
+            "configuration_not_fetched",
+            level=logging.WARNING,
+            config=version,
+            in_force=self._watch.table.version if self._watch.table else None,
+            peer=peer,
+            reason=reason,
+        )
+
+    def _pause(self, peer: str, version: int) -> None:
+        now_s = self._clock.monotonic_s()
+        self._paused_until_s = {
+            key: until_s
+            for key, until_s in self._paused_until_s.items()
+            if until_s > now_s
+        }
+        self._paused_until_s[peer, version] = now_s + UNUSABLE_PAUSE_S
+
+    def _check(self) -> None:
+        """Report the version and the age of its last confirmation."""
+        table = self._watch.table
+        if table is None:
+            return
+        age_s = self._watch.age_s
+        self._metrics.gauge("configuration.version", table.version)
+        self._metrics.gauge("configuration.confirmed_age_s", round(age_s, 3))
+        unconfirmed = age_s > UNCONFIRMED_S
+        if unconfirmed != self._unconfirmed:
+            self._unconfirmed = unconfirmed
+            log_event(
+                logger,
+                "configuration_unconfirmed" if unconfirmed else "configuration_current",
+                level=logging.WARNING if unconfirmed else logging.INFO,
+                config=table.version,
+                age_s=round(age_s, 3),
+                limit_s=UNCONFIRMED_S,
+                store_reached=self._watch.connected,
+                peers=sum(1 for _ in self._connections()),
+            )
--- a/pistachiolift/node/instance.py
+++ b/pistachiolift/node/instance.py
@@ -12,6 +12,7 @@
 
 from ..common import Clock, Metrics, log_event
 from ..listener import HttpLimits, Listener, StreamingSite
+from .configuration_exchange import ConfigurationExchange
 from .interfaces import AdviserClient, CoordinationStore, PlatformAdapter, QueueTable
 from .job_router import JobRouter
 from .member_registry import MemberRegistry
@@ -22,6 +23,7 @@
 from .partition_watch import PartitionWatch
 from .peer_link import PeerConnection, PeerServer
 from .peer_messages import (
+    GetConfiguration,
     Hello,
     JobAnswer,
     JobOutcome,
@@ -103,6 +105,13 @@
             clock=clock,
             metrics=metrics,
         )
+        self._exchange = ConfigurationExchange(
+            reactor,
+            watch=self._configuration,
+            connections=self._open_connections,
+            clock=clock,
+            metrics=metrics,
+        )
         self._partition_watch = PartitionWatch(
             reactor,
             store,
@@ -167,6 +176,7 @@
         )
         self._listener.start()
         self._configuration.start()
+        self._exchange.start()
         for partition in self._partitions:
             partition.start()
         self._partition_watch.start()
@@ -257,12 +267,18 @@
     def _apply_table(self, table: QueueTable) -> None:
         for partition in self._partitions:
             partition.apply_table(table)
+        self._exchange.announce()
 
     # Peers.
 
     def _accepted_connections(self) -> list[PeerConnection]:
         return [c for c in self._peers.connections if c.open and c.peer is not None]
 
+    def _open_connections(self) -> list[PeerConnection]:
+        """Return the connections with other instances, opened by either side."""
+        links = [partition.owner_connection for partition in self._partitions]
+        return self._accepted_connections() + [c for c in links if c is not None]
+
     def _accept_peer(self) -> PeerConnection:
         return self._make_connection(
             PartitionNumber(0),
@@ -289,21 +305,29 @@
             handler=self._answer_peer,
             metrics=self.metrics,
             state=self._peer_state,
+            on_state=self._exchange.handle_state,
             **callbacks,
         )
 
     def _peer_state(self) -> PeerState:
         store_age_s = min(each.ownership.store_age_s for each in self._partitions)
         age_s = self.clock.monotonic_s() - self._started_s
+        table = self.table
         return PeerState(
             round(store_age_s, 3),
             owned=len(self._owned_partitions()),
             age_s=round(age_s, 1),
+            configuration_version=None if table is None else table.version,
+            configuration_age_s=(
+                0.0 if table is None else round(self._configuration.age_s, 3)
+            ),
         )
 
     async def _answer_peer(
         self, connection: PeerConnection, message: Message
     ) -> Message | None:
+        if isinstance(message, GetConfiguration):
+            return self._exchange.answer()
         number = connection.partition
         if not 0 <= number < len(self._partitions):
             # This instance has not read the partition map yet.
--- a/pistachiolift/node/partition.py
+++ b/pistachiolift/node/partition.py
@@ -154,6 +154,11 @@
         """Whether the owner is here or connected."""
         return self.owned or self._link.connection is not None
 
+    @property
+    def owner_connection(self) -> PeerConnection | None:
+        """The open connection to the owner, ``None`` if there is none."""
+        return self._link.connection
+
     def current_owner(self) -> Owner | None:
         """Return the owner if it runs here and has recovered."""
         owner = self._owner
--- a/pistachiolift/node/peer_link.py
+++ b/pistachiolift/node/peer_link.py
@@ -59,6 +59,7 @@
     :param on_open: called when the peer has identified itself.
     :param on_close: called once when the connection is lost.
     :param state: returns the state that this instance reports with pings and pongs.
+    :param on_state: called with each state that the peer reports.
     """
 
     MAX_LENGTH = FRAME_LIMIT_BYTES
@@ -74,6 +75,9 @@
         outgoing: bool,
         on_open: Callable[["PeerConnection"], None] = lambda connection: None,
         on_close: Callable[["PeerConnection"], None] = lambda connection: None,
+        on_state: Callable[["PeerConnection", PeerState], None] = (
+            lambda connection, state: None
+        ),
     ):
         self._reactor = reactor
         self._hello = hello
@@ -83,6 +87,7 @@
         self._outgoing = outgoing
         self._on_open = on_open
         self._on_close = on_close
+        self._on_state = on_state
         self._calls: dict[int, Deferred] = {}
         self._next_call = 1
         self._last_contact_s = reactor.seconds()
@@ -184,14 +189,24 @@
             self.peer = message
             self._on_open(self)
         elif isinstance(message, Ping):
-            self.peer_state = message.state
             self._send(Frame(0, False, Pong(self._state())))
+            self._handle_state(message.state)
         elif isinstance(message, Pong):
-            self.peer_state = message.state
+            self._handle_state(message.state)
         else:
             answer = ensureDeferred(self._answer(frame.call, message))
             answer.addErrback(self._log_failed_call, message)
 
+    def send_state(self) -> None:
+        """Report this instance's state without waiting for the next ping."""
+        if self.open and self.peer is not None:
+            self._send(Frame(0, False, Pong(self._state())))
+
+    def _handle_state(self, state: PeerState) -> None:
+        self.peer_state = state
+        if self.peer is not None:
+            self._on_state(self, state)
+
     async def _answer(self, call: int, message: Message) -> None:
         answer = await self._handler(self, message)
         if answer is not None and self.open:
--- a/pistachiolift/node/peer_messages.py
+++ b/pistachiolift/node/peer_messages.py
@@ -23,11 +23,13 @@
     "Advise",
     "Announce",
     "CancelJob",
+    "ConfigurationReply",
     "CountWaiting",
     "DescribePartition",
     "ExplainJob",
     "FRAME_LIMIT_BYTES",
     "Frame",
+    "GetConfiguration",
     "GetStatus",
     "Hello",
     "JobAnswer",
@@ -80,11 +82,17 @@
     :param store_age_s: seconds since the store last answered it.
     :param owned: number of partitions that it owns.
     :param age_s: seconds since it was started.
+    :param configuration_version: version of the configuration that it has in force;
+        ``None`` before the first, and from an instance of an earlier version.
+    :param configuration_age_s: seconds since the store last confirmed, to it or to
+        another instance, that this is the newest version.
     """
 
     store_age_s: float
     owned: int = 0
     age_s: float = 0.0
+    configuration_version: int | None = None
+    configuration_age_s: float = 0.0
 
 
 class Ping(msgspec.Struct, frozen=True, tag="ping", array_like=True):
@@ -205,6 +213,28 @@
     authority_s: float = AUTHORITY_S
 
 
+class GetConfiguration(
+    msgspec.Struct, frozen=True, tag="get_configuration", array_like=True
+):
+    """Requests the configuration that an instance has in force."""
+
+
+class ConfigurationReply(
+    msgspec.Struct, frozen=True, tag="configuration", array_like=True
+):
+    """The configuration that an instance has in force.
+
+    :param version: its version, ``None`` if the instance has none.
+    :param value: the bytes that the store holds; ``None`` if they are too long for a
+        frame.
+    :param age_s: seconds since the store last confirmed that it is the newest.
+    """
+
+    version: int | None = None
+    value: bytes | None = None
+    age_s: float = 0.0
+
+
 class Advise(msgspec.Struct, frozen=True, tag="advise", array_like=True):
     """Asks an instance to call the placement adviser.
 
@@ -244,6 +274,8 @@
     | TakeOver
     | Advise
     | AdviceReply
+    | GetConfiguration
+    | ConfigurationReply
 )
 
 
--- a/pistachiolift/node/store_watches.py
+++ b/pistachiolift/node/store_watches.py
@@ -25,6 +25,9 @@
 
 RETRY_INTERVAL_S = 0.15
 
+# Source of the configurations that were read from the store.
+STORE = "store"
+
 # Longest wait of a watch call. A configuration must be in force within two seconds,
 # even if the watch's connection has gone silent.
 CONFIGURATION_WAIT_S = 0.8
@@ -150,6 +153,34 @@
         self._translation = translation
         self._on_table = on_table
         self.table: QueueTable | None = None
+        self.value = b""
+        # Whether the newest value in the store could be decoded.
+        self._readable = True
+        self._confirmed_s = float("-inf")
+        self._older_than: int | None = None
+
+    @property
+    def connected(self) -> bool:
+        """Whether the last call to the store was answered."""
+        return self.last_contact_s > float("-inf") and not self._lost
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the store confirmed that the configuration is the newest."""
+        return self._clock.monotonic_s() - self._confirmed_s
+
+    def record_confirmation(self, confirmed_s: float) -> None:
+        """Record that the configuration was the newest at a time.
+
+        :param confirmed_s: monotonic time at which the store was asked, by this
+            instance or by another one.
+        """
+        self._confirmed_s = max(self._confirmed_s, confirmed_s)
+
+    def _record_contact(self, sent_s: float) -> None:
+        super()._record_contact(sent_s)
+        if self._readable and self.table is not None:
+            self.record_confirmation(sent_s)
 
     def apply_snapshot(self, entries_by_key: dict[str, Entry]) -> None:
         """Apply all entries under the prefix."""
@@ -162,24 +193,56 @@
             self._apply_entry(event.entry)
 
     def _apply_entry(self, entry: Entry) -> None:
-        if entry.key != self._translation.configuration_key:
-            return
+        if entry.key == self._translation.configuration_key:
+            self._readable = self.apply(
+                entry.value, source=STORE, read_s=self._clock.monotonic_s()
+            )
+
+    def apply(self, value: bytes, *, source: str, read_s: float) -> bool:
+        """Apply a stored value if its version is newer than the one in force.
+
+        :param source: the store, or the instance that sent the value.
+        :param read_s: monotonic time at which the store confirmed the value.
+        :returns: whether the value could be decoded.
+        """
         try:
-            table = self._translation.queue_table(entry.value)
+            table = self._translation.queue_table(value)
         except MalformedMessageError as error:
             self._metrics.count("configuration.malformed")
-            log_event(logger, "configuration_malformed", reason=error.message)
-            return
+            log_event(
+                logger,
+                "configuration_malformed",
+                source=source,
+                value_bytes=len(value),
+                reason=error.message,
+            )
+            return False
         if self.table is not None and table.version <= self.table.version:
-            return
-        self.table = table
+            if table.version < self.table.version != self._older_than:
+                # Logged once for each version in force: a store that has lost its
+                # newest value returns the older one with every listing.
+                self._older_than = self.table.version
+                log_event(
+                    logger,
+                    "configuration_older",
+                    config=table.version,
+                    in_force=self.table.version,
+                    source=source,
+                )
+            return True
+        self.table, self.value = table, value
+        self._confirmed_s = read_s
         log_event(
             logger,
             "configuration_in_force",
             config=table.version,
             queues=len(table.queues),
+            customers=len(table.customers),
+            source=source,
+            age_s=round(self.age_s, 3),
         )
         self._on_table(table)
+        return True
 
 
 class DirectoryWatch(PrefixWatch):
