Record changed policies of queues in the ledger

Cause: the ledger held a queue's policy only as of a job's acceptance.

Change: an owner writes a QueueChanged record for each queue with unfinished jobs whose policy changes, at most one per queue and configuration, also when it takes over with another policy than the recorded one. A new owner uses the recorded policy if its version is newer or the queue is gone. Two policies of one version cannot be ordered; then the higher limit decides at the takeover.

--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -325,7 +325,7 @@
         if table.version < self._table.version:
             return
         self._table = table
-        self.scheduler.set_queues(table.queues)
+        self.scheduler.set_queues(table.queues, version=table.version)
         self.scheduler.set_customers(table.customers)
         self._schedule_pass()
 
--- a/pistachiolift/workflows/lifecycle.py
+++ b/pistachiolift/workflows/lifecycle.py
@@ -229,14 +229,20 @@
             job.finished_s = now_s
             self._state.set_status(job, JobStatus.COMPLETED, "all_tasks_done")
 
-    def give_up_if_failed(self, step: StepEntry, slot: int, now_s: float) -> None:
+    def give_up_if_failed(
+        self, step: StepEntry, slot: int, now_s: float, *, limit: int | None = None
+    ) -> None:
         """Fail a job if one of its tasks or gangs has failed too often.
 
         :param slot: index under which the failed runs are stored.
+        :param limit: number of failed runs with which the job is given up; by default
+            that of its queue.
         """
         job = step.job
         failed_runs = step.failed_runs_by_index.get(slot, ())
-        if step.step.long_running or len(failed_runs) < job.queue.max_failures:
+        if limit is None:
+            limit = job.queue.max_failures
+        if step.step.long_running or len(failed_runs) < limit:
             return
         if job.status.final or slot in step.finished:
             return
@@ -247,7 +253,7 @@
             task=step.key.task(slot).position,
             reason="too_many_failures",
             failed_runs=",".join(str(run) for run in sorted(failed_runs)),
-            limit=job.queue.max_failures,
+            limit=limit,
             queue=job.queue.queue_id,
         )
         self.fail_job(job, "too_many_failures", now_s)
--- a/pistachiolift/workflows/records.py
+++ b/pistachiolift/workflows/records.py
@@ -11,6 +11,7 @@
     "JobForgotten",
     "JobFinished",
     "LedgerRecord",
+    "QueueChanged",
     "RunCrashed",
     "RunPlaced",
     "TaskFinished",
@@ -124,6 +125,18 @@
     incarnation: int
 
 
+class QueueChanged(msgspec.Struct, frozen=True, tag="queue", array_like=True):
+    """A queue with unfinished jobs that has got another policy.
+
+    A later owner may have read an older configuration, or one without the queue.
+
+    :param version: version of the configuration with the policy.
+    """
+
+    queue: Queue
+    version: int
+
+
 LedgerRecord = (
     JobAccepted
     | JobCancelled
@@ -134,6 +147,7 @@
     | JobForgotten
     | WorkerInUse
     | WorkerReleased
+    | QueueChanged
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/pistachiolift/workflows/replay.py
+++ b/pistachiolift/workflows/replay.py
@@ -11,6 +11,7 @@
     JobGraph,
     JobStatus,
     PoolId,
+    QueueId,
     Size,
     TaskKey,
     TaskRunStatus,
@@ -23,6 +24,7 @@
     JobFinished,
     JobForgotten,
     LedgerRecord,
+    QueueChanged,
     RunCrashed,
     RunPlaced,
     TaskFinished,
@@ -60,6 +62,9 @@
         self._wall_ms = wall_ms
         self._in_use: dict[WorkerId, WorkerInUse] = {}
         self._placed: dict[TaskKey, RunPlaced] = {}
+        self._policies_by_queue: dict[QueueId, QueueChanged] = {}
+        # Queues with jobs that were accepted under another policy.
+        self._changed: set[QueueId] = set()
 
     def _monotonic_s(self, unix_ms: int) -> float:
         """Convert the Unix time of a past event to monotonic time."""
@@ -95,6 +100,12 @@
                     self._placed[record.task] = record
             case JobForgotten():
                 self._state.drop_job(record.job_id)
+            case QueueChanged():
+                # Compaction may move the record of an older version behind a newer one.
+                queue_id = record.queue.queue_id
+                known = self._policies_by_queue.get(queue_id)
+                if known is None or known.version <= record.version:
+                    self._policies_by_queue[queue_id] = record
             case WorkerInUse():
                 # Compaction may move the record of an older process behind a newer one.
                 known = self._in_use.get(record.worker_id)
@@ -109,6 +120,8 @@
         if record.job_id in self._state.jobs_by_id:
             return
         queue = self._state.queues_by_id.get(record.queue.queue_id, record.queue)
+        if queue != record.queue:
+            self._changed.add(queue.queue_id)
         self._lifecycle.add_job(
             record.job_id,
             record.graph,
@@ -149,6 +162,33 @@
             self._monotonic_s(record.at_ms),
         )
 
+    def apply_policies(self) -> None:
+        """Apply the recorded policies that this owner does not know, after all records.
+
+        These are the policies of removed queues, and those of a newer configuration
+        than the one that this owner has read.
+        """
+        state = self._state
+        for queue_id, record in self._policies_by_queue.items():
+            if queue_id not in state.queues_by_id or (
+                record.version > state.queues_version
+            ):
+                state.queues_by_id[queue_id] = record.queue
+        for job in state.jobs_by_id.values():
+            if not job.status.final:
+                queue_id = job.queue.queue_id
+                job.queue = state.queues_by_id.get(queue_id, job.queue)
+
+    def record_policies(self) -> None:
+        """Record the policies of this owner that differ from the recorded ones."""
+        state = self._state
+        candidates = self._changed | set(self._policies_by_queue)
+        for queue_id in sorted(candidates & state.used_queues()):
+            queue = state.queues_by_id[queue_id]
+            known = self._policies_by_queue.get(queue_id)
+            if known is None or known.queue != queue:
+                state.record(QueueChanged(queue, state.queues_version))
+
     def give_up_failed_jobs(self) -> None:
         """Finish the jobs that have failed too often, after all records.
 
@@ -156,12 +196,27 @@
         under an earlier one.
         """
         for job in self._state.jobs_by_id.values():
+            limit = self._failure_limit(job)
             for step in job.steps():
                 for slot in step.failed_runs_by_index:
-                    self._lifecycle.give_up_if_failed(step, slot, self._now_s)
+                    self._lifecycle.give_up_if_failed(
+                        step, slot, self._now_s, limit=limit
+                    )
                 for index in list(step.crashed_runs_by_index):
                     self._crashes.give_up_if_crashed(step, index, self._now_s)
 
+    def _failure_limit(self, job: JobEntry) -> int:
+        """Return the number of failed runs with which a job is given up now.
+
+        Two policies of the same version have no order. The higher limit decides then,
+        because a verdict is final.
+        """
+        limit = job.queue.max_failures
+        known = self._policies_by_queue.get(job.queue.queue_id)
+        if known is not None and known.version == self._state.queues_version:
+            limit = max(limit, known.queue.max_failures)
+        return limit
+
     def add_runs(self, lease_end_s: float, replaced_lease_end_s: float) -> None:
         """Add the runs that may still be on their workers.
 
@@ -250,6 +305,7 @@
     """
     jobs: dict[JobId, None] = {}
     workers: list[LedgerRecord] = []
+    policies: dict[QueueId, LedgerRecord] = {}
     for record in records:
         match record:
             case JobAccepted() | JobFinished():
@@ -265,7 +321,12 @@
             case RunPlaced():
                 # The JobAccepted record may be in a newer value of the log.
                 jobs[record.task.job_id] = None
-    kept = workers
+            case QueueChanged():
+                queue_id = record.queue.queue_id
+                if state.queues_by_id.get(queue_id) == record.queue:
+                    policies[queue_id] = record
+    used = state.used_queues() if policies else ()
+    kept = workers + [policies[queue_id] for queue_id in policies if queue_id in used]
     for job_id in jobs:
         job = state.jobs_by_id.get(job_id)
         if job is None:
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -29,6 +29,7 @@
     JobCancelled,
     JobForgotten,
     LedgerRecord,
+    QueueChanged,
 )
 from .replay import Replay, compact_records
 from .scheduler_state import SchedulerState
@@ -114,9 +115,11 @@
         )
         for record in records:
             replay.apply(record)
+        replay.apply_policies()
         for job in self.state.jobs_by_id.values():
             job.last_record = job.accepted_record = 0
-        # Verdicts and crashes that are counted now are not durable yet.
+        # Policies, verdicts and crashes that are recorded now are not durable yet.
+        replay.record_policies()
         replay.give_up_failed_jobs()
         replay.add_runs(lease_end_s, lease_end_s + self._longest_lease_s)
         self.state.decisions.clear()
@@ -129,10 +132,18 @@
 
     # Configuration.
 
-    def set_queues(self, queues: Iterable[Queue]) -> None:
-        """Update the queues; jobs of a removed queue keep its last policy."""
+    def set_queues(self, queues: Iterable[Queue], *, version: int = 0) -> None:
+        """Update the queues; jobs of a removed queue keep its last policy.
+
+        :param version: version of the configuration.
+        """
+        self.state.queues_version = version
+        used = self.state.used_queues()
         for queue in queues:
+            known = self.state.queues_by_id.get(queue.queue_id)
             self.state.queues_by_id[queue.queue_id] = queue
+            if queue.queue_id in used and known not in (None, queue):
+                self.state.record(QueueChanged(queue, version))
         for job in self.state.jobs_by_id.values():
             job.queue = self.state.queues_by_id.get(job.queue.queue_id, job.queue)
 
--- a/pistachiolift/workflows/scheduler_state.py
+++ b/pistachiolift/workflows/scheduler_state.py
@@ -20,6 +20,7 @@
     """State shared by the components of the scheduler.
 
     :param fence: this owner's fencing token; run numbers are derived from it.
+    :param queues_version: version of the configuration with the queues.
     :param open_steps: steps with tasks to place whose predecessors are complete.
     :param timed_steps: steps that wait for the due time of their occurrence.
     :param records: records to be committed, in order.
@@ -30,6 +31,7 @@
 
     fence: int = 0
     queues_by_id: dict[QueueId, Queue] = field(default_factory=dict)
+    queues_version: int = 0
     customers_by_id: dict[CustomerId, Customer] = field(default_factory=dict)
     jobs_by_id: dict[JobId, JobEntry] = field(default_factory=dict)
     workers_by_id: dict[WorkerId, WorkerEntry] = field(default_factory=dict)
@@ -63,6 +65,14 @@
         job.status = status
         self.emit(JobChanged(job_id=job.job_id, status=status, reason=reason))
 
+    def used_queues(self) -> set[QueueId]:
+        """Return the queues that have unfinished jobs."""
+        return {
+            job.queue.queue_id
+            for job in self.jobs_by_id.values()
+            if not job.status.final
+        }
+
     def step(self, key: StepKey) -> StepEntry | None:
         """Return a step, or ``None`` if the job or the step is unknown."""
         job = self.jobs_by_id.get(key.job_id)
