--- a/pistachiolift/workflows/tests/test_changed_policies.py
+++ b/pistachiolift/workflows/tests/test_changed_policies.py
@@ -25,7 +25,7 @@
         self.replace_owner()
 
     def _make_scheduler(self, fence):
-        scheduler = CountingCell._make_scheduler(fence)
+        scheduler = super()._make_scheduler(fence)
         scheduler.state.queues_version = self.version
         set_queues = scheduler.set_queues
 
