Share the choice of victims of a preemption in common

Cause: the scheduler of jobs that are graphs is to preempt as well, and the choice of the victims on a worker was a method of the planner of the product's own cell. Change: choose_victims in common, used by PreemptionPlanner.

--- a/pistachiolift/common/__init__.py
+++ b/pistachiolift/common/__init__.py
@@ -13,6 +13,7 @@
 from .metrics import Metrics
 from .rendezvous import rendezvous_ranking, stable_hash
 from .urgency import Urgency
+from .victims import choose_victims
 from .wait_reason import WaitReason
 from .worker_health import WorkerHealth
 
@@ -25,6 +26,7 @@
     "Urgency",
     "WaitReason",
     "WorkerHealth",
+    "choose_victims",
     "configure_logging",
     "decode_json",
     "encode_json",
--- a/pistachiolift/jobs/preemption.py
+++ b/pistachiolift/jobs/preemption.py
@@ -1,11 +1,11 @@
 """Choice of the tasks to preempt for more urgent ones."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 from sortedcontainers import SortedDict
 
-from ..common import WorkerId
+from ..common import WorkerId, choose_victims
 from .model import Resources, TaskState
 from .tasks import TaskRecord
 from .workers import WorkerState
@@ -101,21 +101,19 @@
             and task.priority < priority
             and task.state is TaskState.RUNNING
         ]
-        running.sort(key=lambda task: (self.lost_cpu_s(task, now_s), task.task_id))
-        room, victims = worker.free, []
-        for task in running:
-            if need.fits_in(room):
-                break
-            victims.append(task)
-            room = room.plus(task.resources)
-        if not need.fits_in(room):
+        running.sort(key=lambda task: task.task_id)
+
+        def fits(stopped: Sequence[TaskRecord]) -> bool:
+            room = worker.free
+            for task in stopped:
+                room = room.plus(task.resources)
+            return need.fits_in(room)
+
+        victims = choose_victims(
+            running, fits=fits, lost=lambda task: self.lost_cpu_s(task, now_s)
+        )
+        if victims is None:
             return None
-        # Victims added later may make earlier ones unnecessary.
-        for task in sorted(victims, key=lambda task: -self.lost_cpu_s(task, now_s)):
-            smaller = room.minus(task.resources)
-            if need.fits_in(smaller):
-                room = smaller
-                victims.remove(task)
         lost = sum(self.lost_cpu_s(task, now_s) for task in victims)
         return PreemptionPlan(worker.worker_id, tuple(victims), lost)
 
