--- a/pistachiolift/common/__init__.py
+++ b/pistachiolift/common/__init__.py
@@ -15,6 +15,7 @@
 from .rendezvous import rendezvous_ranking, stable_hash
 from .resource_amounts import NO_LIMIT, ResourceAmounts
 from .urgency import Urgency
+from .victims import choose_victims
 from .wait_reason import WaitReason
 from .worker_health import WorkerHealth
 
@@ -32,6 +33,7 @@
     "Urgency",
     "WaitReason",
     "WorkerHealth",
+    "choose_victims",
     "configure_logging",
     "decode_json",
     "encode_json",
--- a/pistachiolift/workflows/scheduler_state.py
+++ b/pistachiolift/workflows/scheduler_state.py
@@ -31,6 +31,7 @@
     """State shared by the components of the scheduler.
 
     :param fence: this owner's fencing token; run numbers are derived from it.
+    :param queues_version: version of the configuration with the queues.
     :param rates: division of the customers' jobs into due work and excess.
     :param caps: what the customers' runs reserve, and the limits.
     :param uncertain_charges_by_run: charges of runs whose worker process was replaced
@@ -45,6 +46,7 @@
 
     fence: int = 0
     queues_by_id: dict[QueueId, Queue] = field(default_factory=dict)
+    queues_version: int = 0
     customers_by_id: dict[CustomerId, Customer] = field(default_factory=dict)
     rates: CustomerRates = field(default_factory=CustomerRates)
     caps: CustomerCaps = field(default_factory=CustomerCaps)
@@ -83,6 +85,14 @@
         job.status = status
         self.emit(JobChanged(job_id=job.job_id, status=status, reason=reason))
 
+    def used_queues(self) -> set[QueueId]:
+        """Return the queues that have unfinished jobs."""
+        return {
+            job.queue.queue_id
+            for job in self.jobs_by_id.values()
+            if not job.status.final
+        }
+
     def step(self, key: StepKey) -> StepEntry | None:
         """Return a step, or ``None`` if the job or the step is unknown."""
         job = self.jobs_by_id.get(key.job_id)
