Stop runs on leaving workers before these kill them, so that they go on elsewhere

A worker that leaves with 2 s notice kills its runs without reporting their ends, so that the owner waited for their lease, about 5 s, before it started the tasks again, and checkpoints of the last second were lost.

RemainingMs of the worker's report is decoded, and an entry that turns to draining causes a report at once. The new EvacuationPlanner stops the runs that will not end in time: those with checkpoints 0.8 s before the end, others at once if they fit elsewhere and lose their work in any case, tasks of long-running steps up to may_miss at a time, gangs as a whole. The end is forecast from the reported progress. Decisions are counted in SchedulerState.counts, which the owner passes to the metrics.

--- a/pistachiolift/node/interfaces.py
+++ b/pistachiolift/node/interfaces.py
@@ -199,6 +199,8 @@
     :param clock_ms: reading of the worker's monotonic clock, in milliseconds.
     :param last_end: sequence number of the newest reported end; 0 for none.
     :param complete: whether the report contains all ends that were not acknowledged.
+    :param remaining_s: time until the worker kills its runs and leaves, in seconds;
+        ``None`` if it stays.
     """
 
     clock_ms: int
@@ -206,6 +208,7 @@
     ended: list[ReportedEnd]
     last_end: int
     complete: bool
+    remaining_s: float | None = None
 
 
 class WorkerConnection(ABC):
--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -21,6 +21,7 @@
     StopRun,
     TaskKey,
     Worker,
+    WorkerState,
 )
 from .advice_service import AdviceService
 from .background import run_in_background
@@ -306,6 +307,8 @@
         self._close_unused_drivers()
         self._restore_workers()
         self._run_pass()
+        for counter, count in self.scheduler.take_counts().items():
+            self._metrics.count(f"scheduler.{counter}", count)
         state = self.scheduler.state
         name = f"partition.{self._keys.number}"
         self._metrics.gauge(f"{name}.jobs_known", len(state.jobs_by_id))
@@ -364,6 +367,9 @@
                 and known.worker.incarnation == worker.incarnation
                 and known.worker.address == worker.address
             ):
+                drains = worker.state is WorkerState.DRAINING
+                if drains and known.worker.state is not WorkerState.DRAINING:
+                    known.request_report()
                 known.worker = worker
                 return
             known.close()
@@ -432,6 +438,7 @@
             sent_s=sent_s,
             now_s=now_s,
             wall_ms=wall_ms,
+            remaining_s=report.remaining_s,
         )
         if not taken:
             return succeed(False)
--- a/pistachiolift/node/tests/test_owner.py
+++ b/pistachiolift/node/tests/test_owner.py
@@ -1,5 +1,6 @@
 """Recovery of an owner, and workers that return after they counted as dead."""
 
+import dataclasses
 from dataclasses import dataclass, field
 
 import msgspec
@@ -27,7 +28,7 @@
 from pistachiolift.node.owner import Owner
 from pistachiolift.node.partition_map import PartitionKeys, PartitionNumber
 from pistachiolift.node.worker_driver import LeaseTerms
-from pistachiolift.workflows import encode_batch
+from pistachiolift.workflows import WorkerState, encode_batch
 from pistachiolift.workflows.records import WorkerInUse
 from pistachiolift.workflows.tests.virtual_cell import make_graph, make_queue, make_step
 
@@ -193,6 +194,24 @@
         harness.owner.close()
 
 
+class TestLeavingWorkers:
+    def test_the_remaining_time_is_asked_for_once_when_the_entry_changes(self):
+        """Guards against a notice of 2 s that is read after a wait of up to 2 s."""
+        leaving = dataclasses.replace(report(), remaining_s=1.5)
+        harness = Harness([[report(), Deferred(), leaving]])
+        ensureDeferred(harness.owner.recover())
+        harness.advance(0.1)
+        driver = harness.owner._drivers_by_id[WORKER.worker_id]
+        assert len(driver._connection.polls) == 2
+        draining = msgspec.structs.replace(WORKER, state=WorkerState.DRAINING)
+        for _ in range(3):
+            harness.owner.update_worker(draining)
+        assert [poll["wait_s"] for poll in driver._connection.polls[2:]] == [0.0]
+        entry = harness.owner.scheduler.state.workers_by_id[WORKER.worker_id]
+        assert entry.leaves_s == harness.clock.monotonic_s() + 1.5
+        harness.owner.close()
+
+
 class TestWorkersThatRefuseConnections:
     def _harness(self):
         """Return an owner whose task runs on a worker that then refuses connections."""
--- a/pistachiolift/node/tests/test_worker_driver.py
+++ b/pistachiolift/node/tests/test_worker_driver.py
@@ -306,6 +306,16 @@
         assert (last["wait_s"], last["last_end"]) == (0.0, 0)
 
 
+class TestRequestedReports:
+    def test_a_report_is_requested_beside_the_waiting_poll(self):
+        """Guards against a notice to leave that is read when the wait is over."""
+        harness = Harness(poll_outcomes=[report()])
+        harness.driver.run()
+        assert [poll["wait_s"] for poll in harness.connection.polls] == [0.0, 0.8]
+        harness.driver.request_report()
+        assert [poll["wait_s"] for poll in harness.connection.polls[2:]] == [0.0]
+
+
 class TestFaultsOfACall:
     """Guards against owners that give up one after the other because of one worker."""
 
--- a/pistachiolift/node/worker_driver.py
+++ b/pistachiolift/node/worker_driver.py
@@ -414,8 +414,15 @@
     async def _poll_survival(self, command: StartRun) -> None:
         """Request a report beside the waiting poll, which returns too late."""
         await self._sleep(SURVIVAL_POLL_S)
-        if self._closed or not self._is_wanted(command):
-            return
+        if not self._closed and self._is_wanted(command):
+            await self._poll_beside()
+
+    def request_report(self) -> None:
+        """Request a report at once, beside the waiting poll."""
+        if not self._closed:
+            self._spawn(self._poll_beside())
+
+    async def _poll_beside(self) -> None:
         report = await self._poll_limiter.run(self._poll_now)
         if report is None or self._closed or self._is_overtaken(report):
             return
--- a/pistachiolift/platform/tests/test_workers.py
+++ b/pistachiolift/platform/tests/test_workers.py
@@ -58,6 +58,11 @@
         assert (run.percent, run.usage) == (10, 5)
         assert report.last_end == 1
 
+    def test_a_leaving_worker_tells_its_remaining_time(self):
+        assert poll(json.dumps(REPORT).encode()).remaining_s is None
+        leaving = {**REPORT, "RemainingMs": 1500}
+        assert poll(json.dumps(leaving).encode()).remaining_s == 1.5
+
     def test_rows_may_be_longer_or_have_no_usage(self):
         longer = {**REPORT, "Ended": [[*REPORT["Ended"][0], "new", {}]]}
         assert poll(json.dumps(longer).encode()).last_end == 1
--- a/pistachiolift/platform/workers.py
+++ b/pistachiolift/platform/workers.py
@@ -100,6 +100,8 @@
     clock_ms: WholeNumber = 0
     running: list[_RunningRow] = []
     ended: list[_EndedRow] = []
+    # Time until the worker kills its runs; sent only while it drains.
+    remaining_ms: Number | None = None
     # The only name on the platform's wire that is not capitalised.
     incarnation: WholeNumber = msgspec.field(name="born", default=0)
 
@@ -239,6 +241,9 @@
             ended=ended,
             last_end=max((row.sequence for row in run_list.ended), default=0),
             complete=len(ended) < MAX_ENDS_PER_REPORT,
+            remaining_s=None
+            if run_list.remaining_ms is None
+            else run_list.remaining_ms / 1000,
         )
 
     @staticmethod
--- a/pistachiolift/workflows/fleet.py
+++ b/pistachiolift/workflows/fleet.py
@@ -1,10 +1,12 @@
 """State of the workers from the directory, their reachability and run reports."""
 
-from ..common import WorkerId
+import logging
+
+from ..common import WorkerId, log_event
 from .advice import AdvicePlanner
 from .crashes import CrashTracker
 from .lifecycle import Lifecycle
-from .model import EndKind, Worker
+from .model import EndKind, Worker, WorkerState
 from .records import WorkerInUse, WorkerReleased
 from .run_reports import ReportedEnd, ReportedRun, RunReportHandler
 from .scheduler_state import SchedulerState
@@ -12,6 +14,8 @@
 
 __all__ = ["Fleet"]
 
+logger = logging.getLogger(__name__)
+
 # A worker without a run report for this time counts as unreachable, even if its driver
 # has not said so. Reports are polled at intervals of at most 1.5 s.
 REPORT_TIMEOUT_S = 4.0
@@ -142,6 +146,7 @@
         sent_s: float,
         now_s: float,
         wall_ms: int,
+        remaining_s: float | None = None,
     ) -> bool:
         """Apply a worker's run report.
 
@@ -149,6 +154,8 @@
         :param ended: runs that have ended there and are not acknowledged yet.
         :param complete: whether the report contains all ended runs.
         :param sent_s: time at which the report was requested.
+        :param remaining_s: time until the worker kills its runs and leaves, in seconds;
+            ``None`` if it stays.
         :returns: whether the report was applied. The report of a worker that has been
             removed is not, and its ended runs must not be acknowledged.
         """
@@ -157,6 +164,7 @@
             return False
         entry.reachable = True
         self._crashes.handle_report(entry.worker, now_s)
+        self._update_notice(entry, remaining_s, sent_s, now_s)
         self._report_handler.apply(
             entry,
             running,
@@ -171,6 +179,37 @@
             self._record_use(entry)
         return True
 
+    def _update_notice(
+        self,
+        entry: WorkerEntry,
+        remaining_s: float | None,
+        sent_s: float,
+        now_s: float,
+    ) -> None:
+        """Record when the worker leaves, or that it stays.
+
+        A report that arrives late shows a time that is too late: the earliest counts.
+        """
+        if remaining_s == 0 and entry.worker.state is not WorkerState.DRAINING:
+            remaining_s = None
+        known_s = entry.leaves_s
+        if remaining_s is None:
+            entry.leaves_s = None
+        else:
+            leaves_s = now_s + remaining_s
+            entry.leaves_s = leaves_s if known_s is None else min(known_s, leaves_s)
+        if (known_s is None) == (entry.leaves_s is None):
+            return
+        log_event(
+            logger,
+            "worker_leaving" if known_s is None else "worker_stays",
+            worker=entry.worker_id,
+            remaining_s=-1.0 if remaining_s is None else remaining_s,
+            report_age_s=now_s - sent_s,
+            directory_state=entry.worker.state.value,
+            runs=len(entry.runs),
+        )
+
     def _record_use(self, entry: WorkerEntry) -> None:
         """Record that the worker is in use, so that later owners know about it.
 
--- a/pistachiolift/workflows/run_reports.py
+++ b/pistachiolift/workflows/run_reports.py
@@ -113,6 +113,8 @@
             worker.has_unknown_run = True
         if run.status is TaskRunStatus.STARTING:
             self._lifecycle.confirm_run(run, now_s)
+        if run.first_percent_s is None:
+            run.first_percent, run.first_percent_s = reported.percent, now_s
         if reported.percent != run.percent:
             run.percent, run.progressed_s = reported.percent, now_s
         run.usage = reported.usage
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -10,6 +10,7 @@
 from .crashes import CrashTracker
 from .decisions import Decision, StartRun
 from .dispatch import Dispatcher
+from .evacuation import EvacuationPlanner
 from .fleet import Fleet
 from .lifecycle import Lifecycle
 from .model import (
@@ -79,6 +80,7 @@
         self.advice = AdvicePlanner(self.state)
         self._dispatcher = Dispatcher(self.state, self._lifecycle, self.advice)
         self._progress = ProgressMonitor(self.state, self._lifecycle)
+        self._evacuation = EvacuationPlanner(self.state, self._lifecycle)
         self._sharing = SharingController(self.state)
         self.fleet = Fleet(
             self.state,
@@ -353,6 +355,7 @@
         """Handle timeouts, stalled runs, lost workers and expired jobs."""
         self.advice.expire_calls(now_s)
         self._progress.check(now_s)
+        self._evacuation.check(now_s)
         self._sharing.check(now_s)
         self.fleet.check(now_s)
         for job_id, job in list(self.state.jobs_by_id.items()):
@@ -377,6 +380,12 @@
         records, self.state.records = self.state.records, []
         return records
 
+    def take_counts(self) -> dict[str, int]:
+        """Return and clear the numbers of decisions, by dotted name."""
+        counts = dict(self.state.counts)
+        self.state.counts.clear()
+        return counts
+
     def record_commit(self, count: int) -> None:
         """Record that the next ``count`` records are durable."""
         self.state.committed += count
--- a/pistachiolift/workflows/scheduler_state.py
+++ b/pistachiolift/workflows/scheduler_state.py
@@ -1,5 +1,6 @@
 """The owner's jobs and workers, and its pending records and decisions."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 
 from ..common import CustomerId, JobId, WorkerHealth, WorkerId
@@ -26,6 +27,7 @@
     :param decisions: decisions to be carried out, in order.
     :param recorded: number of records ever emitted.
     :param committed: number of records known to be durable.
+    :param counts: number of decisions by dotted name since the owner last read them.
     """
 
     fence: int = 0
@@ -39,6 +41,7 @@
     decisions: list[Decision] = field(default_factory=list)
     recorded: int = 0
     committed: int = 0
+    counts: Counter[str] = field(default_factory=Counter)
     health: WorkerHealth = field(
         default_factory=lambda: WorkerHealth(quarantine_base_s=QUARANTINE_BASE_S)
     )
--- a/pistachiolift/workflows/state.py
+++ b/pistachiolift/workflows/state.py
@@ -86,6 +86,8 @@
     :param speed_set_s: time of that order.
     :param percent: last reported progress.
     :param progressed_s: time at which ``percent`` last changed.
+    :param first_percent: progress in the first report that shows the run.
+    :param first_percent_s: time of that report, or ``None``.
     :param survived: whether a report has shown it some time after its start.
     :param alone: whether its worker gets no other run until it has survived.
     """
@@ -102,6 +104,8 @@
     answered_s: float | None = None
     percent: int = 0
     progressed_s: float = 0.0
+    first_percent: int = 0
+    first_percent_s: float | None = None
     usage: int = 0
     speed_percent: int = 100
     speed_set_s: float = 0.0
@@ -277,6 +281,8 @@
     :param paused_until_s: time before which it gets no new runs.
     :param fill_percent: share that its filling tasks may use; ``None`` without any.
     :param lease_end_s: time after which no run can still be running on the worker.
+    :param leaves_s: time at which it kills its runs, by its own report; ``None`` if it
+        stays.
     :param unproven: keys of the runs that have not survived their start yet.
     :param isolated: keys of those that were started alone.
     """
@@ -297,6 +303,7 @@
     has_unknown_run: bool = False
     speed: SpeedEstimate = field(default_factory=SpeedEstimate)
     fill_percent: int | None = None
+    leaves_s: float | None = None
     unproven: set[tuple[TaskKey, int]] = field(default_factory=set)
     isolated: set[tuple[TaskKey, int]] = field(default_factory=set)
 
@@ -318,6 +325,7 @@
             and self.registered
             and not self.has_unknown_run
             and self.worker.state is WorkerState.READY
+            and self.leaves_s is None
             and now_s >= self.paused_until_s
         )
 
--- a/pistachiolift/workflows/tests/virtual_cell.py
+++ b/pistachiolift/workflows/tests/virtual_cell.py
@@ -396,9 +396,8 @@
             self._after(CRASH_S, self.crash_silently, fake)
         if fake.hangs or step.long_running:
             return
-        duration_s = self.duration_of(order.task, step) * fake.slowness
         if not step.gang:
-            self._after(duration_s, self._finish, fake, key)
+            self._after(self._run_time_s(fake, order), self._finish, fake, key)
             return
         members = [
             (other, run)
@@ -413,6 +412,13 @@
             )
             self._after(duration_s, self._finish_gang, members)
 
+    def _run_time_s(self, fake: FakeWorker, order: StartRun) -> float:
+        """Return how long a run that was just started takes, in seconds."""
+        step = self.scheduler.state.jobs_by_id[order.task.job_id].graph.steps[
+            order.task.step
+        ]
+        return self.duration_of(order.task, step) * fake.slowness
+
     def exit_service_tasks(self, worker_id: str) -> None:
         """Let the long-running tasks of a worker end with a success."""
         fake = self.workers_by_id[WorkerId(worker_id)]
@@ -453,8 +459,9 @@
             )
 
     def _end(self, fake: FakeWorker, task, number: int, kind: EndKind) -> None:
+        checkpoint = self._saved_at_end(task, number)
         fake.blocked[task] = max(number, fake.blocked.get(task, 0))
-        fake.unacknowledged_ends.append(ReportedEnd(task, number, kind))
+        fake.unacknowledged_ends.append(ReportedEnd(task, number, kind, checkpoint))
         self._send_report(fake)
         self._decide()
 
@@ -479,6 +486,10 @@
         if fake.running.pop(key, None) is not None:
             self._end(fake, key[0], key[1], EndKind.STOPPED)
 
+    def _saved_at_end(self, task, number: int) -> str:
+        """Return the checkpoint that a run saved when it was stopped."""
+        return ""
+
     def _send_report(self, fake: FakeWorker) -> None:
         worker_id = fake.worker.worker_id
         if not fake.alive or fake.cut:
@@ -490,7 +501,12 @@
         self._drop_acknowledged_ends(fake)
         ended = list(fake.unacknowledged_ends)
         running = [
-            ReportedRun(task, number, percent=self._percent(fake, (task, number)))
+            ReportedRun(
+                task,
+                number,
+                percent=self._percent(fake, (task, number)),
+                checkpoint=self._saved(fake, (task, number)),
+            )
             for task, number in fake.running
         ]
         self.scheduler.fleet.extend_lease(worker_id, self.now_s + LEASE_S)
@@ -502,9 +518,18 @@
             sent_s=self.now_s - MESSAGE_S,
             now_s=self.now_s,
             wall_ms=self.wall_ms,
+            remaining_s=self._remaining_s(fake),
         )
         fake.last_report = (self.scheduler, self.scheduler.state.recorded, len(ended))
 
+    def _saved(self, fake: FakeWorker, key) -> str:
+        """Return the newest checkpoint of a run."""
+        return ""
+
+    def _remaining_s(self, fake: FakeWorker) -> float | None:
+        """Return the rest of a leaving worker's notice period, in seconds."""
+        return None
+
     def _expire_lease(self, fake: FakeWorker) -> None:
         """End the runs of a worker whose lease has expired."""
         if self.now_s < fake.lease_end_s:
