--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -11,6 +11,7 @@
 from .crashes import CrashTracker
 from .decisions import Decision, StartRun
 from .dispatch import Dispatcher
+from .evacuation import EvacuationPlanner
 from .fleet import Fleet
 from .lifecycle import Lifecycle
 from .model import (
@@ -92,6 +93,7 @@
         self.order = self._dispatcher.order
         self.admission = Admission(self.state, self.order)
         self._progress = ProgressMonitor(self.state, self._lifecycle)
+        self._evacuation = EvacuationPlanner(self.state, self._lifecycle)
         self._sharing = SharingController(self.state)
         self.fleet = Fleet(
             self.state,
@@ -397,6 +399,7 @@
         """Handle timeouts, stalled runs, lost workers and expired jobs."""
         self.advice.expire_calls(now_s)
         self._progress.check(now_s)
+        self._evacuation.check(now_s)
         self._sharing.check(now_s)
         self.fleet.check(now_s)
         self.admission.observe(now_s)
@@ -422,6 +425,12 @@
         records, self.state.records = self.state.records, []
         return records
 
+    def take_counts(self) -> dict[str, int]:
+        """Return and clear the numbers of decisions, by dotted name."""
+        counts = dict(self.state.counts)
+        self.state.counts.clear()
+        return counts
+
     def record_commit(self, count: int) -> None:
         """Record that the next ``count`` records are durable."""
         self.state.committed += count
