Keep room on workers for urgent tasks that fit nowhere

Tasks of 7 cores of a less urgent queue took the room that became free before a task of 10 or 18 cores fitted, whatever the order; so urgent checks and large runs were late while every rebuild was in time.

A step that can be on time, or is urgent and useful, or is raised, keeps the workers with the most free cores from later steps of the pass, one for each waiting task, at most a quarter of the pool. Nothing is kept with one priority and no customers.

--- a/pistachiolift/workflows/dispatch.py
+++ b/pistachiolift/workflows/dispatch.py
@@ -3,6 +3,7 @@
 from ..common import WorkerId
 from .advice import AdvicePlanner
 from .decisions import StartRun
+from .holding import RoomHolder
 from .lifecycle import Lifecycle
 from .model import PoolId, TaskRunStatus
 from .order import OrderPolicy, WaitingOrder
@@ -56,6 +57,7 @@
         blocked: frozenset[WorkerId] = frozenset()
         kept_free, self._kept_free = self._kept_free, set()
         waiting: list[StepEntry] = []
+        holder = RoomHolder()
         for step in steps:
             if step.not_before_s > now_s:
                 continue
@@ -69,6 +71,8 @@
             else:
                 self._place_isolated_tasks(step, usable, blocked, now_s)
                 self._place_tasks(step, usable, blocked | kept_free, now_s)
+                if step.waiting and self.order.holds_room(step, now_s, wall_ms):
+                    blocked |= holder.hold(step, usable, blocked, now_s)
             if step.waiting and step.job.queue.advice is not None:
                 waiting.append(step)
         self._advice.plan(waiting, usable_by_pool, now_s)
--- a/pistachiolift/workflows/order.py
+++ b/pistachiolift/workflows/order.py
@@ -33,11 +33,11 @@
     """Sorts the waiting steps of due work."""
 
     def __init__(self):
-        self._urgent_priority = 0
+        self.urgent_priority = 0
 
     def prepare(self, state: SchedulerState) -> None:
         """Read from the queues what the keys of a pass depend on."""
-        self._urgent_priority = min(
+        self.urgent_priority = min(
             (each.priority for each in state.queues_by_id.values()), default=0
         )
 
@@ -113,7 +113,7 @@
         priority = step.job.queue.priority
         if band is Band.USELESS:
             return 3, priority, latest_s
-        if priority <= self._urgent_priority:
+        if priority <= self.urgent_priority:
             return 0, band, latest_s
         if band is Band.ON_TIME:
             return 1, priority, latest_s
@@ -136,6 +136,7 @@
         self._policy = policy or CostAware()
         # Without customers and priorities there is nothing to weigh up.
         self._simple = BandsFirst()
+        self._simple_pass = True
         self._ageing = Ageing(state)
 
     @property
@@ -151,7 +152,8 @@
         """
         state = self._state
         steps = state.open_steps.values()
-        if self._is_simple():
+        self._simple_pass = self._is_simple()
+        if self._simple_pass:
             key = self._simple.key
             return sorted(steps, key=lambda step: key(step, now_s, wall_ms))
         self._policy.prepare(state)
@@ -172,6 +174,22 @@
         excess.sort(key=first)
         return [step for _, step in due] + self._share_out([step for _, step in excess])
 
+    def holds_room(self, step: StepEntry, now_s: float, wall_ms: float) -> bool:
+        """Whether room is kept for the tasks of a step that do not fit yet.
+
+        It is kept for what can be on time, for useful work of the most urgent queues,
+        and for raised work, which would otherwise not use its share.
+        """
+        if self._simple_pass:
+            return False
+        if step.job.job_id in self._ageing.raised_by_id:
+            return True
+        if step.job.excess:
+            return False
+        band, _ = measure(step, now_s, wall_ms)
+        urgent = step.job.queue.priority <= self._policy.urgent_priority
+        return band is Band.ON_TIME or (urgent and band is Band.LATE)
+
     def _is_simple(self) -> bool:
         state = self._state
         if state.customers_by_id:
--- a/pistachiolift/workflows/placement.py
+++ b/pistachiolift/workflows/placement.py
@@ -10,6 +10,7 @@
 __all__ = [
     "GangPlan",
     "WorkerChoice",
+    "below_limit",
     "eligible_workers",
     "plan_gang",
     "room_for_step",
@@ -70,6 +71,12 @@
     return sum(1 for task, _ in entry.runs if task.step_key == step.key)
 
 
+def below_limit(step: StepEntry, entry: WorkerEntry) -> bool:
+    """Whether the step's limit of tasks on one worker allows another one there."""
+    limit = step.step.max_per_worker
+    return not limit or _count_tasks(step, entry) < limit
+
+
 def room_for_step(step: StepEntry, entry: WorkerEntry) -> int:
     """Return how many more tasks of the step fit on the worker."""
     if entry.isolated:
