Report waiting steps by band and priority, excess and raised jobs

Operators could not see which work waits, nor whose jobs are excess.

Once a second the owner sets gauges by band and priority, for excess, aged and raised work and for held workers, and counts the jobs marked as excess. Every 10 s it logs work_waits if anything is late, and jobs_marked_excess for at most 20 customers.

--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -37,6 +37,7 @@
 from .ownership import AUTHORITY_S
 from .partition_map import PartitionKeys
 from .poll_limiter import PollLimiter
+from .waiting_report import WaitingReporter
 from .worker_driver import LeaseTerms, WorkerDriver, WorkerEvents
 
 __all__ = ["Owner"]
@@ -135,6 +136,9 @@
             last_contact_s=last_contact_s,
             on_changed=self._execute_and_reschedule,
         )
+        self._waiting_report = WaitingReporter(
+            self.scheduler, metrics, f"partition.{keys.number}"
+        )
         self._drivers_by_id: dict[WorkerId, WorkerDriver] = {}
         self._poll_limiter = PollLimiter(lambda: len(self._drivers_by_id))
         self._table = QueueTable()
@@ -306,6 +310,7 @@
         self._close_unused_drivers()
         self._restore_workers()
         self._run_pass()
+        self._waiting_report.check(*self._now())
         state = self.scheduler.state
         name = f"partition.{self._keys.number}"
         self._metrics.gauge(f"{name}.jobs_known", len(state.jobs_by_id))
--- a/pistachiolift/workflows/ageing.py
+++ b/pistachiolift/workflows/ageing.py
@@ -22,6 +22,8 @@
 # A raised job that runs nothing for this time makes way for the next one, since it may
 # fit on no worker or exceed its customer's cap.
 RAISED_IDLE_S = 10.0
+# Short jobs can be raised by the hundred each second.
+MAX_LOG_LINES_PER_S = 5
 
 
 class Ageing:
@@ -40,6 +42,9 @@
         # Jobs that made way, with the time; their wait counts from then on.
         self._passed_over_by_id: dict[JobId, float] = {}
         self.aged_jobs = 0
+        self._log_end_s = 0.0
+        self._log_lines = 0
+        self._unlogged = 0
 
     def update(
         self, steps: Collection[StepEntry], now_s: float, wall_ms: float
@@ -114,7 +119,7 @@
             if now_s - active_s >= RAISED_IDLE_S:
                 del self.raised_by_id[job_id]
                 self._passed_over_by_id[job_id] = now_s
-                log_event(logger, "job_lowered", job=job_id, idle_s=now_s - active_s)
+                self._log("job_lowered", now_s, job=job_id, idle_s=now_s - active_s)
 
     def _limit(self, pool_id: PoolId) -> float:
         """Return what raised jobs may use, in thousandths of a core."""
@@ -126,9 +131,9 @@
 
     def _raise(self, job: JobEntry, now_s: float) -> None:
         self.raised_by_id[job.job_id] = now_s
-        log_event(
-            logger,
+        self._log(
             "job_raised",
+            now_s,
             job=job.job_id,
             queue=job.queue.queue_id,
             customer=job.customer_id,
@@ -138,6 +143,18 @@
             raised_jobs=len(self.raised_by_id),
         )
 
+    def _log(self, event: str, now_s: float, **fields: object) -> None:
+        """Log an event unless there were too many in this second; count the others."""
+        if now_s >= self._log_end_s:
+            self._log_end_s = now_s + 1.0
+            self._log_lines = 0
+        if self._log_lines >= MAX_LOG_LINES_PER_S:
+            self._unlogged += 1
+            return
+        self._log_lines += 1
+        log_event(logger, event, **fields, unlogged=self._unlogged)
+        self._unlogged = 0
+
 
 def _open_cpu_milli(job: JobEntry) -> int:
     """Return what the runs and the waiting tasks of a job's ready steps reserve."""
--- a/pistachiolift/workflows/customer_rates.py
+++ b/pistachiolift/workflows/customer_rates.py
@@ -1,5 +1,6 @@
 """Division of the customers' jobs into due work and excess."""
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
@@ -68,6 +69,7 @@
     def __init__(self):
         self.weights_by_id: Mapping[CustomerId, float] = {}
         self._buckets_by_id: dict[CustomerId, _Bucket] = {}
+        self._marked_by_id: Counter[CustomerId] = Counter()
 
     def set_customers(self, customers: Iterable[Customer]) -> None:
         """Apply the weights of a configuration; present tokens are kept.
@@ -97,10 +99,16 @@
             return False
         bucket.refill(received_ms)
         if bucket.tokens < 1:
+            self._marked_by_id[customer_id] += 1
             return True
         bucket.tokens -= 1
         return False
 
+    def take_marked(self) -> Counter[CustomerId]:
+        """Return and clear the numbers of jobs marked as excess, by customer."""
+        marked, self._marked_by_id = self._marked_by_id, Counter()
+        return marked
+
     def give_back(self, job: JobEntry) -> None:
         """Return the token of a job that was refused before it was accepted."""
         bucket = self._buckets_by_id.get(job.customer_id)
--- a/pistachiolift/workflows/dispatch.py
+++ b/pistachiolift/workflows/dispatch.py
@@ -39,6 +39,7 @@
         self._lifecycle = lifecycle
         self._advice = advice
         self.order = WaitingOrder(state, policy)
+        self.holder = RoomHolder()
         # Workers that get no ordinary runs in the next pass, so that the runs that
         # are started alone find a worker.
         self._kept_free: set[WorkerId] = set()
@@ -50,6 +51,7 @@
         :param wall_ms: Unix time, in milliseconds.
         """
         self._open_due_steps(wall_ms)
+        self.holder = holder = RoomHolder()
         if not self._state.open_steps:
             return
         steps = self.order.arrange(now_s, wall_ms)
@@ -57,7 +59,6 @@
         blocked: frozenset[WorkerId] = frozenset()
         kept_free, self._kept_free = self._kept_free, set()
         waiting: list[StepEntry] = []
-        holder = RoomHolder()
         for step in steps:
             if step.not_before_s > now_s:
                 continue
--- a/pistachiolift/workflows/holding.py
+++ b/pistachiolift/workflows/holding.py
@@ -24,6 +24,11 @@
     def __init__(self):
         self._held_by_pool: dict[PoolId, int] = {}
 
+    @property
+    def held_workers(self) -> int:
+        """Number of workers on which room is kept."""
+        return sum(self._held_by_pool.values())
+
     def hold(
         self,
         step: StepEntry,
--- a/pistachiolift/workflows/order.py
+++ b/pistachiolift/workflows/order.py
@@ -144,6 +144,11 @@
         """Jobs that are raised because of their wait."""
         return self._ageing.raised_by_id.keys()
 
+    @property
+    def aged_jobs(self) -> int:
+        """Number of jobs that have waited long enough to be raised."""
+        return self._ageing.aged_jobs
+
     def arrange(self, now_s: float, wall_ms: float) -> list[StepEntry]:
         """Return the open steps in the order in which they are placed.
 
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -98,6 +98,11 @@
             longest_lease_s=longest_lease_s,
         )
 
+    @property
+    def held_workers(self) -> int:
+        """Number of workers on which the last pass has kept room."""
+        return self._dispatcher.holder.held_workers
+
     # Replay of the ledger.
 
     def replay(
