--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -39,6 +39,7 @@
 from .ownership import AUTHORITY_S
 from .partition_map import PartitionKeys
 from .poll_limiter import PollLimiter
+from .waiting_report import WaitingReporter
 from .worker_driver import LeaseTerms, WorkerDriver, WorkerEvents
 
 __all__ = ["Owner"]
@@ -138,6 +139,9 @@
             on_changed=self._execute_and_reschedule,
         )
         self._cap_gauges = CapGauges(metrics, prefix=f"partition.{keys.number}")
+        self._waiting_report = WaitingReporter(
+            self.scheduler, metrics, f"partition.{keys.number}"
+        )
         self._drivers_by_id: dict[WorkerId, WorkerDriver] = {}
         self._poll_limiter = PollLimiter(lambda: len(self._drivers_by_id))
         self._table = QueueTable()
@@ -312,6 +316,7 @@
         self._run_pass()
         for counter, count in self.scheduler.take_counts().items():
             self._metrics.count(f"scheduler.{counter}", count)
+        self._waiting_report.check(*self._now())
         state = self.scheduler.state
         name = f"partition.{self._keys.number}"
         self._metrics.gauge(f"{name}.jobs_known", len(state.jobs_by_id))
--- a/pistachiolift/workflows/cap_gate.py
+++ b/pistachiolift/workflows/cap_gate.py
@@ -118,6 +118,10 @@
         self._place_by_step.setdefault(step, place)
         return False
 
+    def is_refused(self, step: StepEntry) -> bool:
+        """Whether the cap has refused tasks of a step in this pass."""
+        return step in self._place_by_step
+
     def may_ask_adviser(self, step: StepEntry) -> bool:
         """Whether a waiting step may soon need tickets."""
         return self._place_by_step.get(step, 0) < ADVISED_STEPS
--- a/pistachiolift/workflows/dispatch.py
+++ b/pistachiolift/workflows/dispatch.py
@@ -4,6 +4,7 @@
 from .advice import AdvicePlanner
 from .cap_gate import CapGate
 from .decisions import StartRun
+from .holding import RoomHolder
 from .lifecycle import Lifecycle
 from .model import PoolId, TaskRunStatus
 from .order import OrderPolicy, WaitingOrder
@@ -39,6 +40,7 @@
         self._lifecycle = lifecycle
         self._advice = advice
         self.order = WaitingOrder(state, policy)
+        self.holder = RoomHolder()
         # Workers that get no ordinary runs in the next pass, so that the runs that
         # are started alone find a worker.
         self._kept_free: set[WorkerId] = set()
@@ -52,6 +54,7 @@
         """
         self._open_due_steps(wall_ms)
         self._gate.begin_pass(now_s)
+        self.holder = holder = RoomHolder()
         if not self._state.open_steps:
             return
         steps = self.order.arrange(now_s, wall_ms)
@@ -72,11 +75,24 @@
             else:
                 self._place_isolated_tasks(step, usable, blocked, now_s)
                 self._place_tasks(step, usable, blocked | kept_free, now_s)
+                if self._keeps_room(step, now_s, wall_ms):
+                    blocked |= holder.hold(step, usable, blocked, now_s)
             if step.waiting and step.job.queue.advice is not None:
                 if self._gate.may_ask_adviser(step):
                     waiting.append(step)
         self._advice.plan(waiting, usable_by_pool, now_s)
 
+    def _keeps_room(self, step: StepEntry, now_s: float, wall_ms: float) -> bool:
+        """Whether workers are kept free for tasks that did not fit in this pass.
+
+        They are not if the customer's cap holds the tasks back.
+        """
+        return (
+            bool(step.waiting)
+            and not self._gate.is_refused(step)
+            and self.order.holds_room(step, now_s, wall_ms)
+        )
+
     def _open_due_steps(self, wall_ms: float) -> None:
         for key, step in list(self._state.timed_steps.items()):
             occurrence = step.job.occurrences[key.occurrence]
