--- a/pistachiolift/workflows/placement.py
+++ b/pistachiolift/workflows/placement.py
@@ -10,6 +10,8 @@
 __all__ = [
     "GangPlan",
     "WorkerChoice",
+    "could_place",
+    "below_limit",
     "eligible_workers",
     "plan_gang",
     "room_for_step",
@@ -70,6 +72,12 @@
     return sum(1 for task, _ in entry.runs if task.step_key == step.key)
 
 
+def below_limit(step: StepEntry, entry: WorkerEntry) -> bool:
+    """Whether the step's limit of tasks on one worker allows another one there."""
+    limit = step.step.max_per_worker
+    return not limit or _count_tasks(step, entry) < limit
+
+
 def room_for_step(step: StepEntry, entry: WorkerEntry) -> int:
     """Return how many more tasks of the step fit on the worker."""
     if entry.isolated:
@@ -80,6 +88,15 @@
     return max(0, room)
 
 
+def could_place(step: StepEntry, workers: list[WorkerEntry]) -> bool:
+    """Whether a task, or a gang as a whole, fits on the workers once they are empty."""
+    workers = with_required_label(step, workers)
+    if step.step.gang:
+        return bool(_find_workers_to_hold(step, workers))
+    size = step.step.reserved
+    return any(entry.worker.capacity.holds(size) for entry in workers)
+
+
 class WorkerChoice:
     """Chooses the workers of a step's single tasks, one after the other.
 
--- a/pistachiolift/workflows/records.py
+++ b/pistachiolift/workflows/records.py
@@ -3,7 +3,15 @@
 import msgspec
 
 from ..common import CustomerId, JobId, WorkerId
-from .model import CrashCause, EndKind, JobGraph, JobStatus, Queue, TaskKey
+from .model import (
+    CrashCause,
+    EndKind,
+    JobGraph,
+    JobStatus,
+    Queue,
+    RunCharge,
+    TaskKey,
+)
 
 __all__ = [
     "JobAccepted",
@@ -11,6 +19,7 @@
     "JobForgotten",
     "JobFinished",
     "LedgerRecord",
+    "QueueChanged",
     "RunCrashed",
     "RunPlaced",
     "TaskFinished",
@@ -71,12 +80,15 @@
 
     :param incarnation: start time of the worker's process; a process older than the
         one in the directory has ended.
+    :param charge: what the run counts against its customer's cap, also when its job is
+        no longer known; ``None`` without a customer.
     """
 
     task: TaskKey
     run: int
     worker_id: WorkerId
     incarnation: int
+    charge: RunCharge | None = None
 
 
 class RunCrashed(msgspec.Struct, frozen=True, tag="crash", array_like=True):
@@ -128,6 +140,18 @@
     incarnation: int
 
 
+class QueueChanged(msgspec.Struct, frozen=True, tag="queue", array_like=True):
+    """A queue with unfinished jobs that has got another policy.
+
+    A later owner may have read an older configuration, or one without the queue.
+
+    :param version: version of the configuration with the policy.
+    """
+
+    queue: Queue
+    version: int
+
+
 LedgerRecord = (
     JobAccepted
     | JobCancelled
@@ -138,6 +162,7 @@
     | JobForgotten
     | WorkerInUse
     | WorkerReleased
+    | QueueChanged
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/pistachiolift/workflows/scheduler_state.py
+++ b/pistachiolift/workflows/scheduler_state.py
@@ -1,11 +1,22 @@
 """The owner's jobs and workers, and its pending records and decisions."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 
 from ..common import CustomerId, JobId, WorkerHealth, WorkerId
+from .caps import CustomerCaps
 from .customer_rates import CustomerRates
 from .decisions import Decision, JobChanged
-from .model import Customer, JobStatus, PoolId, Queue, QueueId, StepKey, TaskKey
+from .model import (
+    Customer,
+    JobStatus,
+    PoolId,
+    Queue,
+    QueueId,
+    RunCharge,
+    StepKey,
+    TaskKey,
+)
 from .records import LedgerRecord
 from .state import JobEntry, StepEntry, TaskRun, WorkerEntry
 
@@ -21,19 +32,29 @@
     """State shared by the components of the scheduler.
 
     :param fence: this owner's fencing token; run numbers are derived from it.
+    :param queues_version: version of the configuration with the queues.
     :param rates: division of the customers' jobs into due work and excess.
+    :param caps: what the customers' runs reserve, and the limits.
+    :param uncertain_charges_by_run: charges of runs whose worker process was replaced
+        and that its replacement, not in the directory yet, may have started.
     :param open_steps: steps with tasks to place whose predecessors are complete.
     :param timed_steps: steps that wait for the due time of their occurrence.
     :param records: records to be committed, in order.
     :param decisions: decisions to be carried out, in order.
     :param recorded: number of records ever emitted.
     :param committed: number of records known to be durable.
+    :param counts: number of decisions by dotted name since the owner last read them.
     """
 
     fence: int = 0
     queues_by_id: dict[QueueId, Queue] = field(default_factory=dict)
+    queues_version: int = 0
     customers_by_id: dict[CustomerId, Customer] = field(default_factory=dict)
     rates: CustomerRates = field(default_factory=CustomerRates)
+    caps: CustomerCaps = field(default_factory=CustomerCaps)
+    uncertain_charges_by_run: dict[tuple[TaskKey, int], RunCharge] = field(
+        default_factory=dict
+    )
     jobs_by_id: dict[JobId, JobEntry] = field(default_factory=dict)
     workers_by_id: dict[WorkerId, WorkerEntry] = field(default_factory=dict)
     open_steps: dict[StepKey, StepEntry] = field(default_factory=dict)
@@ -42,6 +63,7 @@
     decisions: list[Decision] = field(default_factory=list)
     recorded: int = 0
     committed: int = 0
+    counts: Counter[str] = field(default_factory=Counter)
     health: WorkerHealth = field(
         default_factory=lambda: WorkerHealth(quarantine_base_s=QUARANTINE_BASE_S)
     )
@@ -66,6 +88,14 @@
         job.status = status
         self.emit(JobChanged(job_id=job.job_id, status=status, reason=reason))
 
+    def used_queues(self) -> set[QueueId]:
+        """Return the queues that have unfinished jobs."""
+        return {
+            job.queue.queue_id
+            for job in self.jobs_by_id.values()
+            if not job.status.final
+        }
+
     def step(self, key: StepKey) -> StepEntry | None:
         """Return a step, or ``None`` if the job or the step is unknown."""
         job = self.jobs_by_id.get(key.job_id)
@@ -104,6 +134,24 @@
             and accepts(worker_id, now_s)
         }
 
+    def charge_uncertain_run(self, key: tuple, charge: RunCharge | None) -> None:
+        """Count a run while it is not known whether the replacement has it."""
+        if charge is not None and key not in self.uncertain_charges_by_run:
+            self.uncertain_charges_by_run[key] = charge
+            self.caps.charge(charge)
+
+    def release_uncertain_run(self, key: tuple) -> None:
+        """Stop counting an uncertain run that is charged elsewhere or has ended."""
+        self.caps.release(self.uncertain_charges_by_run.pop(key, None))
+
+    def is_charged(self, worker_id: WorkerId, key: tuple) -> bool:
+        """Whether a run placed on a worker still counts against a cap."""
+        entry = self.workers_by_id.get(worker_id)
+        return key in self.uncertain_charges_by_run or (
+            entry is not None
+            and (key in entry.runs or key in entry.possible_charges_by_run)
+        )
+
     def run(self, worker_id: WorkerId, key: tuple) -> TaskRun | None:
         """Return a run at a worker, or ``None`` if the owner has no record of it."""
         entry = self.workers_by_id.get(worker_id)
--- a/pistachiolift/workflows/tests/virtual_cell.py
+++ b/pistachiolift/workflows/tests/virtual_cell.py
@@ -2,7 +2,7 @@
 
 The cell checks the invariants at every start: no worker exceeds its capacity, a shrunk
 one once the owner must know of it; no task runs twice at the same time or after its
-success; and steps start in order.
+success; steps start in order; and no customer exceeds its cap.
 """
 
 import heapq
@@ -16,6 +16,7 @@
 from pistachiolift.workflows import (
     SURVIVAL_S,
     AskAdvice,
+    Customer,
     EndKind,
     GraphScheduler,
     JobGraph,
@@ -35,6 +36,8 @@
 )
 from pistachiolift.workflows.dispatch import RUNS_PER_FENCE
 
+from .cap_check import CapCheck
+
 WALL_OFFSET_S = 1.7e9
 MESSAGE_S = 0.004
 STOP_S = 0.1
@@ -135,11 +138,12 @@
         self.rng = random.Random(seed)
         self.now_s = 100.0
         self._events: list = []
+        self.caps = CapCheck(self)
         self._order = itertools.count()
         self._policy = policy
         self.scheduler = self._make_scheduler(1)
         self.scheduler.set_queues(queues)
-        self.scheduler.set_customers(customers)
+        self.set_customers(*customers)
         self.workers_by_id: dict[WorkerId, FakeWorker] = {}
         self.done_tasks: set = set()
         self.started: dict = {}
@@ -219,12 +223,18 @@
         """Unix time, in milliseconds."""
         return int((self.now_s + WALL_OFFSET_S) * 1000)
 
+    def set_customers(self, *customers: Customer) -> None:
+        """Apply a version of the configuration with other customers."""
+        self.caps.set_customers(customers)
+        self.scheduler.set_customers(customers)
+
     def submit(
         self, job_id: str, queue: Queue, graph: JobGraph, customer_id=""
     ) -> JobId:
         """Submit a job now."""
         job_id = JobId(job_id)
         self.submitted_s.setdefault(job_id, self.now_s)
+        self.caps.add_job(job_id, graph, customer_id)
         self.scheduler.submit(
             job_id,
             queue,
@@ -273,6 +283,7 @@
 
     def _decide(self) -> None:
         self.scheduler.dispatch(now_s=self.now_s, wall_ms=self.wall_ms)
+        self.caps.check_totals()
         records = self.scheduler.take_records()
         if records:
             self._unwritten.append(records)
@@ -378,6 +389,7 @@
         self._start_run(fake, order)
 
     def _check_start(self, fake: FakeWorker, order: StartRun, sent_s: float) -> None:
+        self.caps.check_start(order.task, sent_s - MESSAGE_S)
         job = self.scheduler.state.jobs_by_id[order.task.job_id]
         step = job.graph.steps[order.task.step]
         if job.queue.advice is not None:
@@ -418,9 +430,8 @@
             self._after(CRASH_S, self.crash_silently, fake)
         if fake.hangs or step.long_running:
             return
-        duration_s = self.duration_of(order.task, step) * fake.slowness
         if not step.gang:
-            self._after(duration_s, self._finish, fake, key)
+            self._after(self._run_time_s(fake, order), self._finish, fake, key)
             return
         members = [
             (other, run)
@@ -435,6 +446,13 @@
             )
             self._after(duration_s, self._finish_gang, members)
 
+    def _run_time_s(self, fake: FakeWorker, order: StartRun) -> float:
+        """Return how long a run that was just started takes, in seconds."""
+        step = self.scheduler.state.jobs_by_id[order.task.job_id].graph.steps[
+            order.task.step
+        ]
+        return self.duration_of(order.task, step) * fake.slowness
+
     def exit_service_tasks(self, worker_id: str) -> None:
         """Let the long-running tasks of a worker end with a success."""
         fake = self.workers_by_id[WorkerId(worker_id)]
@@ -475,8 +493,9 @@
             )
 
     def _end(self, fake: FakeWorker, task, number: int, kind: EndKind) -> None:
+        checkpoint = self._saved_at_end(task, number)
         fake.blocked[task] = max(number, fake.blocked.get(task, 0))
-        fake.unacknowledged_ends.append(ReportedEnd(task, number, kind))
+        fake.unacknowledged_ends.append(ReportedEnd(task, number, kind, checkpoint))
         self._send_report(fake)
         self._decide()
 
@@ -501,6 +520,10 @@
         if fake.running.pop(key, None) is not None:
             self._end(fake, key[0], key[1], EndKind.STOPPED)
 
+    def _saved_at_end(self, task, number: int) -> str:
+        """Return the checkpoint that a run saved when it was stopped."""
+        return ""
+
     def _send_report(self, fake: FakeWorker) -> None:
         worker_id = fake.worker.worker_id
         if not fake.alive or fake.cut:
@@ -512,7 +535,12 @@
         self._drop_acknowledged_ends(fake)
         ended = list(fake.unacknowledged_ends)
         running = [
-            ReportedRun(task, number, percent=self._percent(fake, (task, number)))
+            ReportedRun(
+                task,
+                number,
+                percent=self._percent(fake, (task, number)),
+                checkpoint=self._saved(fake, (task, number)),
+            )
             for task, number in fake.running
         ]
         self.scheduler.fleet.extend_lease(worker_id, self.now_s + LEASE_S)
@@ -524,9 +552,18 @@
             sent_s=self.now_s - MESSAGE_S,
             now_s=self.now_s,
             wall_ms=self.wall_ms,
+            remaining_s=self._remaining_s(fake),
         )
         fake.last_report = (self.scheduler, self.scheduler.state.recorded, len(ended))
 
+    def _saved(self, fake: FakeWorker, key) -> str:
+        """Return the newest checkpoint of a run."""
+        return ""
+
+    def _remaining_s(self, fake: FakeWorker) -> float | None:
+        """Return the rest of a leaving worker's notice period, in seconds."""
+        return None
+
     def _expire_lease(self, fake: FakeWorker) -> None:
         """End the runs of a worker whose lease has expired."""
         if self.now_s < fake.lease_end_s:
@@ -555,7 +592,7 @@
         if fake.hangs:
             return 0
         task = key[0]
-        step = self.scheduler.state.jobs_by_id[task.job_id].graph.steps[task.step]
+        step = self.caps.graph(task.job_id).steps[task.step]
         age_s = self.now_s - fake.running[key]
         duration_s = max(0.01, self.duration_of(task, step) * fake.slowness)
         # A gang member that has done its part stays at 100 % until the others are done.
@@ -582,6 +619,9 @@
         self._after(self.restart_s, self._restart, fake)
 
     def _remove_entry(self, fake: FakeWorker) -> None:
+        if self.workers_by_id.get(fake.worker.worker_id) is not fake:
+            # Its replacement has overwritten the entry.
+            return
         self.scheduler.fleet.mark_unregistered(fake.worker.worker_id)
         del self.workers_by_id[fake.worker.worker_id]
 
@@ -624,6 +664,12 @@
             self._send_report(fake)
         self._decide()
 
+    def compact(self) -> None:
+        """Compact all durable records."""
+        self.committed = self.scheduler.compact(
+            self.committed, now_s=self.now_s, wall_ms=self.wall_ms
+        )
+
     # Results.
 
     def status(self, job_id: JobId) -> JobStatus | None:
