Refuse jobs whose customer's cap is filled for too long, or is too small

The admission reads the caps of state.caps; a refusal is tested by running the refused jobs nevertheless, none of which was of use.

--- a/pistachiolift/workflows/admission.py
+++ b/pistachiolift/workflows/admission.py
@@ -101,20 +101,11 @@
 
     :param state: the owner's jobs and workers.
     :param order: order in which waiting steps are placed.
-    :param caps_in_force: whether starts wait for room under the customers' caps. If
-        they do not, no job is refused because of a cap.
     """
 
-    def __init__(
-        self,
-        state: SchedulerState,
-        order: WaitingOrder,
-        *,
-        caps_in_force: bool = False,
-    ):
+    def __init__(self, state: SchedulerState, order: WaitingOrder):
         self._state = state
         self._order = order
-        self._caps_in_force = caps_in_force
         self._capacity = FleetCapacity(state)
         self._observed_s = float("-inf")
         self._backlog: Backlog | None = None
@@ -258,8 +249,6 @@
         self, job: JobEntry, backlog: Backlog, key: tuple, age_s: float
     ) -> Iterator[WaitEstimate]:
         """Return how long the customer's own work ahead fills its cap."""
-        if not self._caps_in_force:
-            return
         cap = self._cap_of(job.customer_id)
         first = amounts(job.graph.steps[0].reserved)
         needed = tuple(
@@ -302,15 +291,12 @@
 
     def _is_above_cap(self, job: JobEntry) -> bool:
         """Whether a task or a gang of the job is larger than its customer's cap."""
-        if not self._caps_in_force:
-            return False
-        cap = self._cap_of(job.customer_id)
-        for step in job.graph.steps:
-            count = step.count if step.gang else 1
-            for amount, limit in zip(amounts(step.reserved), cap, strict=True):
-                if limit and count * amount > limit:
-                    return True
-        return False
+        return any(
+            not self._state.caps.ever_allows(
+                job.customer_id, step.size.times(step.count if step.gang else 1)
+            )
+            for step in job.graph.steps
+        )
 
     def _cap_of(self, customer_id: CustomerId) -> tuple[int, int, int]:
         """Return the cap of a customer; 0 for no limit."""
--- a/pistachiolift/workflows/tests/test_admission.py
+++ b/pistachiolift/workflows/tests/test_admission.py
@@ -169,15 +169,12 @@
 class TestCaps:
     """Guards against jobs that are held although their customer's cap is filled."""
 
-    CAP = Size(cpu_milli=100_000)
-
-    @pytest.fixture(params=[True, False])
-    def cell(self, request):
-        capped = Customer(customer_id=CustomerId("a"), weight=1e4, cap=self.CAP)
+    @pytest.fixture
+    def cell(self):
+        cap = Size(cpu_milli=100_000)
+        capped = Customer(customer_id=CustomerId("a"), weight=1e4, cap=cap)
         other = Customer(customer_id=CustomerId("b"), weight=1e4)
         cell = BurstCell(customers=(capped, other))
-        cell.scheduler.admission._caps_in_force = request.param
-        cell.in_force = request.param
         cell.know_workers()
         return cell
 
@@ -186,14 +183,12 @@
         for number in range(20):
             cell.submit(f"load-{number}", REBUILDS, REBUILD, "a")
         decision = cell.decide("new", REBUILDS, REBUILD, "a")
-        assert decision.admitted is not cell.in_force
-        if cell.in_force:
-            assert decision.reason is AdmissionReason.CAP_FILLED
+        assert decision.reason is AdmissionReason.CAP_FILLED
         assert cell.decide("other", REBUILDS, REBUILD, "b").admitted
         assert cell.decide("check", CHECKS, CHECK, "a").admitted
 
     def test_a_gang_above_the_cap(self, cell):
         gang = make_graph(make_step(6, cpu=18_000, estimate_s=4.0, gang=True))
         decision = cell.decide("gang", LARGE, gang, "a")
-        assert decision.admitted is not cell.in_force
+        assert decision.reason is AdmissionReason.ABOVE_CAP
         assert cell.decide("gang", LARGE, gang, "b").admitted
--- a/pistachiolift/workflows/tests/test_admission_under_bursts.py
+++ b/pistachiolift/workflows/tests/test_admission_under_bursts.py
@@ -3,7 +3,7 @@
 import pytest
 
 from pistachiolift.common import CustomerId, JobId
-from pistachiolift.workflows import AdmissionReason
+from pistachiolift.workflows import AdmissionReason, Customer, Size
 from pistachiolift.workflows.admission import (
     BACKLOG_AGE_S,
     REMEMBERED_JOBS,
@@ -117,6 +117,17 @@
         cell.run(16.0)
         assert not [job_id for job_id in cell.refused if cell.useful(job_id)]
 
+    @pytest.mark.parametrize("seed", [1, 2])
+    def test_after_a_flood_of_rebuilds_of_a_capped_customer(self, seed):
+        cap = Size(cpu_milli=200_000)
+        customers = (Customer(customer_id=CustomerId("a"), weight=1e4, cap=cap),)
+        cell = BurstCell(seed=seed, shadow=True, shortest=True, customers=customers)
+        cell.know_workers()
+        cell.flood(REBUILDS, 80)
+        cell.run(LATE_LIMIT_FACTOR * 17.0 + 1.0)
+        assert len(cell.refused) > 20
+        assert not [job_id for job_id in cell.refused if cell.useful(job_id)]
+
 
 class TestRetries:
     """Clients send refused jobs again, up to four times, when they were told to."""
