Bound the wait of work behind a gang that waits for its cap

A gang that fits under the cap only beside long-running tasks kept the rest of the cap from its customer's other jobs for ever. Room is now kept for it only if it can get it, and in phases: 16 s for the same step, then 4 s in which later steps use the cap. While less than half of the cap is in use, a job without any run gets some of it within 3 s, except in the 8 s in which the gang can expect room.

Operators are shown that a step waits for its customer's cap.

--- a/pistachiolift/workflows/cap_gate.py
+++ b/pistachiolift/workflows/cap_gate.py
@@ -21,10 +21,14 @@
 # this long before jobs without any run may use that half: they have one within 3 s.
 KEEP_LIMIT_S = 2.0
 
-# A gang that needs more than half of a cap would wait for ever if such jobs kept
-# coming. So they get nothing in the second half of each period of its wait, if the
-# runs that it waits for end by themselves.
-KEEP_PERIOD_S = 16.0
+# Phases in which room is kept for the same step, in turn until it starts. A gang that
+# needs more than half of a cap would wait for ever if jobs without any run always got
+# room, so they get none in the strict phase, if the gang can have room by its end. Then
+# nothing is kept for a while, which bounds the wait of the other work if the gang waits
+# for runs that last long.
+KEEP_PHASE_S = 8.0
+STRICT_PHASE_S = 8.0
+OPEN_PHASE_S = 4.0
 
 # Refused steps of a customer that may ask the adviser, so that the next one has its
 # tickets when room becomes free.
@@ -37,12 +41,16 @@
 
     :param since_s: time of the first refusal.
     :param refused_s: time of the last refusal.
+    :param keeper: the step for which the room was last kept.
+    :param kept_since_s: time since when it was kept for this step.
     :param below_half_s: time since which less than half of the limit is in use while
         room is kept; ``None`` if more is in use.
     """
 
     since_s: float
     refused_s: float
+    keeper: StepEntry | None = None
+    kept_since_s: float = 0.0
     below_half_s: float | None = None
 
 
@@ -129,29 +137,38 @@
         usable_by_id: dict[WorkerId, WorkerEntry],
         now_s: float,
     ) -> None:
-        """Note a refusal, and keep the room for the step if it can ever start."""
+        """Note a refusal, and keep the room for the step if it can get it."""
         customer_id = step.job.customer_id
         caps = self._state.caps
         wait = self._wait_by_customer.get(customer_id)
-        possible = caps.ever_allows(customer_id, size)
         if wait is None:
             wait = self._wait_by_customer[customer_id] = CapWait(now_s, now_s)
-            self._log_begin(step, size, possible)
+            self._log_begin(step, size)
         wait.refused_s = now_s
-        if not possible or not could_place(step, list(usable_by_id.values())):
+        if not caps.allows_later(customer_id, size):
             return
+        if not could_place(step, list(usable_by_id.values())):
+            return
+        if wait.keeper is not step:
+            wait.keeper, wait.kept_since_s = step, now_s
         if not caps.is_below_half(customer_id):
             wait.below_half_s = None
         elif wait.below_half_s is None:
             wait.below_half_s = now_s
-        waited_s = now_s - wait.since_s
-        strict = waited_s % KEEP_PERIOD_S >= KEEP_PERIOD_S / 2
-        if strict and wait.below_half_s is not None:
-            strict = self._ends_by_itself(customer_id, size)
-        self._kept_by_customer[customer_id] = KeptRoom(wait, strict)
-
-    def _ends_by_itself(self, customer_id: CustomerId, size: Size) -> bool:
-        """Whether ``size`` fits once all runs but the long-running ones have ended."""
+        phase_s = (now_s - wait.kept_since_s) % (
+            KEEP_PHASE_S + STRICT_PHASE_S + OPEN_PHASE_S
+        )
+        if phase_s < KEEP_PHASE_S + STRICT_PHASE_S:
+            # The runs are looked through only in this rare case.
+            strict = (
+                phase_s >= KEEP_PHASE_S
+                and wait.below_half_s is not None
+                and self._has_room_soon(customer_id, size)
+            )
+            self._kept_by_customer[customer_id] = KeptRoom(wait, strict)
+
+    def _has_room_soon(self, customer_id: CustomerId, size: Size) -> bool:
+        """Whether ``size`` fits once the runs shorter than a phase have ended."""
         lasting = Size()
         for worker in self._state.workers_by_id.values():
             for run in worker.runs.values():
@@ -159,7 +176,7 @@
                 if charge is None or charge.customer_id != customer_id:
                     continue
                 step = self._state.step_of(run.task)
-                if step is not None and step.step.long_running:
+                if step is None or not _ends_soon(step):
                     lasting = lasting.plus(charge.size)
         limit = self._state.caps.limit(customer_id)
         return limit is None or size.fits_beside(lasting, limit)
@@ -173,7 +190,7 @@
             return False
         return not any(entry.runs_by_index for entry in step.job.steps())
 
-    def _log_begin(self, step: StepEntry, size: Size, possible: bool) -> None:
+    def _log_begin(self, step: StepEntry, size: Size) -> None:
         caps = self._state.caps
         customer_id = step.job.customer_id
         used, limit = caps.used(customer_id), caps.limit(customer_id)
@@ -184,7 +201,7 @@
             job=step.job.job_id,
             step=step.key.step,
             gang=step.step.gang,
-            larger_than_cap=not possible,
+            larger_than_cap=not caps.ever_allows(customer_id, size),
             size_cpu_milli=size.cpu_milli,
             used_cpu_milli=used.cpu_milli,
             limit_cpu_milli=limit.cpu_milli,
@@ -193,3 +210,7 @@
             used_accelerators=used.accelerators,
             limit_accelerators=limit.accelerators,
         )
+
+
+def _ends_soon(step: StepEntry) -> bool:
+    return not step.step.long_running and step.step.estimate_s < STRICT_PHASE_S
--- a/pistachiolift/workflows/caps.py
+++ b/pistachiolift/workflows/caps.py
@@ -25,6 +25,8 @@
 
     def __init__(self):
         self._table = QuotaTable(Size())
+        # The part of the charges that does not end by itself.
+        self._long_running = QuotaTable(Size())
         self._cap_by_customer: dict[CustomerId, Size] = {}
         self._share_by_customer: dict[CustomerId, Size] | None = None
 
@@ -34,11 +36,15 @@
         """Count a run, which may exceed the limit if it is found on a worker."""
         if charge is not None:
             self._table.charge(charge.customer_id, charge.size)
+            if charge.long_running:
+                self._long_running.charge(charge.customer_id, charge.size)
 
     def release(self, charge: RunCharge | None) -> None:
         """Stop counting a run that has certainly ended."""
         if charge is not None:
             self._table.release(charge.customer_id, charge.size)
+            if charge.long_running:
+                self._long_running.release(charge.customer_id, charge.size)
 
     def used(self, customer_id: CustomerId) -> Size:
         """Return what the customer's runs reserve."""
@@ -103,6 +109,12 @@
         cap = self._cap_by_customer.get(customer_id)
         return cap is None or size.fits_in(cap)
 
+    def allows_later(self, customer_id: CustomerId, size: Size) -> bool:
+        """Whether ``size`` fits under the cap once the finite runs have ended."""
+        cap = self._cap_by_customer.get(customer_id)
+        lasting = self._long_running.used(customer_id)
+        return cap is None or size.fits_beside(lasting, cap)
+
     def is_below_half(self, customer_id: CustomerId) -> bool:
         """Whether the customer's runs reserve less than half of its limit."""
         limit = self._table.share(customer_id)
--- a/pistachiolift/workflows/details.py
+++ b/pistachiolift/workflows/details.py
@@ -156,6 +156,9 @@
         return WaitReason.EARLIER_STEPS
     if step.not_before_s > now_s:
         return WaitReason.RETRY_DELAY
+    needed = step.step.count if step.step.gang else 1
+    if not state.caps.allows(step.job.customer_id, step.step.size.times(needed)):
+        return WaitReason.QUOTA
     pool_id, size = step.job.queue.pool_id, step.step.reserved
     usable = list(state.usable_workers(pool_id, now_s).values())
     labelled = with_required_label(step, usable)
@@ -163,7 +166,6 @@
         return WaitReason.NO_WORKERS
     if not any(each.worker.capacity.holds(size) for each in labelled):
         return WaitReason.NEVER_FITS
-    needed = step.step.count if step.step.gang else 1
     if sum(room_for_step(step, each) for each in labelled) < needed:
         return WaitReason.NO_ROOM
     if step.job.queue.advice is not None and step.tickets_end_s <= now_s:
--- a/pistachiolift/workflows/model.py
+++ b/pistachiolift/workflows/model.py
@@ -122,10 +122,12 @@
     """What a run counts against the cap of its customer.
 
     :param size: resources of the task; a filling task counts with its processors.
+    :param long_running: whether the run ends only when its job is cancelled.
     """
 
     customer_id: CustomerId
     size: Size
+    long_running: bool = False
 
 
 class Queue(msgspec.Struct, frozen=True, kw_only=True):
--- a/pistachiolift/workflows/state.py
+++ b/pistachiolift/workflows/state.py
@@ -174,7 +174,9 @@
     def charge(self) -> RunCharge | None:
         """What one of the tasks counts against its customer's cap."""
         customer_id = self.job.customer_id
-        return RunCharge(customer_id, self.step.size) if customer_id else None
+        if not customer_id:
+            return None
+        return RunCharge(customer_id, self.step.size, self.step.long_running)
 
     def failure_slot(self, index: int) -> int:
         """Return the index under which the failed runs of a task are stored."""
--- a/pistachiolift/workflows/tests/test_details.py
+++ b/pistachiolift/workflows/tests/test_details.py
@@ -10,6 +10,7 @@
     describe_partition,
 )
 
+from .cap_check import make_customer
 from .virtual_cell import VirtualCell, make_graph, make_queue, make_step
 
 ADVICE = AdvicePolicy(decide_s=0.4, each_s=0.005, valid_s=1.5)
@@ -58,6 +59,14 @@
         cell.run(0.5)
         assert set(reasons(cell, job)) == {expected}
 
+    def test_a_step_that_its_customers_cap_holds_back(self):
+        cell = VirtualCell()
+        cell.set_customers(make_customer(cpu=2000))
+        graph = make_graph(make_step(3))
+        job = cell.submit("a", make_queue(), graph, customer_id="c")
+        cell.run(0.5)
+        assert reasons(cell, job) == [None, None, WaitReason.QUOTA]
+
     def test_a_step_without_tickets_waits_for_advice(self):
         cell = VirtualCell()
         job = cell.submit("a", make_queue(advice=ADVICE), make_graph())
