Move the quota shares to common, general over the size type

The owners of pistachiolift node need shares of the customers' caps, with the same rules as the shares of job quotas. CustomerShare, QuotaRecord and next_share move to common/quota_shares.py, with the tests.

Two rules are added. A share is not lowered below what runs under it, and nothing starts while the shares exceed a lowered quota: before, an owner could start tasks under its part of the lowered quota while another still ran more than its own. A partition can publish what work that waits for long is missing, and the others give it up; job quotas do not use this yet.

--- a/pistachiolift/common/__init__.py
+++ b/pistachiolift/common/__init__.py
@@ -11,6 +11,13 @@
 from .lazy_exports import lazy_exports
 from .logs import configure_logging, log_event
 from .metrics import Metrics
+from .quota_shares import (
+    CustomerShare,
+    QuotaRecord,
+    ShareEntry,
+    StarvingWork,
+    next_share,
+)
 from .quota_table import QuotaDemand, QuotaTable, QuotaUse
 from .rendezvous import rendezvous_ranking, stable_hash
 from .resource_amounts import NO_LIMIT, ResourceAmounts
@@ -21,13 +28,17 @@
 __all__ = [
     "NO_LIMIT",
     "Clock",
+    "CustomerShare",
     "ManualClock",
     "Message",
     "Metrics",
     "QuotaDemand",
+    "QuotaRecord",
     "QuotaTable",
     "QuotaUse",
     "ResourceAmounts",
+    "ShareEntry",
+    "StarvingWork",
     "SystemClock",
     "Urgency",
     "WaitReason",
@@ -39,6 +50,7 @@
     "lazy_exports",
     "log_event",
     "new_process_identity",
+    "next_share",
     "parse_address",
     "platform_instance_id",
     "rendezvous_ranking",
--- a/pistachiolift/home/tests/test_quota_shares.py
+++ b/pistachiolift/common/tests/test_quota_shares.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from pistachiolift.common import QuotaDemand
-from pistachiolift.home.quota_shares import (
+from pistachiolift.common.quota_shares import (
     RELEASE_AFTER_S,
     CustomerShare,
     QuotaRecord,
@@ -13,6 +13,7 @@
 from pistachiolift.jobs import Resources
 
 QUOTA = Resources(6, 2**62, 2**62)
+NOTHING = Resources()
 PARTITIONS = 2
 
 
@@ -89,7 +90,7 @@
         limits = [owner[0].limit.cpu_milli for owner in self.owners]
         held = [max(pair) for pair in zip(limits, self.used, strict=True)]
         assert sum(held) <= QUOTA.cpu_milli
-        assert self.record.total().fits_in(QUOTA)
+        assert self.record.total(NOTHING).fits_in(QUOTA)
 
 
 OWNER = st.integers(0, PARTITIONS - 1)
@@ -206,4 +207,4 @@
             fleet.owners[partition][0].quota = Resources(3, 2**62, 2**62)
             fleet.owners[partition][1] = fleet.read(fleet.owners[partition][0])
             fleet.step(partition, 3, "answered")
-        assert fleet.record.total().cpu_milli <= 3
+        assert fleet.record.total(NOTHING).cpu_milli <= 3
--- a/pistachiolift/home/__init__.py
+++ b/pistachiolift/home/__init__.py
@@ -5,8 +5,7 @@
 from .ownership_driver import AuthorityListener, OwnershipDriver
 from .paged_log import PagedLog, read_pages
 from .partition_map import PartitionMap
-from .quota_manager import JobQuotas
-from .quota_shares import UNLIMITED
+from .quota_manager import UNLIMITED, JobQuotas
 from .service import HomeService
 from .store_session import StoreListener, StoreSession
 from .trace import record_trace
--- a/pistachiolift/home/quota_manager.py
+++ b/pistachiolift/home/quota_manager.py
@@ -11,20 +11,22 @@
 
 from ..backends import KeyValueStore
 from ..common import (
+    NO_LIMIT,
     Clock,
     CustomerId,
+    CustomerShare,
     Epoch,
     Metrics,
     PartitionId,
     PistachioliftError,
+    QuotaRecord,
     QuotaUse,
     VersionConflictError,
     log_event,
 )
 from ..jobs import Resources
-from .quota_shares import NO_RESOURCES, UNLIMITED, CustomerShare, QuotaRecord
 
-__all__ = ["JobQuotas", "QuotaManager", "QuotaUser"]
+__all__ = ["UNLIMITED", "JobQuotas", "QuotaManager", "QuotaUser"]
 
 logger = logging.getLogger(__name__)
 
@@ -35,7 +37,10 @@
 # have returned shares.
 REREAD_INTERVAL_S = 3.0
 
-_record_decoder = msgspec.msgpack.Decoder(QuotaRecord)
+NO_RESOURCES = Resources()
+UNLIMITED = Resources(NO_LIMIT, NO_LIMIT, NO_LIMIT)
+
+_record_decoder = msgspec.msgpack.Decoder(QuotaRecord[Resources])
 
 
 class JobQuotas(ABC):
