Share the customers' caps between the owners of several partitions

With several partitions each owner applied the whole cap to its own workers, so that the customers could use a multiple of their caps.

Each owner now has a share of each cap. An owner whose customer waits for more than its share publishes what is missing, and the others give it up in time for gangs that need most of a cap.

--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -25,6 +25,7 @@
 from .advice_service import AdviceService
 from .background import run_in_background
 from .cap_gauges import CapGauges
+from .cap_shares import CapShares
 from .decision_log import log_job_changed, log_start, log_stop
 from .interfaces import (
     COMMAND_TIMEOUT_S,
@@ -70,6 +71,7 @@
     :param table: returns the configuration in force.
     :param directory: returns the partition's workers that are in the directory.
     :param authority_s: time for which earlier owners may still renew leases.
+    :param partitions: returns the number of partitions of the cell.
     """
 
     def __init__(
@@ -94,6 +96,7 @@
         table: Callable[[], QueueTable],
         directory: Callable[[], dict[WorkerId, Worker]],
         authority_s: float = AUTHORITY_S,
+        partitions: Callable[[], int] = lambda: 1,
     ):
         self._reactor = reactor
         self._store = store
@@ -136,6 +139,18 @@
             last_contact_s=last_contact_s,
             on_changed=self._execute_and_reschedule,
         )
+        self._cap_shares = CapShares(
+            reactor,
+            store,
+            partition=keys.number,
+            partitions=partitions,
+            fence=lambda: self.scheduler.state.fence,
+            clock=clock,
+            metrics=metrics,
+            scheduler=self.scheduler,
+            may_write=self.may_send_commands,
+            on_changed=self._schedule_pass,
+        )
         self._cap_gauges = CapGauges(metrics, prefix=f"partition.{keys.number}")
         self._drivers_by_id: dict[WorkerId, WorkerDriver] = {}
         self._poll_limiter = PollLimiter(lambda: len(self._drivers_by_id))
@@ -174,6 +189,7 @@
         for entry in list(self.scheduler.state.workers_by_id.values()):
             self._ensure_driver(entry.worker)
         self._advice_service.update_instance_count(self.scheduler)
+        self._cap_shares.start()
         self.ready = True
         self._ticking.start(TICK_INTERVAL_S, now=False)
         log_event(
@@ -209,6 +225,7 @@
         if self._scheduled_pass is not None:
             self._scheduled_pass.cancel()
             self._scheduled_pass = None
+        self._cap_shares.close()
         self.ledger.close()
         for driver in self._drivers_by_id.values():
             driver.close()
@@ -330,6 +347,7 @@
         self._table = table
         self.scheduler.set_queues(table.queues)
         self.scheduler.set_customers(table.customers)
+        self._cap_shares.handle_new_caps()
         self._schedule_pass()
 
     def update_worker(self, worker: Worker) -> None:
--- a/pistachiolift/node/partition.py
+++ b/pistachiolift/node/partition.py
@@ -230,6 +230,7 @@
             table=context.table,
             directory=self._workers,
             authority_s=authority_s,
+            partitions=self._partition_count,
         )
         self._owner = owner
         self._directory = DirectoryWatch(
@@ -252,11 +253,13 @@
             on_failure=lambda: owner.handle_superseded("recovery_failed"),
         )
 
-    def _commit_interval_s(self) -> float:
+    def _partition_count(self) -> int:
         partition_map = self._context.partition_map()
-        partitions = 1 if partition_map is None else partition_map.count
+        return 1 if partition_map is None else partition_map.count
+
+    def _commit_interval_s(self) -> float:
         settings = self._context.settings()
-        return commit_interval_s(partitions, settings.store_writes_per_s)
+        return commit_interval_s(self._partition_count(), settings.store_writes_per_s)
 
     def _workers(self) -> dict[WorkerId, Worker]:
         """Return the partition's workers that are in the directory."""
--- a/pistachiolift/workflows/cap_gate.py
+++ b/pistachiolift/workflows/cap_gate.py
@@ -1,9 +1,10 @@
 """Decides which waiting steps may use the room under their customer's cap."""
 
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from enum import Enum
 
-from ..common import CustomerId, WorkerId, log_event
+from ..common import CustomerId, QuotaDemand, WorkerId, log_event
 from .model import Size
 from .placement import could_place
 from .scheduler_state import SchedulerState
@@ -34,6 +35,9 @@
 # tickets when room becomes free.
 ADVISED_STEPS = 2
 
+# Refused steps of a customer that are counted as demand for a share of its cap.
+MAX_DEMANDS = 50
+
 
 @dataclass(slots=True)
 class CapWait:
@@ -54,15 +58,34 @@
     below_half_s: float | None = None
 
 
+class KeepPhase(Enum):
+    """What later steps of the customer get of the room that is kept for a step."""
+
+    # Jobs without any run get some of it if it stays unused.
+    KEEP = "keep"
+    STRICT = "strict"
+    # Nothing is kept.
+    OPEN = "open"
+
+
 @dataclass(slots=True)
 class KeptRoom:
-    """Room under a cap that later steps of the customer do not get in this pass.
+    """Room under a cap that is kept in this pass for the first refused step."""
+
+    wait: CapWait
+    phase: KeepPhase
+
 
-    :param strict: whether this includes jobs without any run.
+@dataclass(slots=True)
+class Refusals:
+    """Steps of a customer that were refused in this pass.
+
+    :param count: number of them.
+    :param first: the first of them, with the resources placed at once.
     """
 
-    wait: CapWait
-    strict: bool
+    count: int = 0
+    first: list[tuple[StepEntry, Size]] = field(default_factory=list)
 
 
 class CapGate:
@@ -79,15 +102,15 @@
         self._state = state
         self._wait_by_customer: dict[CustomerId, CapWait] = {}
         self._kept_by_customer: dict[CustomerId, KeptRoom] = {}
+        self._refusals_by_customer: dict[CustomerId, Refusals] = {}
         # Refused steps, with their place among those of their customer.
         self._place_by_step: dict[StepEntry, int] = {}
-        self._refused_by_customer: dict[CustomerId, int] = {}
 
     def begin_pass(self, now_s: float) -> None:
         """Forget the refusals of the last pass."""
         self._kept_by_customer.clear()
         self._place_by_step.clear()
-        self._refused_by_customer.clear()
+        self._refusals_by_customer.clear()
         for customer_id, wait in list(self._wait_by_customer.items()):
             if now_s - wait.refused_s > WAIT_END_S:
                 del self._wait_by_customer[customer_id]
@@ -114,18 +137,53 @@
         if not customer_id:
             return True
         kept = self._kept_by_customer.get(customer_id)
-        if kept is None:
+        if kept is None or self._may_pass(kept, step, now_s):
             if self._state.caps.allows(customer_id, size):
                 return True
+        if kept is None:
             self._begin_to_keep(step, size, usable_by_id, now_s)
-        elif self._may_pass(kept, step, now_s):
-            if self._state.caps.allows(customer_id, size):
-                return True
-        place = self._refused_by_customer.get(customer_id, 0)
-        self._refused_by_customer[customer_id] = place + 1
-        self._place_by_step.setdefault(step, place)
+        self._note_refusal(step, size)
         return False
 
+    def _note_refusal(self, step: StepEntry, size: Size) -> None:
+        if step in self._place_by_step:
+            return
+        refusals = self._refusals_by_customer.setdefault(
+            step.job.customer_id, Refusals()
+        )
+        self._place_by_step[step] = refusals.count
+        refusals.count += 1
+        if len(refusals.first) < MAX_DEMANDS:
+            refusals.first.append((step, size))
+
+    def demand(self, customer_id: CustomerId) -> list[QuotaDemand[Size]]:
+        """Return what would start next if the limit were higher, in order.
+
+        It is that of the last pass.
+        """
+        refusals = self._refusals_by_customer.get(customer_id, Refusals())
+        kept = self._kept_by_customer.get(customer_id)
+        passed = None
+        if kept is not None and kept.phase is KeepPhase.OPEN:
+            passed = kept.wait.keeper
+        return [
+            QuotaDemand(size, 1 if step.step.gang else len(step.waiting))
+            for step, size in refusals.first
+            if step is not passed and self._state.caps.allows_later(customer_id, size)
+        ]
+
+    def starving(self, customer_id: CustomerId) -> tuple[Size, float] | None:
+        """Return what the step for which room is kept needs, and since when.
+
+        :returns: resources placed at once, and monotonic time in seconds.
+        """
+        kept = self._kept_by_customer.get(customer_id)
+        refusals = self._refusals_by_customer.get(customer_id)
+        if kept is None or refusals is None:
+            return None
+        sizes = [size for step, size in refusals.first if step is kept.wait.keeper]
+        return (sizes[0], kept.wait.kept_since_s) if sizes else None
+
     def may_ask_adviser(self, step: StepEntry) -> bool:
         """Whether a waiting step may soon need tickets."""
         return self._place_by_step.get(step, 0) < ADVISED_STEPS
@@ -155,17 +213,22 @@
             wait.below_half_s = None
         elif wait.below_half_s is None:
             wait.below_half_s = now_s
+        phase = self._phase(wait, size, customer_id, now_s)
+        self._kept_by_customer[customer_id] = KeptRoom(wait, phase)
+
+    def _phase(
+        self, wait: CapWait, size: Size, customer_id: CustomerId, now_s: float
+    ) -> KeepPhase:
         phase_s = (now_s - wait.kept_since_s) % (
             KEEP_PHASE_S + STRICT_PHASE_S + OPEN_PHASE_S
         )
-        if phase_s < KEEP_PHASE_S + STRICT_PHASE_S:
-            # The runs are looked through only in this rare case.
-            strict = (
-                phase_s >= KEEP_PHASE_S
-                and wait.below_half_s is not None
-                and self._has_room_soon(customer_id, size)
-            )
-            self._kept_by_customer[customer_id] = KeptRoom(wait, strict)
+        if phase_s >= KEEP_PHASE_S + STRICT_PHASE_S:
+            return KeepPhase.OPEN
+        if phase_s < KEEP_PHASE_S or wait.below_half_s is None:
+            return KeepPhase.KEEP
+        # The runs are looked through only in this rare case.
+        has_room_soon = self._has_room_soon(customer_id, size)
+        return KeepPhase.STRICT if has_room_soon else KeepPhase.KEEP
 
     def _has_room_soon(self, customer_id: CustomerId, size: Size) -> bool:
         """Whether ``size`` fits once the runs shorter than a phase have ended."""
@@ -183,8 +246,10 @@
 
     def _may_pass(self, kept: KeptRoom, step: StepEntry, now_s: float) -> bool:
         """Whether a step gets some of the room that is kept for an earlier one."""
+        if kept.phase is not KeepPhase.KEEP:
+            return kept.phase is KeepPhase.OPEN
         below_half_s = kept.wait.below_half_s
-        if kept.strict or below_half_s is None or now_s - below_half_s < KEEP_LIMIT_S:
+        if below_half_s is None or now_s - below_half_s < KEEP_LIMIT_S:
             return False
         if not self._state.caps.is_below_half(step.job.customer_id):
             return False
--- a/pistachiolift/workflows/caps.py
+++ b/pistachiolift/workflows/caps.py
@@ -50,6 +50,10 @@
         """Return what the customer's runs reserve."""
         return self._table.used(customer_id)
 
+    def long_running(self, customer_id: CustomerId) -> Size:
+        """Return the part of the use that does not end by itself."""
+        return self._long_running.used(customer_id)
+
     def used_by_customer(self) -> dict[CustomerId, Size]:
         """Return what the runs reserve, by customer."""
         return self._table.used_by_customer()
@@ -96,6 +100,10 @@
         """Return the limit at this owner, ``None`` if there is none."""
         return self._table.share(customer_id)
 
+    def limits_by_customer(self) -> dict[CustomerId, Size]:
+        """Return the limits of the customers that have one."""
+        return self._table.shares_by_customer()
+
     def allows(self, customer_id: CustomerId, size: Size) -> bool:
         """Whether the customer may have ``size`` more running."""
         return self._table.allows(customer_id, size)
--- a/pistachiolift/workflows/dispatch.py
+++ b/pistachiolift/workflows/dispatch.py
@@ -25,10 +25,15 @@
     :param state: the owner's jobs and workers.
     :param lifecycle: records the runs.
     :param advice: requests tickets for steps that need advice.
+    :param gate: keeps customers within their caps.
     """
 
     def __init__(
-        self, state: SchedulerState, lifecycle: Lifecycle, advice: AdvicePlanner
+        self,
+        state: SchedulerState,
+        lifecycle: Lifecycle,
+        advice: AdvicePlanner,
+        gate: CapGate,
     ):
         self._state = state
         self._lifecycle = lifecycle
@@ -36,7 +41,7 @@
         # Workers that get no ordinary runs in the next pass, so that the runs that
         # are started alone find a worker.
         self._kept_free: set[WorkerId] = set()
-        self._gate = CapGate(state)
+        self._gate = gate
 
     def run(self, now_s: float, wall_ms: float) -> None:
         """Place all waiting tasks that fit now.
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -7,6 +7,7 @@
 
 from ..common import CustomerId, JobId, WorkerId, log_event
 from .advice import AdvicePlanner
+from .cap_gate import CapGate
 from .crashes import CrashTracker
 from .decisions import Decision, StartRun
 from .dispatch import Dispatcher
@@ -77,7 +78,10 @@
         self._lifecycle = Lifecycle(self.state)
         self._crashes = CrashTracker(self.state, self._lifecycle)
         self.advice = AdvicePlanner(self.state)
-        self._dispatcher = Dispatcher(self.state, self._lifecycle, self.advice)
+        self.cap_gate = CapGate(self.state)
+        self._dispatcher = Dispatcher(
+            self.state, self._lifecycle, self.advice, self.cap_gate
+        )
         self._progress = ProgressMonitor(self.state, self._lifecycle)
         self._sharing = SharingController(self.state)
         self.fleet = Fleet(
