--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -8,6 +8,7 @@
 from ..common import CustomerId, JobId, WorkerId, log_event
 from .admission import Admission
 from .advice import AdvicePlanner
+from .cap_gate import CapGate
 from .crashes import CrashTracker
 from .decisions import Decision, StartRun
 from .dispatch import Dispatcher
@@ -89,7 +90,10 @@
         self._lifecycle = Lifecycle(self.state)
         self._crashes = CrashTracker(self.state, self._lifecycle)
         self.advice = AdvicePlanner(self.state)
-        self._dispatcher = Dispatcher(self.state, self._lifecycle, self.advice, policy)
+        self.cap_gate = CapGate(self.state)
+        self._dispatcher = Dispatcher(
+            self.state, self._lifecycle, self.advice, self.cap_gate, policy
+        )
         self.order = self._dispatcher.order
         self.admission = Admission(self.state, self.order)
         self._progress = ProgressMonitor(self.state, self._lifecycle)
