Find workers on which runs stand still in two reports, and move their runs

Each run was watched alone, for 2.5 s and a share of its declared time after its last progress; until then its worker got further tasks. A worker that had become 8 times slower kept its runs.

PaceMonitor measures the pace of runs on the worker's clock, so that a paused owner reads nothing into late reports, and compares it with the same step or all runs elsewhere. A worker on which runs of several jobs are below a quarter of it gets no new work until a single probe shows that it works; runs there are stopped if they end earlier elsewhere. The worker's clock comes with the reports and the answers to starts. The forecast of an evacuation counts the work done since the newest report. The virtual cell sends clocks; uneven cells report every 0.8 s, as polls wait.

--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -439,6 +439,7 @@
             now_s=now_s,
             wall_ms=wall_ms,
             remaining_s=report.remaining_s,
+            clock_ms=report.clock_ms,
         )
         if not taken:
             return succeed(False)
--- a/pistachiolift/node/worker_driver.py
+++ b/pistachiolift/node/worker_driver.py
@@ -469,6 +469,7 @@
         if answer is None:
             return None
         self._record_clock(clock_ms)
+        answer = msgspec.structs.replace(answer, clock_ms=clock_ms)
         self._metrics.timing_ms(
             "workers.start", (self._clock.monotonic_s() - sent_s) * 1000
         )
--- a/pistachiolift/workflows/evacuation.py
+++ b/pistachiolift/workflows/evacuation.py
@@ -7,7 +7,7 @@
 from .forecast import RunForecast, forecast_run
 from .lifecycle import Lifecycle
 from .model import PoolId, StepKey, TaskKey, TaskRunStatus
-from .placement import room_for_step, with_required_label
+from .placement import count_room
 from .scheduler_state import SchedulerState
 from .state import StepEntry, TaskRun, WorkerEntry
 
@@ -147,10 +147,7 @@
         return _Action.RESTART if room >= needed else _Action.CONTINUE
 
     def _room_elsewhere(self, step: StepEntry, pool_id: PoolId, now_s: float) -> int:
-        usable = list(self._state.usable_workers(pool_id, now_s).values())
-        return sum(
-            room_for_step(step, entry) for entry in with_required_label(step, usable)
-        )
+        return count_room(step, self._state.usable_workers(pool_id, now_s).values())
 
     def _log(
         self,
--- a/pistachiolift/workflows/fleet.py
+++ b/pistachiolift/workflows/fleet.py
@@ -147,6 +147,7 @@
         now_s: float,
         wall_ms: int,
         remaining_s: float | None = None,
+        clock_ms: int = 0,
     ) -> bool:
         """Apply a worker's run report.
 
@@ -156,6 +157,7 @@
         :param sent_s: time at which the report was requested.
         :param remaining_s: time until the worker kills its runs and leaves, in seconds;
             ``None`` if it stays.
+        :param clock_ms: worker's clock at the time of the report; 0 if unknown.
         :returns: whether the report was applied. The report of a worker that has been
             removed is not, and its ended runs must not be acknowledged.
         """
@@ -173,6 +175,7 @@
             sent_s=sent_s,
             now_s=now_s,
             wall_ms=wall_ms,
+            clock_ms=clock_ms,
         )
         if complete and not entry.has_reported:
             entry.has_reported = True
--- a/pistachiolift/workflows/forecast.py
+++ b/pistachiolift/workflows/forecast.py
@@ -13,6 +13,9 @@
 # Progress from which the speed of a run is known well enough; the percent is cut to
 # whole numbers.
 MIN_MEASURED_PERCENT = 5
+# A run whose percent has not changed for as long as this many percent usually take
+# stands still.
+MAX_STEPS = 3
 # Factors by which a forecast may be too long. Declared times are wrong by about 2.
 MEASURED_ERROR = 1.2
 DECLARED_ERROR = 2.0
@@ -50,9 +53,10 @@
     advanced = run.percent - run.first_percent
     if first_s is not None and advanced >= MIN_MEASURED_PERCENT:
         percent_s = (run.progressed_s - first_s) / advanced
-        # A run that stands still gets no nearer to its end.
-        waited_s = min(now_s - run.progressed_s, percent_s)
-        rest_s = (DONE_PERCENT - run.percent) * percent_s - waited_s
+        rest_s = (DONE_PERCENT - run.percent) * percent_s
+        # A run that stands still in the newest report gets no nearer to its end.
+        if worker.reported_s - run.progressed_s <= MAX_STEPS * percent_s:
+            rest_s -= now_s - run.progressed_s
         return RunForecast(max(0.0, rest_s), measured=True)
     total_s = step.step.estimate_s * exp(worker.speed.log_ratio)
     total_s *= 1 - run.first_percent / DONE_PERCENT
--- a/pistachiolift/workflows/placement.py
+++ b/pistachiolift/workflows/placement.py
@@ -1,6 +1,6 @@
 """Selects workers for tasks and for gangs."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from heapq import heapify, heappop, heappush
 
@@ -10,6 +10,7 @@
 __all__ = [
     "GangPlan",
     "WorkerChoice",
+    "count_room",
     "eligible_workers",
     "plan_gang",
     "room_for_step",
@@ -72,12 +73,29 @@
 
 def room_for_step(step: StepEntry, entry: WorkerEntry) -> int:
     """Return how many more tasks of the step fit on the worker."""
-    if entry.isolated:
+    if entry.isolated or (entry.probe_only and not _may_probe(step, entry)):
         return 0
     room = entry.room_for(step.step.reserved)
     if room and step.step.max_per_worker:
         room = min(room, step.step.max_per_worker - _count_tasks(step, entry))
-    return max(0, room)
+    return max(0, min(room, 1) if entry.probe_only else room)
+
+
+def _may_probe(step: StepEntry, entry: WorkerEntry) -> bool:
+    """Whether a task of the step may show if a suspected worker works again.
+
+    It may fail or stand still, which would cost a gang or an urgent job most.
+    """
+    if entry.runs or step.step.gang:
+        return False
+    return entry.probe_urgent or step.job.queue.priority > 0
+
+
+def count_room(step: StepEntry, workers: Iterable[WorkerEntry]) -> int:
+    """Return how many more tasks of the step fit on the workers together."""
+    return sum(
+        room_for_step(step, entry) for entry in with_required_label(step, list(workers))
+    )
 
 
 class WorkerChoice:
@@ -151,7 +169,11 @@
 
 
 def _is_suspect(health: WorkerHealth, entry: WorkerEntry) -> bool:
-    return health.failing_job_count(entry.worker_id) >= SUSPECT_FAILED_JOBS
+    return (
+        entry.probe_only
+        or entry.suspect
+        or health.failing_job_count(entry.worker_id) >= SUSPECT_FAILED_JOBS
+    )
 
 
 def _choose_for_fill(step: StepEntry, workers: list[WorkerEntry]) -> WorkerEntry | None:
--- a/pistachiolift/workflows/run_reports.py
+++ b/pistachiolift/workflows/run_reports.py
@@ -8,6 +8,7 @@
 from .crashes import CrashTracker
 from .lifecycle import Lifecycle
 from .model import EndKind, Size, TaskKey, TaskRunStatus
+from .pace import record_percent
 from .scheduler_state import SchedulerState
 from .state import StepEntry, TaskRun, WorkerEntry
 
@@ -73,11 +74,13 @@
         sent_s: float,
         now_s: float,
         wall_ms: int,
+        clock_ms: int = 0,
     ) -> None:
         """Apply ended runs, then running ones, then runs missing from the report.
 
         :param complete: whether the report contains all ended runs.
         :param sent_s: time at which the report was requested.
+        :param clock_ms: worker's clock at the time of the report; 0 if unknown.
         """
         for end in ended:
             self._log_end(worker, end)
@@ -93,11 +96,17 @@
             )
         worker.has_unknown_run = False
         worker.report_requested_s = max(worker.report_requested_s, sent_s)
+        worker.reported_s = now_s
+        worker.clock_ms = max(worker.clock_ms, clock_ms)
         present = set()
         for reported in running:
             present.add((reported.task, reported.number))
             self._crashes.handle_reported_run(reported.task, reported.number)
             self._apply_running(worker, reported, sent_s, now_s)
+            step = self._state.step_of(reported.task)
+            run = worker.runs.get((reported.task, reported.number))
+            if step is not None and run is not None:
+                record_percent(run, step, reported.percent, clock_ms)
         if complete:
             self._end_missing(worker, present, sent_s, now_s)
 
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -24,6 +24,7 @@
     TaskKey,
     TaskRunStatus,
 )
+from .pace import PaceMonitor
 from .progress import ProgressMonitor
 from .records import (
     JobAccepted,
@@ -51,11 +52,13 @@
     :param reason: reason of a refusal, in snake case.
     :param repeated: whether an earlier attempt to send the start had no answer, so
         that the worker may still carry it out.
+    :param clock_ms: worker's clock when it answered, in milliseconds; 0 if unknown.
     """
 
     started: bool
     reason: str = ""
     repeated: bool = False
+    clock_ms: int = 0
 
 
 class GraphScheduler:
@@ -80,6 +83,7 @@
         self.advice = AdvicePlanner(self.state)
         self._dispatcher = Dispatcher(self.state, self._lifecycle, self.advice)
         self._progress = ProgressMonitor(self.state, self._lifecycle)
+        self._pace = PaceMonitor(self.state, self._lifecycle)
         self._evacuation = EvacuationPlanner(self.state, self._lifecycle)
         self._sharing = SharingController(self.state)
         self.fleet = Fleet(
@@ -295,6 +299,7 @@
             return
         if answer.started:
             run.answered_s = now_s
+            self._record_start(run, answer)
             self._lifecycle.confirm_run(run, now_s)
             return
         if answer.reason == "old":
@@ -313,6 +318,16 @@
         worker.release(run)
         self._lifecycle.end_without_result(run, EndKind.STOPPED, now_s)
 
+    def _record_start(self, run: TaskRun, answer: StartAnswer) -> None:
+        """Begin to measure the pace of a run that the worker has just started."""
+        if answer.repeated or run.started_ms:
+            return
+        run.started_ms = answer.clock_ms
+        step = self.state.step_of(run.task)
+        # A run that resumes begins at an unknown percent.
+        if step is not None and not step.checkpoint(run.task.index):
+            run.mark_ms = run.mark_ms or answer.clock_ms
+
     def handle_unanswered_start(
         self, worker_id: WorkerId, task: TaskKey, number: int
     ) -> None:
@@ -355,6 +370,7 @@
         """Handle timeouts, stalled runs, lost workers and expired jobs."""
         self.advice.expire_calls(now_s)
         self._progress.check(now_s)
+        self._pace.check(now_s)
         self._evacuation.check(now_s)
         self._sharing.check(now_s)
         self.fleet.check(now_s)
--- a/pistachiolift/workflows/state.py
+++ b/pistachiolift/workflows/state.py
@@ -88,6 +88,12 @@
     :param progressed_s: time at which ``percent`` last changed.
     :param first_percent: progress in the first report that shows the run.
     :param first_percent_s: time of that report, or ``None``.
+    :param started_ms: worker's clock when it answered the start; 0 if unknown.
+    :param mark_percent: progress at the begin of the window that measures the pace.
+    :param mark_ms: worker's clock at that time; 0 before the first.
+    :param pace: work done in the last window, in seconds of the declared time per
+        second; ``None`` before its end.
+    :param pace_ms: worker's clock at the end of that window.
     :param survived: whether a report has shown it some time after its start.
     :param alone: whether its worker gets no other run until it has survived.
     """
@@ -106,6 +112,11 @@
     progressed_s: float = 0.0
     first_percent: int = 0
     first_percent_s: float | None = None
+    started_ms: int = 0
+    mark_percent: int = 0
+    mark_ms: int = 0
+    pace: float | None = None
+    pace_ms: int = 0
     usage: int = 0
     speed_percent: int = 100
     speed_set_s: float = 0.0
@@ -135,6 +146,10 @@
     :param survived_run_by_index: newest run of a task that has survived its start.
     :param tickets_by_worker: ticket and the time at which it expires.
     :param approved: workers that the adviser approved; ``None`` before its answer.
+    :param moves_by_index: for each task the number of its runs that were stopped since
+        their worker was behind.
+    :param pace_elsewhere: last known pace of its runs on workers that are not behind;
+        ``None`` before two of them are known.
     :param asked_s: time of the advice call in flight, or ``None``.
     :param asked_workers: workers for which the adviser was called.
     :param last_asked: workers included in the newest calls.
@@ -157,6 +172,8 @@
     checkpoint_by_index: dict[int, str] = field(default_factory=dict)
     failed_on_by_index: dict[int, set[WorkerId]] = field(default_factory=dict)
     last_run_by_index: dict[int, int] = field(default_factory=dict)
+    moves_by_index: dict[int, int] = field(default_factory=dict)
+    pace_elsewhere: float | None = None
     tickets_by_worker: dict[WorkerId, tuple[str, float]] = field(default_factory=dict)
     approved: frozenset[WorkerId] | None = None
     asked_s: float | None = None
@@ -275,6 +292,7 @@
     :param reachable: whether the worker answered the last poll.
     :param registered: whether the worker is in the directory.
     :param report_requested_s: time at which its newest run report was requested.
+    :param reported_s: time at which its newest run report was applied.
     :param has_unknown_run: whether it has a run of unknown size.
     :param recorded: whether the ledger shall hold that the worker is in use.
     :param use_record: number of the record that must be durable before a start.
@@ -283,6 +301,13 @@
     :param lease_end_s: time after which no run can still be running on the worker.
     :param leaves_s: time at which it kills its runs, by its own report; ``None`` if it
         stays.
+    :param clock_ms: worker's clock at its newest run report; 0 if unknown.
+    :param behind_s: time at which its runs were last far slower than those elsewhere;
+        ``None`` if they are not.
+    :param probe_only: whether it gets a single task at a time, to see whether it works.
+    :param probe_urgent: whether this may be an urgent task.
+    :param suspect: whether it is used only if no other fits.
+    :param suspect_until_s: time until which this holds.
     :param unproven: keys of the runs that have not survived their start yet.
     :param isolated: keys of those that were started alone.
     """
@@ -297,6 +322,7 @@
     used_accelerators: int = 0
     runs: dict[tuple[TaskKey, int], TaskRun] = field(default_factory=dict)
     report_requested_s: float = 0.0
+    reported_s: float = 0.0
     recorded: bool = False
     use_record: int = 0
     paused_until_s: float = 0.0
@@ -304,6 +330,12 @@
     speed: SpeedEstimate = field(default_factory=SpeedEstimate)
     fill_percent: int | None = None
     leaves_s: float | None = None
+    clock_ms: int = 0
+    behind_s: float | None = None
+    probe_only: bool = False
+    probe_urgent: bool = False
+    suspect: bool = False
+    suspect_until_s: float = 0.0
     unproven: set[tuple[TaskKey, int]] = field(default_factory=set)
     isolated: set[tuple[TaskKey, int]] = field(default_factory=set)
 
@@ -326,6 +358,7 @@
             and not self.has_unknown_run
             and self.worker.state is WorkerState.READY
             and self.leaves_s is None
+            and (self.behind_s is None or self.probe_only)
             and now_s >= self.paused_until_s
         )
 
--- a/pistachiolift/workflows/tests/test_evacuation.py
+++ b/pistachiolift/workflows/tests/test_evacuation.py
@@ -157,7 +157,7 @@
         cell = UnevenCell(sizes=(8, 8))
         cell.run(0.2)
         cell.leave("w0", directory_s=1.5)
-        cell.run(0.2)
+        cell.run(0.9)
         step = make_step(2, cpu=4000, estimate_s=5.0)
         job = cell.submit("a", REBUILD, make_graph(step))
         cell.run(0.2)
--- a/pistachiolift/workflows/tests/uneven_cell.py
+++ b/pistachiolift/workflows/tests/uneven_cell.py
@@ -39,6 +39,8 @@
     def __init__(self, *, sizes=(64, 32) * 18, zones=3, seed=1):
         super().__init__(workers=0, seed=seed, queues=(URGENT, LARGE, REBUILD))
         self._zones = zones
+        # As a waiting poll of a worker without ends.
+        self.report_s = 0.8
         # Time until a run on a failing worker fails; ``None``: at its end.
         self.fail_after_s: float | None = None
         # Work of each run in seconds, and its position at the start.
--- a/pistachiolift/workflows/tests/uneven_scenarios.py
+++ b/pistachiolift/workflows/tests/uneven_scenarios.py
@@ -1,6 +1,6 @@
 """Scenarios with uneven workers, to compare versions of the scheduler by hand.
 
-``python -m pistachiolift.workflows.tests.uneven_scenarios [SCENARIO ...]``
+``python -m pistachiolift.workflows.tests.uneven_scenarios [SCENARIO ...] [scale=RATE]``
 """
 
 import random
@@ -102,7 +102,7 @@
     return cell
 
 
-def main(names: list[str], seeds: int = 10) -> None:
+def main(names: list[str], *, seeds: int = 10, scale: float = 1.0) -> None:
     """Print the worth of each kind, and counts, by scenario."""
     for scenario in SCENARIOS:
         if names and scenario.__name__ not in names:
@@ -110,7 +110,7 @@
         worth: Counter[str] = Counter()
         counts: Counter[str] = Counter()
         for seed in range(seeds):
-            cell = run_scenario(scenario, seed)
+            cell = run_scenario(scenario, seed, scale=scale)
             for name, value in cell.worth_by_queue().items():
                 worth[name] += value / seeds
             jobs = cell.submitted_s
@@ -128,4 +128,9 @@
 
 
 if __name__ == "__main__":
-    main(sys.argv[1:])
+    options = dict(each.split("=") for each in sys.argv[1:] if "=" in each)
+    main(
+        [each for each in sys.argv[1:] if "=" not in each],
+        scale=float(options.get("scale", 1.0)),
+        seeds=int(options.get("seeds", 10)),
+    )
--- a/pistachiolift/workflows/tests/virtual_cell.py
+++ b/pistachiolift/workflows/tests/virtual_cell.py
@@ -322,7 +322,7 @@
         else:
             self._check_start(fake, order, self.now_s)
             self._start_run(fake, order)
-            answer = StartAnswer(started=True)
+            answer = StartAnswer(started=True, clock_ms=int(self.now_s * 1000))
         self.scheduler.handle_start_answer(
             order.worker_id, order.task, order.number, answer, now_s=self.now_s
         )
@@ -519,6 +519,7 @@
             now_s=self.now_s,
             wall_ms=self.wall_ms,
             remaining_s=self._remaining_s(fake),
+            clock_ms=int(self.now_s * 1000),
         )
         fake.last_report = (self.scheduler, self.scheduler.state.recorded, len(ended))
 
