--- a/pistachiolift/workflows/placement.py
+++ b/pistachiolift/workflows/placement.py
@@ -13,6 +13,7 @@
     "could_place",
     "below_limit",
     "count_room",
+    "count_tasks",
     "eligible_workers",
     "plan_gang",
     "room_for_step",
@@ -69,14 +70,15 @@
     return [entry for entry in workers if label in entry.worker.labels]
 
 
-def _count_tasks(step: StepEntry, entry: WorkerEntry) -> int:
+def count_tasks(step: StepEntry, entry: WorkerEntry) -> int:
+    """Return how many tasks of the step are on the worker."""
     return sum(1 for task, _ in entry.runs if task.step_key == step.key)
 
 
 def below_limit(step: StepEntry, entry: WorkerEntry) -> bool:
     """Whether the step's limit of tasks on one worker allows another one there."""
     limit = step.step.max_per_worker
-    return not limit or _count_tasks(step, entry) < limit
+    return not limit or count_tasks(step, entry) < limit
 
 
 def room_for_step(step: StepEntry, entry: WorkerEntry) -> int:
@@ -85,7 +87,7 @@
         return 0
     room = entry.room_for(step.step.reserved)
     if room and step.step.max_per_worker:
-        room = min(room, step.step.max_per_worker - _count_tasks(step, entry))
+        room = min(room, step.step.max_per_worker - count_tasks(step, entry))
     return max(0, min(room, 1) if entry.probe_only else room)
 
 
