Let a question about a job's admission change nothing

The decision remembered refused jobs itself, so that an answer to an operator's question would have counted as a first request.

Tests of workflows/tests/test_admission*.py and node/tests/test_admission_of_jobs.py pass.

--- a/pistachiolift/node/job_calls.py
+++ b/pistachiolift/node/job_calls.py
@@ -108,6 +108,12 @@
                 customer_id=customer_id,
             )
             if not decision.admitted:
+                self._scheduler.admission.record_refusal(
+                    job_id,
+                    received_s=received_s,
+                    received_ms=received_ms,
+                    now_s=now_s,
+                )
                 return self._refuse_overload(job_id, queue, customer_id, decision)
             self._predictions.add(job_id, queue.queue_id, decision, now_s)
         number = self._scheduler.submit(
--- a/pistachiolift/node/tests/test_admission_of_jobs.py
+++ b/pistachiolift/node/tests/test_admission_of_jobs.py
@@ -111,6 +111,16 @@
         assert harness.answer("3" * 16, SHORT).outcome is JobOutcome.REFUSED
         assert harness.answer("2" * 16, SHORT).outcome is JobOutcome.OK
 
+    def test_a_retry_is_judged_from_the_first_request(self):
+        """Guards against retries that are accepted when they are of no use."""
+        harness = BusyHarness()
+        harness.answer("1" * 16, LONG)
+        assert harness.answer("2" * 16, SHORT).outcome is JobOutcome.REFUSED
+        harness.advance(34.0)
+        assert harness.answer("2" * 16, SHORT).outcome is JobOutcome.REFUSED
+        totals = harness.metrics.totals_by_name
+        assert totals["refusal.admission.too_late"] == 1
+
     def test_a_refused_job_takes_nothing_of_its_customers_rate(self):
         harness = BusyHarness(weight=2.0)
         assert harness.answer("1" * 16, LONG).outcome is JobOutcome.OK
--- a/pistachiolift/workflows/admission.py
+++ b/pistachiolift/workflows/admission.py
@@ -138,6 +138,22 @@
         """
         return self._first_received.get(job_id, (received_s, received_ms))
 
+    def record_refusal(
+        self, job_id: JobId, *, received_s: float, received_ms: int, now_s: float
+    ) -> None:
+        """Keep the time of the first request for the retries of a refused job.
+
+        :param received_s: monotonic time of the first request.
+        :param received_ms: Unix time of the first request, in milliseconds.
+        """
+        first = self._first_received
+        first.setdefault(job_id, (received_s, received_ms))
+        while first:
+            oldest_s, _ = next(iter(first.values()))
+            if len(first) <= REMEMBERED_JOBS and now_s - oldest_s < REMEMBERED_S:
+                return
+            first.popitem(last=False)
+
     def decide(
         self,
         job_id: JobId,
@@ -150,7 +166,7 @@
         wall_ms: int,
         customer_id: CustomerId = CustomerId(""),
     ) -> AdmissionDecision:
-        """Decide about a job that the owner does not know yet.
+        """Decide about a job that the owner does not know yet; changes nothing.
 
         :param received_s: monotonic time of the first request.
         :param received_ms: Unix time of the first request, in milliseconds.
@@ -166,10 +182,7 @@
         )
         if objective_s(job) <= 0 or not self._capacity.has_pool(queue.pool_id):
             return NOT_JUDGED
-        decision = self._judge(job, now_s, wall_ms)
-        if not decision.admitted:
-            self._remember(job, now_s)
-        return decision
+        return self._judge(job, now_s, wall_ms)
 
     def _judge(self, job: JobEntry, now_s: float, wall_ms: int) -> AdmissionDecision:
         if not self._fits(job):
@@ -317,16 +330,6 @@
             **figures,
         )
 
-    def _remember(self, job: JobEntry, now_s: float) -> None:
-        """Keep the time of the first request for the retries of a refused job."""
-        first = self._first_received
-        first.setdefault(job.job_id, (job.received_s, job.received_ms))
-        while first:
-            received_s, _ = next(iter(first.values()))
-            if len(first) <= REMEMBERED_JOBS and now_s - received_s < REMEMBERED_S:
-                return
-            first.popitem(last=False)
-
 
 def _spread_s(job_id: JobId, shortage_s: float) -> int:
     """Return the seconds after which a job should be sent again.
--- a/pistachiolift/workflows/tests/burst_cell.py
+++ b/pistachiolift/workflows/tests/burst_cell.py
@@ -96,6 +96,12 @@
         if decision.admitted or self._shadow:
             self.submit(job_id, queue, graph, customer_id)
         if not decision.admitted:
+            self.scheduler.admission.record_refusal(
+                JobId(job_id),
+                received_s=self.now_s,
+                received_ms=self.wall_ms,
+                now_s=self.now_s,
+            )
             self.refused[job_id] = (queue, graph, decision)
             self.tries.append(self.now_s)
             if tries < self._retries:
--- a/pistachiolift/workflows/tests/test_admission_under_bursts.py
+++ b/pistachiolift/workflows/tests/test_admission_under_bursts.py
@@ -145,6 +145,16 @@
         assert again.reason is AdmissionReason.TOO_LATE
         assert cell.decide("new", queue, graph).most_wait_s > again.most_wait_s
 
+    def test_a_question_about_a_job_is_not_remembered(self):
+        """Guards against answers to operators that change the decision."""
+        cell = BurstCell()
+        cell.know_workers()
+        cell.flood(REBUILDS, 150)
+        assert not cell.decide("asked", REBUILDS, REBUILD).admitted
+        cell.run(1.0)
+        admission = cell.scheduler.admission
+        assert admission.first_received(JobId("asked"), 7.0, 7) == (7.0, 7)
+
     def test_an_accepted_retry_keeps_the_time_of_its_first_request(self):
         cell = BurstCell(retries=CLIENT_RETRIES)
         cell.know_workers()
@@ -163,8 +173,7 @@
         cell.know_workers()
         cell.flood(REBUILDS, 300)
         memory = cell.scheduler.admission._first_received
-        for number in range(2 * REMEMBERED_JOBS):
-            cell.decide(f"more-{number}", REBUILDS, REBUILD)
+        cell.flood(REBUILDS, 2 * REMEMBERED_JOBS, name="more")
         assert len(memory) == REMEMBERED_JOBS
         cell.run(REMEMBERED_S + 1.0)
         cell.flood(REBUILDS, 400, name="later")
