--- a/pistachiolift/workflows/caps.py
+++ b/pistachiolift/workflows/caps.py
@@ -25,6 +25,8 @@
 
     def __init__(self):
         self._table = QuotaTable(Size())
+        # The part of the charges that does not end by itself.
+        self._long_running = QuotaTable(Size())
         self._cap_by_customer: dict[CustomerId, Size] = {}
         self._share_by_customer: dict[CustomerId, Size] | None = None
 
@@ -34,16 +36,24 @@
         """Count a run, which may exceed the limit if it is found on a worker."""
         if charge is not None:
             self._table.charge(charge.customer_id, charge.size)
+            if charge.long_running:
+                self._long_running.charge(charge.customer_id, charge.size)
 
     def release(self, charge: RunCharge | None) -> None:
         """Stop counting a run that has certainly ended."""
         if charge is not None:
             self._table.release(charge.customer_id, charge.size)
+            if charge.long_running:
+                self._long_running.release(charge.customer_id, charge.size)
 
     def used(self, customer_id: CustomerId) -> Size:
         """Return what the customer's runs reserve."""
         return self._table.used(customer_id)
 
+    def long_running(self, customer_id: CustomerId) -> Size:
+        """Return the part of the use that does not end by itself."""
+        return self._long_running.used(customer_id)
+
     def used_by_customer(self) -> dict[CustomerId, Size]:
         """Return what the runs reserve, by customer."""
         return self._table.used_by_customer()
@@ -90,6 +100,10 @@
         """Return the limit at this owner, ``None`` if there is none."""
         return self._table.share(customer_id)
 
+    def limits_by_customer(self) -> dict[CustomerId, Size]:
+        """Return the limits of the customers that have one."""
+        return self._table.shares_by_customer()
+
     def allows(self, customer_id: CustomerId, size: Size) -> bool:
         """Whether the customer may have ``size`` more running."""
         return self._table.allows(customer_id, size)
@@ -103,6 +117,12 @@
         cap = self._cap_by_customer.get(customer_id)
         return cap is None or size.fits_in(cap)
 
+    def allows_later(self, customer_id: CustomerId, size: Size) -> bool:
+        """Whether ``size`` fits under the cap once the finite runs have ended."""
+        cap = self._cap_by_customer.get(customer_id)
+        lasting = self._long_running.used(customer_id)
+        return cap is None or size.fits_beside(lasting, cap)
+
     def is_below_half(self, customer_id: CustomerId) -> bool:
         """Whether the customer's runs reserve less than half of its limit."""
         limit = self._table.share(customer_id)
