--- a/pistachiolift/node/job_calls.py
+++ b/pistachiolift/node/job_calls.py
@@ -7,8 +7,10 @@
 
 from ..common import Clock, CustomerId, JobId, Metrics, log_event
 from ..workflows import (
+    AdmissionDecision,
     GraphScheduler,
     JobAccepted,
+    JobChanged,
     JobForgotten,
     JobGraph,
     LedgerRecord,
@@ -19,6 +21,8 @@
 )
 from .ledger import Ledger
 from .peer_messages import JobAnswer, JobOutcome
+from .refusals import NAME_LIMIT, RefusalLog
+from .wait_predictions import WaitPredictions
 
 __all__ = ["STALLED_LIMIT_S", "JobCalls"]
 
@@ -59,6 +63,8 @@
         self._is_ready = is_ready
         self._last_contact_s = last_contact_s
         self._on_changed = on_changed
+        self._predictions = WaitPredictions(metrics)
+        self._refusals = RefusalLog(logger, clock=clock, metrics=metrics)
         # For each job that is not durable yet, the Deferreds of the submitting calls.
         # They fire if the job is withdrawn.
         self._withdrawals_by_id: dict[JobId, list[Deferred]] = {}
@@ -82,17 +88,34 @@
         if not self._is_ready():
             return JobAnswer(JobOutcome.NOT_OWNER)
         known = job_id in self._scheduler.state.jobs_by_id
-        if known and not self._is_visible(job_id, customer_id):
+        if self._is_foreign(job_id, customer_id):
             return self._reject_identifier(job_id, customer_id)
         if not known and self._ledger.stalled_s > STALLED_LIMIT_S:
             return self._refuse(job_id, "ledger_stalled")
-        now_s = self._clock.monotonic_s()
+        now_s, wall_ms = self._clock.monotonic_s(), self._wall_ms()
+        received_s, received_ms = self._scheduler.admission.first_received(
+            job_id, now_s - age_s, wall_ms - int(age_s * 1000)
+        )
+        if not known:
+            decision = self._scheduler.admission.decide(
+                job_id,
+                queue,
+                graph,
+                received_s=received_s,
+                received_ms=received_ms,
+                now_s=now_s,
+                wall_ms=wall_ms,
+                customer_id=customer_id,
+            )
+            if not decision.admitted:
+                return self._refuse_overload(job_id, queue, customer_id, decision)
+            self._predictions.add(job_id, queue.queue_id, decision, now_s)
         number = self._scheduler.submit(
             job_id,
             queue,
             graph,
-            received_s=now_s - age_s,
-            received_ms=self._wall_ms() - int(age_s * 1000),
+            received_s=received_s,
+            received_ms=received_ms,
             customer_id=customer_id,
         )
         self._on_changed()
@@ -150,6 +173,7 @@
         if not isinstance(record, JobAccepted):
             return record
         self._scheduler.withdraw(record.job_id)
+        self._predictions.drop(record.job_id)
         for withdrawal in self._withdrawals_by_id.pop(record.job_id, ()):
             withdrawal.callback(None)
         return JobForgotten(record.job_id)
@@ -165,22 +189,67 @@
         )
         return JobAnswer(JobOutcome.REFUSED)
 
+    def _refuse_overload(
+        self,
+        job_id: JobId,
+        queue: Queue,
+        customer_id: CustomerId,
+        decision: AdmissionDecision,
+    ) -> JobAnswer:
+        """Refuse a job that cannot end in time."""
+        self._metrics.count(f"refusal.admission.{decision.reason.value}")
+        log_event(
+            logger,
+            "job_refused",
+            job=job_id,
+            queue=queue.queue_id,
+            customer=customer_id,
+            reason=decision.reason.value,
+            retry_after_s=decision.retry_after_s,
+            excess=decision.excess,
+            least_wait_s=decision.least_wait_s,
+            most_wait_s=decision.most_wait_s,
+            ahead_s=decision.ahead_s,
+            running_s=decision.running_s,
+            capacity_milli=decision.capacity_milli,
+            totals_age_s=decision.age_s,
+        )
+        return JobAnswer(
+            JobOutcome.REFUSED, retry_after_s=float(decision.retry_after_s)
+        )
+
+    def handle_job_changed(self, change: JobChanged) -> None:
+        """Compare the predicted with the actual wait once a job starts or ends."""
+        self._predictions.resolve(change, self._clock.monotonic_s())
+
     def _is_visible(self, job_id: JobId, customer_id: CustomerId | None) -> bool:
-        """Whether a caller may see a job; jobs without a customer are for all."""
+        """Whether a caller may see a job.
+
+        Jobs without a customer are for all, and those of a public queue also for
+        callers without a key.
+
+        :param customer_id: the caller's customer; empty for a caller without a key,
+            ``None`` if callers need no keys.
+        """
         job = self._scheduler.state.jobs_by_id.get(job_id)
-        return (
-            job is None or customer_id is None or job.customer_id in ("", customer_id)
-        )
+        if job is None or customer_id is None or not job.customer_id:
+            return True
+        if not customer_id:
+            return job.queue.public
+        return job.customer_id == customer_id
+
+    def _is_foreign(self, job_id: JobId, customer_id: CustomerId) -> bool:
+        """Whether an identifier belongs to a job of another customer."""
+        job = self._scheduler.state.jobs_by_id.get(job_id)
+        return job is not None and job.customer_id not in ("", customer_id)
 
     def _reject_identifier(self, job_id: JobId, customer_id: CustomerId) -> JobAnswer:
         """Refuse a job whose identifier another customer's job has."""
-        self._metrics.count("refusal.identifier_in_use")
-        log_event(
-            logger,
-            "job_refused",
+        self._refusals.record(
+            "identifier_in_use",
+            event="job_refused",
             job=job_id,
-            customer=customer_id,
-            reason="identifier_in_use",
+            customer=customer_id[:NAME_LIMIT],
         )
         return JobAnswer(JobOutcome.FORBIDDEN)
 
@@ -189,8 +258,8 @@
     ) -> JobAnswer:
         """Cancel a job and wait until the cancellation is durable.
 
-        :param customer_id: the customer whose jobs the caller may see; ``None`` for
-            all.
+        :param customer_id: the caller's customer; empty for a caller without a key,
+            ``None`` if callers need no keys.
         """
         if not self._is_ready():
             return JobAnswer(JobOutcome.NOT_OWNER)
@@ -209,8 +278,8 @@
     def status(self, job_id: JobId, customer_id: CustomerId | None = None) -> JobAnswer:
         """Return a job's state.
 
-        :param customer_id: the customer whose jobs the caller may see; ``None`` for
-            all.
+        :param customer_id: the caller's customer; empty for a caller without a key,
+            ``None`` if callers need no keys.
         """
         if not self._is_ready():
             return JobAnswer(JobOutcome.NOT_OWNER)
--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -3,7 +3,6 @@
 import logging
 from collections import deque
 from collections.abc import Callable
-from dataclasses import asdict
 
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
@@ -22,9 +21,11 @@
     StopRun,
     TaskKey,
     Worker,
+    WorkerState,
 )
 from .advice_service import AdviceService
 from .background import run_in_background
+from .cap_gauges import CapGauges
 from .decision_log import log_job_changed, log_start, log_stop
 from .interfaces import (
     COMMAND_TIMEOUT_S,
@@ -38,6 +39,7 @@
 from .ownership import AUTHORITY_S
 from .partition_map import PartitionKeys
 from .poll_limiter import PollLimiter
+from .waiting_report import WaitingReporter
 from .worker_driver import LeaseTerms, WorkerDriver, WorkerEvents
 
 __all__ = ["Owner"]
@@ -136,6 +138,10 @@
             last_contact_s=last_contact_s,
             on_changed=self._execute_and_reschedule,
         )
+        self._cap_gauges = CapGauges(metrics, prefix=f"partition.{keys.number}")
+        self._waiting_report = WaitingReporter(
+            self.scheduler, metrics, f"partition.{keys.number}"
+        )
         self._drivers_by_id: dict[WorkerId, WorkerDriver] = {}
         self._poll_limiter = PollLimiter(lambda: len(self._drivers_by_id))
         self._table = QueueTable()
@@ -272,6 +278,7 @@
                 )
             case JobChanged():
                 self._metrics.count(f"jobs.{decision.status.value}")
+                self.calls.handle_job_changed(decision)
                 log_job_changed(decision)
 
     def _send_starts(self) -> None:
@@ -308,13 +315,15 @@
         self._close_unused_drivers()
         self._restore_workers()
         self._run_pass()
+        for counter, count in self.scheduler.take_counts().items():
+            self._metrics.count(f"scheduler.{counter}", count)
+        self._waiting_report.check(*self._now())
         state = self.scheduler.state
         name = f"partition.{self._keys.number}"
         self._metrics.gauge(f"{name}.jobs_known", len(state.jobs_by_id))
         self._metrics.gauge(f"{name}.steps_open", len(state.open_steps))
         self._metrics.gauge(f"{name}.workers_known", len(state.workers_by_id))
-        for each, value in asdict(self.scheduler.preemption_totals).items():
-            self._metrics.gauge(f"{name}.preemption.{each}", round(value, 3))
+        self._cap_gauges.update(state.caps)
 
     def _handle_durable(self, count: int) -> None:
         self._record_contact(self.ledger.last_contact_s)
@@ -368,6 +377,9 @@
                 and known.worker.incarnation == worker.incarnation
                 and known.worker.address == worker.address
             ):
+                drains = worker.state is WorkerState.DRAINING
+                if drains and known.worker.state is not WorkerState.DRAINING:
+                    known.request_report()
                 known.worker = worker
                 return
             known.close()
@@ -436,6 +448,7 @@
             sent_s=sent_s,
             now_s=now_s,
             wall_ms=wall_ms,
+            remaining_s=report.remaining_s,
         )
         if not taken:
             return succeed(False)
--- a/pistachiolift/workflows/__init__.py
+++ b/pistachiolift/workflows/__init__.py
@@ -1,5 +1,7 @@
 """Scheduling decisions for jobs that are graphs of steps; performs no I/O."""
 
+from .admission import AdmissionDecision, AdmissionReason
+from .caps import CustomerCaps
 from .decisions import AskAdvice, Decision, JobChanged, SetRunSpeed, StartRun, StopRun
 from .details import (
     JobDetails,
@@ -17,6 +19,7 @@
     PoolId,
     Queue,
     QueueId,
+    RunCharge,
     Size,
     Step,
     StepKey,
@@ -42,9 +45,12 @@
 
 __all__ = [
     "SURVIVAL_S",
+    "AdmissionDecision",
+    "AdmissionReason",
     "AdvicePolicy",
     "AskAdvice",
     "Customer",
+    "CustomerCaps",
     "Decision",
     "EndKind",
     "GraphScheduler",
@@ -62,6 +68,7 @@
     "QueueId",
     "ReportedEnd",
     "ReportedRun",
+    "RunCharge",
     "RunPlaced",
     "SetRunSpeed",
     "Size",
--- a/pistachiolift/workflows/preemption.py
+++ b/pistachiolift/workflows/preemption.py
@@ -14,7 +14,7 @@
 from .urgency import measure
 from .victims import RoomPlan, StopHistory, VictimFinder, plan_room
 
-__all__ = ["PreemptionTotals", "Preemptor", "ShortStep"]
+__all__ = ["Preemptor", "ShortStep"]
 
 logger = logging.getLogger(__name__)
 
@@ -39,24 +39,6 @@
 ShortStep = tuple[StepEntry, frozenset[WorkerId]]
 
 
-@dataclass(slots=True)
-class PreemptionTotals:
-    """Sums over all stops of this owner.
-
-    :param stops: stopped runs.
-    :param steps: steps for which runs were stopped.
-    :param lost_core_s: lost work, in core-seconds.
-    :param gained_core_s: declared work of the tasks that got room, in core-seconds.
-    :param unused: steps that did not start in all of the room freed for them.
-    """
-
-    stops: int = 0
-    steps: int = 0
-    lost_core_s: float = 0.0
-    gained_core_s: float = 0.0
-    unused: int = 0
-
-
 @dataclass(slots=True)
 class _Hold:
     """Workers that are kept free for a step while the victims on them are stopped.
@@ -99,7 +81,6 @@
         self._history = StopHistory()
         # Steps whose declined preemption has been logged.
         self._declined: set[StepKey] = set()
-        self.totals = PreemptionTotals()
 
     # Workers that are kept free.
 
@@ -127,7 +108,7 @@
                 continue
             del self._holds_by_step[key]
             if step is not None and len(step.waiting) > hold.left:
-                self.totals.unused += 1
+                self._state.counts["preemption.unused"] += 1
                 log_event(
                     logger,
                     "preemption_unused",
@@ -145,6 +126,7 @@
         self,
         short: Sequence[ShortStep],
         usable_by_pool: Mapping[PoolId, Mapping[WorkerId, WorkerEntry]],
+        kept: frozenset[WorkerId],
         now_s: float,
         wall_ms: float,
     ) -> None:
@@ -152,6 +134,7 @@
 
         :param short: waiting steps without room, in the order of their placement.
         :param usable_by_pool: workers that may get new runs.
+        :param kept: workers whose free room less urgent steps do not take.
         :param now_s: monotonic time.
         :param wall_ms: Unix time, in milliseconds.
         """
@@ -166,17 +149,22 @@
         for each in short:
             by_pool.setdefault(each[0].job.queue.pool_id, []).append(each)
         for pool_id, steps in by_pool.items():
-            self._search_pool(steps, usable_by_pool[pool_id], now_s, wall_ms)
+            self._search_pool(steps, usable_by_pool[pool_id], kept, now_s, wall_ms)
 
     def _search_pool(
         self,
         short: list[ShortStep],
         usable_by_id: Mapping[WorkerId, WorkerEntry],
+        kept: frozenset[WorkerId],
         now_s: float,
         wall_ms: float,
     ) -> None:
         forecast = RoomForecast(
-            self._state, now_s, until_s=now_s + ACT_WITHIN_S, contended=len(short) > 1
+            self._state,
+            now_s,
+            until_s=now_s + ACT_WITHIN_S,
+            contended=len(short) > 1,
+            kept=kept,
         )
         finder = VictimFinder(
             self._state,
@@ -198,7 +186,7 @@
             slack_s = measure(step, now_s, wall_ms)[1] - now_s
             if not STOP_S <= slack_s <= ACT_WITHIN_S or step.isolated:
                 continue
-            if step.key in self._holds_by_step:
+            if step.key in self._holds_by_step or not self._cap_allows(step):
                 continue
             examined += 1
             if examined > MAX_STEPS:
@@ -218,6 +206,12 @@
             self._carry_out(plan, step, missing, slack_s, now_s)
             finder.exclude_jobs_of(plan.victims)
 
+    def _cap_allows(self, step: StepEntry) -> bool:
+        """Whether all waiting tasks of a step may run under the customer's cap."""
+        customer_id = step.job.customer_id
+        size = step.step.size.times(len(step.waiting))
+        return not customer_id or self._state.caps.allows(customer_id, size)
+
     def _workers_for(
         self,
         step: StepEntry,
@@ -326,10 +320,11 @@
                     for_job=step.job.job_id,
                 )
                 self._lifecycle.stop(run, "preempted")
-        self.totals.stops += len(runs)
-        self.totals.steps += 1
-        self.totals.lost_core_s += plan.lost_core_s
-        self.totals.gained_core_s += gained_core_s
+        counts = self._state.counts
+        counts["preemption.steps"] += 1
+        counts["preemption.stops"] += len(runs)
+        counts["preemption.lost_core_ms"] += round(1000 * plan.lost_core_s)
+        counts["preemption.gained_core_ms"] += round(1000 * gained_core_s)
 
 
 def _tasks_without_room(
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -6,10 +6,12 @@
 import msgspec
 
 from ..common import CustomerId, JobId, WorkerId, log_event
+from .admission import Admission
 from .advice import AdvicePlanner
 from .crashes import CrashTracker
 from .decisions import Decision, StartRun
 from .dispatch import Dispatcher
+from .evacuation import EvacuationPlanner
 from .fleet import Fleet
 from .lifecycle import Lifecycle
 from .model import (
@@ -89,8 +91,9 @@
         self.advice = AdvicePlanner(self.state)
         self._dispatcher = Dispatcher(self.state, self._lifecycle, self.advice, policy)
         self.order = self._dispatcher.order
-        self.preemption_totals = self._dispatcher.preemptor.totals
+        self.admission = Admission(self.state, self.order)
         self._progress = ProgressMonitor(self.state, self._lifecycle)
+        self._evacuation = EvacuationPlanner(self.state, self._lifecycle)
         self._sharing = SharingController(self.state)
         self.fleet = Fleet(
             self.state,
@@ -100,6 +103,11 @@
             longest_lease_s=longest_lease_s,
         )
 
+    @property
+    def held_workers(self) -> int:
+        """Number of workers on which the last pass has kept room."""
+        return self._dispatcher.holder.held_workers
+
     # Replay of the ledger.
 
     def replay(
@@ -163,6 +171,7 @@
         """Replace the customers; jobs of a removed customer stay without its limits."""
         self.state.customers_by_id = {each.customer_id: each for each in customers}
         self.state.rates.set_customers(self.state.customers_by_id.values())
+        self.state.caps.set_customers(self.state.customers_by_id.values())
 
     # Calls of clients.
 
@@ -195,6 +204,7 @@
             customer_id=customer_id,
             excess=self.state.rates.take(customer_id, received_ms),
         )
+        self.admission.record_submission(job)
         record = JobAccepted(job_id, queue, received_ms, graph, customer_id, job.excess)
         job.accepted_record = self.state.record(record)
         return job.accepted_record
@@ -263,7 +273,10 @@
                 return None
             order = msgspec.structs.replace(order, ticket=ticket)
         if not self._has_room_to_send(run, step):
-            self._withdraw_start(run)
+            self._withdraw_start(run, "capacity_shrunk")
+            return None
+        if self._exceeds_cap(run, step):
+            self._withdraw_start(run, "cap_lowered")
             return None
         run.sent = True
         return order
@@ -289,7 +302,19 @@
             if worker_id in workers
         )
 
-    def _withdraw_start(self, run: TaskRun) -> None:
+    def _exceeds_cap(self, run: TaskRun, step: StepEntry | None) -> bool:
+        """Whether the customer's cap has been lowered below its use meanwhile.
+
+        The rest of a gang is sent if the start of a member has been sent.
+        """
+        if run.charge is None or not self.state.caps.is_exceeded(
+            run.charge.customer_id
+        ):
+            return False
+        gang = step is not None and step.step.gang
+        return not (gang and any(r.sent for r in step.runs_by_index.values()))
+
+    def _withdraw_start(self, run: TaskRun, reason: str) -> None:
         """Place a run anew, and with it its gang, whose start is not sent."""
         worker = self.state.workers_by_id[run.worker_id]
         log_event(
@@ -300,9 +325,9 @@
             run=run.number,
             worker=run.worker_id,
             free_cpu_milli=worker.free_cpu_milli,
-            reason="capacity_shrunk",
+            reason=reason,
         )
-        self._lifecycle.stop(run, "capacity_shrunk")
+        self._lifecycle.stop(run, reason)
 
     def handle_start_answer(
         self,
@@ -379,8 +404,10 @@
         """Handle timeouts, stalled runs, lost workers and expired jobs."""
         self.advice.expire_calls(now_s)
         self._progress.check(now_s)
+        self._evacuation.check(now_s)
         self._sharing.check(now_s)
         self.fleet.check(now_s)
+        self.admission.observe(now_s)
         for job_id, job in list(self.state.jobs_by_id.items()):
             if (
                 job.finished_s is not None
@@ -403,6 +430,12 @@
         records, self.state.records = self.state.records, []
         return records
 
+    def take_counts(self) -> dict[str, int]:
+        """Return and clear the numbers of decisions, by dotted name."""
+        counts = dict(self.state.counts)
+        self.state.counts.clear()
+        return counts
+
     def record_commit(self, count: int) -> None:
         """Record that the next ``count`` records are durable."""
         self.state.committed += count
--- a/pistachiolift/workflows/tests/test_preemption_for_urgent_bursts.py
+++ b/pistachiolift/workflows/tests/test_preemption_for_urgent_bursts.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from types import SimpleNamespace
 
 import pytest
 
@@ -91,7 +92,15 @@
 
     @property
     def totals(self):
-        return self.scheduler.preemption_totals
+        """The sums over the stops of the present owner."""
+        counts = self.scheduler.state.counts
+        return SimpleNamespace(
+            stops=counts["preemption.stops"],
+            steps=counts["preemption.steps"],
+            unused=counts["preemption.unused"],
+            lost_core_s=counts["preemption.lost_core_ms"] / 1000,
+            gained_core_s=counts["preemption.gained_core_ms"] / 1000,
+        )
 
     def fill(self, *, jobs, count=25, queue=REBUILD, **changes):
         """Submit rebuilds, and let them start."""
