--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -3,7 +3,6 @@
 import logging
 from collections import deque
 from collections.abc import Callable
-from dataclasses import asdict
 
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
--- a/pistachiolift/workflows/dispatch.py
+++ b/pistachiolift/workflows/dispatch.py
@@ -67,10 +67,12 @@
         steps = self.order.arrange(now_s, wall_ms)
         usable_by_pool: dict[PoolId, dict[WorkerId, WorkerEntry]] = {}
         # Room that was freed for a step is not for the others.
-        blocked = self.preemptor.held
+        blocked = freed = self.preemptor.held
         kept_free, self._kept_free = self._kept_free, set()
         waiting: list[StepEntry] = []
         short: list[ShortStep] = []
+        # Workers whose free room is kept for the first of these steps.
+        kept: frozenset[WorkerId] = frozenset()
         for step in steps:
             if step.not_before_s > now_s:
                 continue
@@ -79,22 +81,23 @@
             if usable is None:
                 usable = self._state.usable_workers(pool_id, now_s)
                 usable_by_pool[pool_id] = usable
-            held = self.preemptor.held_for(step)
-            closed = blocked - held if held else blocked
+            closed = blocked - self.preemptor.held_for(step) if freed else blocked
             if step.step.gang:
                 blocked |= self._place_gang(step, usable, closed, now_s)
             else:
                 self._place_isolated_tasks(step, usable, closed, now_s)
                 self._place_tasks(step, usable, closed | kept_free, now_s)
                 if self._keeps_room(step, now_s, wall_ms):
-                    blocked |= holder.hold(step, usable, closed, now_s)
+                    chosen = holder.hold(step, usable, blocked, now_s)
+                    blocked |= chosen
+                    kept |= chosen
             if step.waiting and not self._gate.is_refused(step):
                 short.append((step, closed))
             if step.waiting and step.job.queue.advice is not None:
                 if self._gate.may_ask_adviser(step):
                     waiting.append(step)
         self._advice.plan(waiting, usable_by_pool, now_s)
-        self.preemptor.run(short, usable_by_pool, now_s, wall_ms)
+        self.preemptor.run(short, usable_by_pool, kept, now_s, wall_ms)
 
     def _keeps_room(self, step: StepEntry, now_s: float, wall_ms: float) -> bool:
         """Whether workers are kept free for tasks that did not fit in this pass.
--- a/pistachiolift/workflows/room_forecast.py
+++ b/pistachiolift/workflows/room_forecast.py
@@ -4,42 +4,24 @@
 from itertools import count
 
 from ..common import WorkerId
-from .model import Size, Step, TaskRunStatus
+from .forecast import forecast_run
+from .model import Size, TaskRunStatus
 from .placement import count_tasks
 from .scheduler_state import SchedulerState
 from .state import StepEntry, TaskRun, WorkerEntry
 
-__all__ = ["STOP_S", "RoomForecast", "expected_end_s"]
+__all__ = ["STOP_S", "RoomForecast", "rest_s"]
 
 # Time from the decision to stop a run until its worker has room: the stop, the end of
 # the task and the report of the end take one tenth of a second each at most.
 STOP_S = 0.3
 
-# A smaller reported progress says little about the speed of a run.
-MIN_PERCENT = 10
-# A run that has taken longer than declared is expected to go on for this share of the
-# time that it has taken.
-OVERDUE_SHARE = 0.1
 
-
-def expected_end_s(run: TaskRun, step: Step, now_s: float) -> float | None:
-    """Return the monotonic time at which a run is expected to end.
-
-    The reported progress decides, before it is known the declared time.
-
-    :returns: ``None`` if the run does not end by itself.
-    """
+def rest_s(run: TaskRun, step: StepEntry, worker: WorkerEntry, now_s: float) -> float:
+    """Return the expected time until a run ends and its worker has room, in seconds."""
     if run.status is TaskRunStatus.STOPPING:
-        return now_s + STOP_S
-    if step.long_running:
-        return None
-    started_s = run.placed_s if run.confirmed_s is None else run.confirmed_s
-    taken_s = run.progressed_s - started_s
-    if run.percent >= MIN_PERCENT and taken_s > 0:
-        end_s = started_s + taken_s * 100 / run.percent
-    else:
-        end_s = started_s + step.estimate_s
-    return max(end_s, now_s + OVERDUE_SHARE * (now_s - started_s))
+        return STOP_S
+    return forecast_run(run, step, worker, now_s).rest_s
 
 
 class _Timeline:
@@ -78,12 +60,11 @@
         self.ends: list[tuple[float, Size]] = []
         self._first_s_by_size: dict[Size, float | None] = {}
         for run in entry.runs.values():
-            # Twice as fast as SchedulerState.step_of; a search reads all runs.
-            job = state.jobs_by_id.get(run.task.job_id)
-            if job is None or run.task.step >= len(job.graph.steps):
+            step = state.step_of(run.task)
+            if step is None or step.step.long_running:
                 continue
-            end_s = expected_end_s(run, job.graph.steps[run.task.step], now_s)
-            if end_s is not None and end_s <= until_s:
+            end_s = now_s + rest_s(run, step, entry, now_s)
+            if end_s <= until_s:
                 self.ends.append((end_s, run.size))
         self.ends.sort(key=_end_s)
 
@@ -144,15 +125,23 @@
     :param until_s: monotonic time up to which room is expected.
     :param contended: whether less urgent work waits, which takes the room of each run
         that ends unless it is enough for a more urgent step.
+    :param kept: workers whose room is kept nevertheless.
     """
 
     def __init__(
-        self, state: SchedulerState, now_s: float, *, until_s: float, contended: bool
+        self,
+        state: SchedulerState,
+        now_s: float,
+        *,
+        until_s: float,
+        contended: bool,
+        kept: frozenset[WorkerId] = frozenset(),
     ):
         self._state = state
         self._now_s = now_s
         self._until_s = until_s
         self._contended = contended
+        self._kept = kept
         self._timelines_by_worker: dict[WorkerId, _Timeline] = {}
 
     def _timeline(self, entry: WorkerEntry) -> _Timeline:
@@ -163,7 +152,7 @@
                 entry,
                 self._now_s,
                 until_s=self._until_s,
-                contended=self._contended,
+                contended=self._contended and entry.worker_id not in self._kept,
             )
             self._timelines_by_worker[entry.worker_id] = timeline
         return timeline
--- a/pistachiolift/workflows/victims.py
+++ b/pistachiolift/workflows/victims.py
@@ -8,7 +8,7 @@
 from .ageing import AGED_AFTER_S
 from .model import Size, TaskKey, TaskRunStatus
 from .placement import count_tasks
-from .room_forecast import expected_end_s
+from .room_forecast import rest_s
 from .scheduler_state import SchedulerState
 from .state import StepEntry, TaskRun, WorkerEntry
 from .urgency import (
@@ -211,9 +211,10 @@
         now_s, job = self._now_s, step.job
         if waited_s(step, now_s, self._wall_ms) > AGED_AFTER_S:
             return True
-        rest_s = max(expected_end_s(run, step.step, now_s) for run in runs) - now_s
+        workers = self._state.workers_by_id
+        left_s = max(rest_s(run, step, workers[run.worker_id], now_s) for run in runs)
         path_s = critical_path_s(job, from_step=step.key.step)
-        rest_s += path_s - step.step.estimate_s
+        left_s += path_s - step.step.estimate_s
         delay_s = IDLE_S + step.step.estimate_s
         if not step.step.checkpoints:
             delay_s += now_s - min(run.confirmed_s for run in runs)
@@ -222,8 +223,8 @@
         on_time_s = latest_s + path_s
         useful_s = on_time_s + (LATE_LIMIT_FACTOR - 1) * objective
         for limit_s in (on_time_s, useful_s):
-            if now_s + rest_s <= limit_s:
-                return now_s + rest_s + delay_s > limit_s
+            if now_s + left_s <= limit_s:
+                return now_s + left_s + delay_s > limit_s
         return False
 
 
