Test late writes and gangs in all partitions with shared caps

Removing the flag of an unconfirmed write, the turn of the customers or the room that is reserved for the longest waiting work was not noticed by any test; each is now. The tests of node/tests/test_cap_shares.py and of common pass.

--- a/pistachiolift/common/tests/test_quota_shares.py
+++ b/pistachiolift/common/tests/test_quota_shares.py
@@ -28,6 +28,13 @@
         assert next_share(cores(0), cores(3), cores(0), gang) == cores(0)
         assert next_share(cores(1), cores(3), cores(0), gang) == cores(4)
 
+    def test_nothing_for_tasks_behind_a_gang_that_waits(self):
+        """Guards against a share for tasks that do not start before the gang."""
+        demand = [QuotaDemand(cores(4), 1), QuotaDemand(cores(1), 9)]
+        free, none = cores(3), cores(0)
+        assert next_share(none, free, none, demand, in_order=True) == none
+        assert next_share(none, free, none, demand) == cores(1)
+
     def test_takes_half_of_the_free_quota(self):
         """Guards against one partition acquiring the whole quota at once."""
         tasks = [QuotaDemand(cores(1), 50)]
--- a/pistachiolift/node/tests/test_cap_shares.py
+++ b/pistachiolift/node/tests/test_cap_shares.py
@@ -326,30 +326,36 @@
         }
 
     @pytest.mark.parametrize("count", [2, 4])
-    def test_a_gang_that_needs_most_of_the_cap(self, count):
+    @pytest.mark.parametrize("position", [0, 1, -1])
+    def test_a_gang_that_needs_most_of_the_cap(self, count, position):
         """Guards against a gang that waits for ever while others use the cap (G2)."""
         cell = Cell(count)
-        for stand in cell.stands[:-1]:
+        others = [s for s in cell.stands if s is not cell.stands[position]]
+        for stand in others:
             for number in range(900 // count):
                 stand.submit(f"s{stand.number}-{number}", make_step(1))
         cell.run(10)
-        cell.stands[-1].submit("gang", make_step(9, gang=True))
+        cell.stands[position].submit("gang", make_step(9, gang=True))
         started = False
-        for _ in range(20):
+        for _ in range(15):
             cell.run(1)
-            started = started or cell.stands[-1].used() == 9000
+            started = started or cell.stands[position].used() == 9000
         assert started
         # The others go on afterwards.
         cell.run(20)
-        assert all(stand.used() for stand in cell.stands[:-1])
+        assert all(stand.used() for stand in others)
 
-    def test_two_gangs_that_need_most_of_the_cap(self):
-        """Guards against two owners that each hold a part of what both need."""
-        cell = Cell(2)
+    @pytest.mark.parametrize("count", [2, 4])
+    def test_gangs_that_need_most_of_the_cap_in_all_partitions(self, count):
+        """Guards against owners that each hold a part of what all of them need."""
+        cell = Cell(count)
         for stand in cell.stands:
-            for number in range(5):
+            for number in range(4):
                 stand.submit(f"g{stand.number}-{number}", make_step(7, gang=True))
-        cell.run(120)
+                for small in range(10):
+                    name = f"s{stand.number}-{number}-{small}"
+                    stand.submit(name, make_step(1), duration_s=2.0)
+        cell.run(60 * count)
         for stand in cell.stands:
             assert all(
                 job.status.final for job in stand.scheduler.state.jobs_by_id.values()
@@ -422,6 +428,28 @@
         cell.run(5)
         assert cell.used() >= 9000
 
+    def test_late_return_of_a_share_that_is_used_again(self):
+        """Guards against a write that takes effect after its owner has given it up."""
+        cell = Cell(2)
+        second, first = cell.stands
+        first.submit("a", make_step(40))
+        cell.run(8)
+        assert not first.used()
+        cell.store.delays_next = True
+        for _ in range(60):
+            if not cell.store.late:
+                cell.run(STEP_S)
+        assert len(cell.store.late) == 1
+        first.submit("b", make_step(40), duration_s=20.0)
+        cell.run(1.5)
+        assert first.used() == 10_000
+        second.submit("c", make_step(40), duration_s=20.0)
+        cell.run(STEP_S)
+        finished = Deferred.fromCoroutine(cell.store.carry_out_late())
+        assert finished.called
+        cell.run(10)
+        assert first.used() + second.used() == 10_000
+
     @pytest.mark.parametrize("seed", range(30))
     def test_any_faults(self, seed):
         """Lost owners, outages, lost answers, late writes and changed caps."""
@@ -504,7 +532,9 @@
         names = [f"c{number}" for number in range(3 * MAX_CHANGES)]
         cell = Cell(2, customers=[make_customer(5000, name) for name in names])
         for name in names:
-            cell.stands[0].submit(name, make_step(1), customer=CustomerId(name))
-        cell.run(3 * ROUND_INTERVAL_S + 1.5, check=False)
+            cell.stands[0].submit(
+                name, make_step(5), duration_s=60.0, customer=CustomerId(name)
+            )
+        cell.run(3 * ROUND_INTERVAL_S + 0.5, check=False)
         started = {r.task.job_id for r in cell.stands[0].records if hasattr(r, "run")}
         assert started == set(names)
