--- a/pistachiolift/workflows/dispatch.py
+++ b/pistachiolift/workflows/dispatch.py
@@ -5,7 +5,7 @@
 from .decisions import StartRun
 from .holding import RoomHolder
 from .lifecycle import Lifecycle
-from .model import PoolId, TaskRunStatus
+from .model import PoolId, Size, TaskRunStatus
 from .order import OrderPolicy, WaitingOrder
 from .placement import WorkerChoice, eligible_workers, plan_gang, room_for_step
 from .records import RunPlaced
@@ -40,6 +40,9 @@
         self._advice = advice
         self.order = WaitingOrder(state, policy)
         self.holder = RoomHolder()
+        # Sizes for which no worker of a pool has room in this pass. Room only shrinks
+        # during a pass, so that later steps need not look for it.
+        self._full: set[tuple[PoolId, Size]] = set()
         # Workers that get no ordinary runs in the next pass, so that the runs that
         # are started alone find a worker.
         self._kept_free: set[WorkerId] = set()
@@ -51,7 +54,8 @@
         :param wall_ms: Unix time, in milliseconds.
         """
         self._open_due_steps(wall_ms)
-        self.holder = holder = RoomHolder()
+        self.holder = RoomHolder()
+        self._full = set()
         if not self._state.open_steps:
             return
         steps = self.order.arrange(now_s, wall_ms)
@@ -72,8 +76,7 @@
             else:
                 self._place_isolated_tasks(step, usable, blocked, now_s)
                 self._place_tasks(step, usable, blocked | kept_free, now_s)
-                if step.waiting and self.order.holds_room(step, now_s, wall_ms):
-                    blocked |= holder.hold(step, usable, blocked, now_s)
+                blocked |= self._keep_room(step, usable, blocked, now_s, wall_ms)
             if step.waiting and step.job.queue.advice is not None:
                 waiting.append(step)
         self._advice.plan(waiting, usable_by_pool, now_s)
@@ -122,8 +125,13 @@
         blocked: frozenset[WorkerId],
         now_s: float,
     ) -> None:
+        place = (step.job.queue.pool_id, step.step.reserved)
+        if place in self._full:
+            return
         candidates = _workers_with_room(step, usable_by_id, blocked, now_s)
         if not candidates:
+            if _may_use_any_worker(step):
+                self._full.add(place)
             return
         choice = WorkerChoice(step, candidates, self._state.health)
         for index in sorted(step.waiting):
@@ -135,6 +143,23 @@
             number = step.next_number([index], self._state.fence * RUNS_PER_FENCE)
             self._start(step, index, number, worker, now_s)
 
+    def _keep_room(
+        self,
+        step: StepEntry,
+        usable_by_id: dict[WorkerId, WorkerEntry],
+        blocked: frozenset[WorkerId],
+        now_s: float,
+        wall_ms: float,
+    ) -> frozenset[WorkerId]:
+        """Return the workers to keep free for the tasks that have not been placed."""
+        if (
+            not step.waiting
+            or not self.holder.may_hold(step.job.queue.pool_id, len(usable_by_id))
+            or not self.order.holds_room(step, now_s, wall_ms)
+        ):
+            return frozenset()
+        return self.holder.hold(step, usable_by_id, blocked, now_s)
+
     def _place_isolated_tasks(
         self,
         step: StepEntry,
@@ -210,6 +235,15 @@
         )
 
 
+def _may_use_any_worker(step: StepEntry) -> bool:
+    """Whether only the size of a step's tasks limits the choice of workers."""
+    return (
+        step.job.queue.advice is None
+        and not step.step.required_label
+        and not step.step.max_per_worker
+    )
+
+
 def _workers_with_room(
     step: StepEntry,
     usable_by_id: dict[WorkerId, WorkerEntry],
--- a/pistachiolift/workflows/holding.py
+++ b/pistachiolift/workflows/holding.py
@@ -29,6 +29,13 @@
         """Number of workers on which room is kept."""
         return sum(self._held_by_pool.values())
 
+    def may_hold(self, pool_id: PoolId, workers: int) -> bool:
+        """Whether more workers of a pool may be kept free.
+
+        :param workers: number of usable workers of the pool.
+        """
+        return self._held_by_pool.get(pool_id, 0) < _limit(workers)
+
     def hold(
         self,
         step: StepEntry,
@@ -45,7 +52,7 @@
         """
         pool_id = step.job.queue.pool_id
         held = self._held_by_pool.get(pool_id, 0)
-        limit = max(1, int(HELD_SHARE * len(usable_by_id)))
+        limit = _limit(len(usable_by_id))
         wanted = min(len(step.waiting - step.isolated), limit - held)
         if wanted < 1 or step.step.fills:
             return frozenset()
@@ -62,3 +69,8 @@
         chosen = frozenset(entry.worker_id for entry in fitting[:wanted])
         self._held_by_pool[pool_id] = held + len(chosen)
         return chosen
+
+
+def _limit(workers: int) -> int:
+    """Return the number of workers of a pool on which room may be kept."""
+    return max(1, int(HELD_SHARE * workers))
--- a/pistachiolift/workflows/order.py
+++ b/pistachiolift/workflows/order.py
@@ -189,8 +189,6 @@
             return False
         if step.job.job_id in self._ageing.raised_by_id:
             return True
-        if step.job.excess:
-            return False
         band, _ = measure(step, now_s, wall_ms)
         urgent = step.job.queue.priority <= self._policy.urgent_priority
         return band is Band.ON_TIME or (urgent and band is Band.LATE)
