--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -341,8 +341,6 @@
         self._metrics.gauge(f"{name}.steps_open", len(state.open_steps))
         self._metrics.gauge(f"{name}.workers_known", len(state.workers_by_id))
         self._cap_gauges.update(state.caps)
-        for each, value in asdict(self.scheduler.preemption_totals).items():
-            self._metrics.gauge(f"{name}.preemption.{each}", round(value, 3))
 
     def _handle_durable(self, count: int) -> None:
         self._record_contact(self.ledger.last_contact_s)
--- a/pistachiolift/workflows/dispatch.py
+++ b/pistachiolift/workflows/dispatch.py
@@ -6,7 +6,7 @@
 from .decisions import StartRun
 from .holding import RoomHolder
 from .lifecycle import Lifecycle
-from .model import PoolId, TaskRunStatus
+from .model import PoolId, Size, TaskRunStatus
 from .order import OrderPolicy, WaitingOrder
 from .placement import WorkerChoice, eligible_workers, plan_gang, room_for_step
 from .preemption import Preemptor, ShortStep
@@ -47,6 +47,9 @@
         self.preemptor = Preemptor(
             state, lifecycle, first_run=lambda: state.fence * RUNS_PER_FENCE
         )
+        # Sizes for which no worker of a pool has room in this pass. Room only shrinks
+        # during a pass, so that later steps need not look for it.
+        self._full: set[tuple[PoolId, Size]] = set()
         # Workers that get no ordinary runs in the next pass, so that the runs that
         # are started alone find a worker.
         self._kept_free: set[WorkerId] = set()
@@ -60,8 +63,9 @@
         """
         self._open_due_steps(wall_ms)
         self._gate.begin_pass(now_s)
-        self.holder = holder = RoomHolder()
+        self.holder = RoomHolder()
         self.preemptor.update_holds(now_s)
+        self._full = set()
         if not self._state.open_steps:
             return
         steps = self.order.arrange(now_s, wall_ms)
@@ -87,10 +91,9 @@
             else:
                 self._place_isolated_tasks(step, usable, closed, now_s)
                 self._place_tasks(step, usable, closed | kept_free, now_s)
-                if self._keeps_room(step, now_s, wall_ms):
-                    chosen = holder.hold(step, usable, blocked, now_s)
-                    blocked |= chosen
-                    kept |= chosen
+                chosen = self._keep_room(step, usable, blocked, now_s, wall_ms)
+                blocked |= chosen
+                kept |= chosen
             if step.waiting and not self._gate.is_refused(step):
                 short.append((step, closed))
             if step.waiting and step.job.queue.advice is not None:
@@ -99,17 +102,6 @@
         self._advice.plan(waiting, usable_by_pool, now_s)
         self.preemptor.run(short, usable_by_pool, kept, now_s, wall_ms)
 
-    def _keeps_room(self, step: StepEntry, now_s: float, wall_ms: float) -> bool:
-        """Whether workers are kept free for tasks that did not fit in this pass.
-
-        They are not if the customer's cap holds the tasks back.
-        """
-        return (
-            bool(step.waiting)
-            and not self._gate.is_refused(step)
-            and self.order.holds_room(step, now_s, wall_ms)
-        )
-
     def _open_due_steps(self, wall_ms: float) -> None:
         for key, step in list(self._state.timed_steps.items()):
             occurrence = step.job.occurrences[key.occurrence]
@@ -160,10 +152,15 @@
     ) -> None:
         if step.waiting <= step.isolated:
             return
+        place = (step.job.queue.pool_id, step.step.reserved)
+        if place in self._full and not self.preemptor.held_for(step):
+            return
         if not self._allows_task(step, usable_by_id, now_s):
             return
         candidates = _workers_with_room(step, usable_by_id, blocked, now_s)
         if not candidates:
+            if _may_use_any_worker(step):
+                self._full.add(place)
             return
         choice = WorkerChoice(step, candidates, self._state.health)
         for index in sorted(step.waiting):
@@ -177,6 +174,23 @@
             number = step.next_number([index], self._state.fence * RUNS_PER_FENCE)
             self._start(step, index, number, worker, now_s)
 
+    def _keep_room(
+        self,
+        step: StepEntry,
+        usable_by_id: dict[WorkerId, WorkerEntry],
+        blocked: frozenset[WorkerId],
+        now_s: float,
+        wall_ms: float,
+    ) -> frozenset[WorkerId]:
+        """Return the workers to keep free for the tasks that have not been placed."""
+        if (
+            not step.waiting
+            or not self.holder.may_hold(step.job.queue.pool_id, len(usable_by_id))
+            or not self.order.holds_room(step, now_s, wall_ms)
+        ):
+            return frozenset()
+        return self.holder.hold(step, usable_by_id, blocked, now_s)
+
     def _place_isolated_tasks(
         self,
         step: StepEntry,
@@ -264,6 +278,15 @@
         )
 
 
+def _may_use_any_worker(step: StepEntry) -> bool:
+    """Whether only the size of a step's tasks limits the choice of workers."""
+    return (
+        step.job.queue.advice is None
+        and not step.step.required_label
+        and not step.step.max_per_worker
+    )
+
+
 def _workers_with_room(
     step: StepEntry,
     usable_by_id: dict[WorkerId, WorkerEntry],
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -99,7 +99,6 @@
         )
         self.order = self._dispatcher.order
         self.admission = Admission(self.state, self.order)
-        self.preemption_totals = self._dispatcher.preemptor.totals
         self._progress = ProgressMonitor(self.state, self._lifecycle)
         self._pace = PaceMonitor(self.state, self._lifecycle)
         self._evacuation = EvacuationPlanner(self.state, self._lifecycle)
