Judge workers by recent failures and data centres by their workers, and probe sooner

Three distinct jobs without a success between started a quarantine of 5 s, which a failed probe doubled, so that a fault of 6.5 s cost a worker 15 s; ends of runs from before the fault cleared it; one placing pass put several tasks on a worker as its probe. In a data centre that failed as a whole, jobs used up their attempts there, counted as faulty after three workers, and so lifted the quarantines.

Tasks on their last attempt wait for a worker without recent failures. The base class, which the product's own cell uses, behaves as before.

--- a/pistachiolift/common/worker_health.py
+++ b/pistachiolift/common/worker_health.py
@@ -97,25 +97,32 @@
         record.failing_jobs.add(job_id)
         if self.job_fails_everywhere(job_id):
             was_probe, record.probing = record.probing, False
-            changed = self._discard_failures(job_id)
+            changed = self._discard_failures(job_id, now_s)
             if was_probe and worker_id not in changed:
                 changed.append(worker_id)
             return changed
         if record.probing or (
-            record.quarantined_until_s is None
-            and len(record.failing_jobs) >= QUARANTINE_FAILING_JOBS
+            record.quarantined_until_s is None and self._is_failing(worker_id, now_s)
         ):
             self._quarantine(record, now_s)
             return [worker_id]
         return []
 
+    def _is_failing(self, worker_id: WorkerId, now_s: float) -> bool:
+        """Whether the failures on a worker call for a quarantine."""
+        record = self._workers_by_id[worker_id]
+        return len(record.failing_jobs) >= QUARANTINE_FAILING_JOBS
+
+    def _period_s(self, quarantines: int) -> float:
+        """Return the duration of a quarantine after a number of earlier ones."""
+        return min(MAX_QUARANTINE_S, self._quarantine_base_s * 2**quarantines)
+
     def _quarantine(self, record: _WorkerRecord, now_s: float) -> None:
-        delay_s = min(MAX_QUARANTINE_S, self._quarantine_base_s * 2**record.quarantines)
-        record.quarantined_until_s = now_s + delay_s
+        record.quarantined_until_s = now_s + self._period_s(record.quarantines)
         record.quarantines = min(record.quarantines + 1, 20)
         record.probing = False
 
-    def _discard_failures(self, job_id: JobId) -> list[WorkerId]:
+    def _discard_failures(self, job_id: JobId, now_s: float) -> list[WorkerId]:
         """Remove a faulty job's failures from all workers.
 
         :returns: workers released from quarantine.
@@ -126,9 +133,8 @@
             if record is None:
                 continue
             record.failing_jobs.discard(job_id)
-            if (
-                record.quarantined_until_s is not None
-                and len(record.failing_jobs) < QUARANTINE_FAILING_JOBS
+            if record.quarantined_until_s is not None and not self._is_failing(
+                worker_id, now_s
             ):
                 # The failures of other jobs still count: a release is no success.
                 failing_jobs = record.failing_jobs
--- a/pistachiolift/workflows/dispatch.py
+++ b/pistachiolift/workflows/dispatch.py
@@ -1,6 +1,8 @@
 """Places the tasks of waiting steps in order of urgency."""
 
-from ..common import WorkerId
+import logging
+
+from ..common import WorkerId, log_event
 from .advice import AdvicePlanner
 from .decisions import StartRun
 from .lifecycle import Lifecycle
@@ -13,6 +15,8 @@
 
 __all__ = ["Dispatcher"]
 
+logger = logging.getLogger(__name__)
+
 # Run numbers of an owner begin at its fencing token times this factor. They exceed the
 # numbers of all earlier owners if no owner runs a task more often than this.
 RUNS_PER_FENCE = 1000
@@ -91,6 +95,8 @@
         eligible = eligible_workers(step, usable_by_id, now_s)
         if step.is_isolated(0):
             eligible = [entry for entry in eligible if not entry.unproven]
+        if step.is_last_attempt(0):
+            eligible = [entry for entry in eligible if not entry.risky]
         plan = plan_gang(step, eligible, blocked, health)
         if not plan.worker_ids:
             approved = self._advice.approved_workers(step, usable_by_id)
@@ -121,11 +127,34 @@
             if step.is_isolated(index):
                 continue
             worker = choice.choose(index)
+            if worker is None and step.is_last_attempt(index):
+                # The other tasks may use the workers that this one avoids.
+                self._note_safe_wait(step, index, candidates)
+                continue
             if worker is None:
                 return
             number = step.next_number([index], self._state.fence * RUNS_PER_FENCE)
             self._start(step, index, number, worker, now_s)
 
+    def _note_safe_wait(
+        self, step: StepEntry, index: int, candidates: list[WorkerEntry]
+    ) -> None:
+        """Log once for each task that its last attempt waits for a sound worker."""
+        if index in step.safe_waits:
+            return
+        step.safe_waits.add(index)
+        self._state.counts["health.last_attempt_waits"] += 1
+        log_event(
+            logger,
+            "last_attempt_waits",
+            job=step.key.job_id,
+            task=step.key.task(index).position,
+            failures=len(step.failed_runs_by_index.get(step.failure_slot(index), ())),
+            limit=step.job.queue.max_failures,
+            candidates=len(candidates),
+            risky=sum(entry.risky for entry in candidates),
+        )
+
     def _place_isolated_tasks(
         self,
         step: StepEntry,
--- a/pistachiolift/workflows/fleet.py
+++ b/pistachiolift/workflows/fleet.py
@@ -1,6 +1,7 @@
 """State of the workers from the directory, their reachability and run reports."""
 
 import logging
+from collections import Counter
 
 from ..common import WorkerId, log_event
 from .advice import AdvicePlanner
@@ -20,6 +21,10 @@
 # has not said so. Reports are polled at intervals of at most 1.5 s.
 REPORT_TIMEOUT_S = 4.0
 
+# A quarantined worker is probed with an urgent task, or one on its last attempt, only
+# if no other task has been placed there for this time.
+PROBE_URGENT_AFTER_S = 3.0
+
 # Within this time, the replacement of a worker process appears in the directory or the
 # leases of its runs expire.
 UNCERTAIN_START_TIMEOUT_S = 12.0
@@ -51,6 +56,7 @@
         self._crashes = crashes
         self._longest_lease_s = longest_lease_s
         self._report_handler = RunReportHandler(state, lifecycle, crashes)
+        self._failing_zones: frozenset[str] = frozenset()
         # Runs whose start may have reached the replacement of a worker process, maybe
         # none, with the time at which they end if the replacement does not appear.
         self._uncertain_starts_by_worker: dict[
@@ -229,6 +235,7 @@
     def check(self, now_s: float) -> None:
         """End the runs of lost workers, and uncertain starts after their timeout."""
         self._crashes.check(now_s)
+        self._check_zones(now_s)
         for worker_id, (end_s, runs) in list(self._uncertain_starts_by_worker.items()):
             if now_s > end_s:
                 del self._uncertain_starts_by_worker[worker_id]
@@ -239,6 +246,53 @@
         for worker_id, entry in list(self._state.workers_by_id.items()):
             self._check_worker(worker_id, entry, now_s)
 
+    def _check_zones(self, now_s: float) -> None:
+        """Find the data centres that fail, and the workers that may be probed."""
+        health = self._state.health
+        entries = self._state.workers_by_id.values()
+        sizes_by_zone = Counter(entry.worker.zone for entry in entries)
+        health.update_zones(sizes_by_zone, now_s)
+        known, self._failing_zones = self._failing_zones, health.failing_zones
+        for zone in sorted(known ^ self._failing_zones):
+            name = "zone_recovered" if zone in known else "zone_failing"
+            self._state.counts[f"health.{name}"] += 1
+            log_event(
+                logger,
+                name,
+                zone=zone,
+                workers=sizes_by_zone[zone],
+                quarantined=sum(
+                    entry.worker.zone == zone and entry.quarantined_s is not None
+                    for entry in entries
+                ),
+            )
+        for entry in entries:
+            entry.zone_fails_s = health.zone_fails_since_s(entry.worker.zone)
+            entry.risky = entry.zone_fails_s is not None or health.is_risky(
+                entry.worker_id, now_s
+            )
+            self._check_probe(entry, now_s)
+            due_s = entry.zone_fails_s
+            if entry.quarantined_s is not None:
+                due_s = health.quarantined_until_s(entry.worker_id)
+            if due_s is not None:
+                entry.probe_urgent = now_s >= due_s + PROBE_URGENT_AFTER_S
+
+    def _check_probe(self, entry: WorkerEntry, now_s: float) -> None:
+        """End a quarantine whose probe runs for longer than the runs that failed."""
+        since_s = entry.quarantined_s
+        if since_s is None:
+            return
+        for run in entry.runs.values():
+            if run.placed_s < since_s or run.percent <= run.first_percent:
+                continue
+            age_s = run.progressed_s - run.placed_s
+            if self._state.health.record_probe(
+                entry.worker_id, zone=entry.worker.zone, age_s=age_s, now_s=now_s
+            ):
+                self._lifecycle.apply_quarantine(entry, run.task.job_id, now_s)
+                return
+
     def _check_worker(
         self, worker_id: WorkerId, entry: WorkerEntry, now_s: float
     ) -> None:
--- a/pistachiolift/workflows/lifecycle.py
+++ b/pistachiolift/workflows/lifecycle.py
@@ -300,22 +300,62 @@
         """Update a worker's health and speed from the end of a run."""
         health = self._state.health
         if kind is EndKind.DONE:
-            health.record_success(worker.worker_id, run.task.job_id)
+            health.record_success(
+                worker.worker_id,
+                run.task.job_id,
+                zone=worker.worker.zone,
+                started_s=run.placed_s,
+                now_s=now_s,
+            )
+            self.apply_quarantine(worker, run.task.job_id, now_s)
         elif kind is EndKind.FAILED:
-            changed = health.record_failure(worker.worker_id, run.task.job_id, now_s)
-            if worker.worker_id in changed:
-                log_event(
-                    logger,
-                    "worker_quarantine_changed",
-                    worker=worker.worker_id,
-                    quarantined=health.is_quarantined(worker.worker_id),
-                    job=run.task.job_id,
-                )
+            self.record_failure(worker, run, now_s)
         else:
             health.record_inconclusive_end(worker.worker_id)
         if kind is EndKind.DONE and not step.step.gang and run.confirmed_s is not None:
             worker.speed.add(now_s - run.confirmed_s, step.step.estimate_s)
 
+    def record_failure(self, worker: WorkerEntry, run: TaskRun, now_s: float) -> None:
+        """Record that a run has failed or made no progress on its worker."""
+        health = self._state.health
+        worker.risky = True
+        changed = health.record_failure(
+            worker.worker_id,
+            run.task.job_id,
+            now_s,
+            zone=worker.worker.zone,
+            started_s=run.placed_s,
+        )
+        for worker_id in changed:
+            entry = self._state.workers_by_id.get(worker_id)
+            if entry is not None:
+                self.apply_quarantine(entry, run.task.job_id, now_s)
+
+    def apply_quarantine(
+        self, worker: WorkerEntry, job_id: JobId, now_s: float
+    ) -> None:
+        """Note and log that a worker's quarantine has begun, was renewed or is over."""
+        health = self._state.health
+        since_s = health.quarantined_since_s(worker.worker_id)
+        if since_s == worker.quarantined_s:
+            return
+        worker.quarantined_s = since_s
+        until_s = health.quarantined_until_s(worker.worker_id)
+        name = "released" if since_s is None else "quarantined"
+        self._state.counts[f"health.worker_{name}"] += 1
+        log_event(
+            logger,
+            "worker_quarantine_changed",
+            worker=worker.worker_id,
+            zone=worker.worker.zone,
+            quarantined=since_s is not None,
+            period_s=-1.0 if until_s is None else until_s - now_s,
+            failing_jobs=health.failing_job_count(worker.worker_id),
+            failure_share=health.failure_share(worker.worker_id),
+            zone_fails=worker.worker.zone in health.failing_zones,
+            job=job_id,
+        )
+
     def end_runs_of(self, worker: WorkerEntry, *, now_s: float) -> None:
         """End all runs of a worker on which none can still be running."""
         worker_id: WorkerId = worker.worker_id
--- a/pistachiolift/workflows/placement.py
+++ b/pistachiolift/workflows/placement.py
@@ -73,22 +73,28 @@
 
 def room_for_step(step: StepEntry, entry: WorkerEntry) -> int:
     """Return how many more tasks of the step fit on the worker."""
-    if entry.isolated or (entry.probe_only and not _may_probe(step, entry)):
+    probes_since_s = entry.probes_since_s
+    probes = probes_since_s is not None
+    if entry.isolated or (probes and not _may_probe(step, entry, probes_since_s)):
         return 0
     room = entry.room_for(step.step.reserved)
     if room and step.step.max_per_worker:
         room = min(room, step.step.max_per_worker - _count_tasks(step, entry))
-    return max(0, min(room, 1) if entry.probe_only else room)
+    return max(0, min(room, 1) if probes else room)
 
 
-def _may_probe(step: StepEntry, entry: WorkerEntry) -> bool:
+def _may_probe(step: StepEntry, entry: WorkerEntry, since_s: float) -> bool:
     """Whether a task of the step may show if a suspected worker works again.
 
     It may fail or stand still, which would cost a gang or an urgent job most.
     """
-    if entry.runs or step.step.gang:
+    if step.step.gang or any(run.placed_s >= since_s for run in entry.runs.values()):
         return False
-    return entry.probe_urgent or step.job.queue.priority > 0
+    if entry.probe_urgent:
+        return True
+    failed = max(map(len, step.failed_runs_by_index.values()), default=0)
+    attempts = step.job.queue.max_failures - failed
+    return step.job.queue.priority > 0 and attempts > 1
 
 
 def count_room(step: StepEntry, workers: Iterable[WorkerEntry]) -> int:
@@ -148,6 +154,8 @@
         self._return_last()
         avoided = []
         failed_on = self._step.failed_on_by_index.get(index, ())
+        if self._step.is_last_attempt(index):
+            return self._choose_safe()
         while self._heap and self._heap[0][-1].worker_id in failed_on:
             avoided.append(heappop(self._heap))
         if self._heap:
@@ -158,6 +166,17 @@
             heappush(self._heap, item)
         return None if self._last is None else self._last[-1]
 
+    def _choose_safe(self) -> WorkerEntry | None:
+        """Return the best worker on which no task has failed lately."""
+        avoided = []
+        while self._heap and self._heap[0][-1].risky:
+            avoided.append(heappop(self._heap))
+        if self._heap:
+            self._last = heappop(self._heap)
+        for item in avoided:
+            heappush(self._heap, item)
+        return None if self._last is None else self._last[-1]
+
     def _return_last(self) -> None:
         """Return the worker that got the last task to the heap, if it has room."""
         if self._last is None:
@@ -170,7 +189,7 @@
 
 def _is_suspect(health: WorkerHealth, entry: WorkerEntry) -> bool:
     return (
-        entry.probe_only
+        entry.probes_since_s is not None
         or entry.suspect
         or health.failing_job_count(entry.worker_id) >= SUSPECT_FAILED_JOBS
     )
--- a/pistachiolift/workflows/progress.py
+++ b/pistachiolift/workflows/progress.py
@@ -62,7 +62,7 @@
                 stalled_s=worker.report_requested_s - run.progressed_s,
             )
             worker.paused_until_s = now_s + STALLED_WORKER_PAUSE_S
-            self._state.health.record_failure(worker.worker_id, run.task.job_id, now_s)
+            self._lifecycle.record_failure(worker, run, now_s)
             step.failed_on_by_index.setdefault(run.task.index, set()).add(
                 worker.worker_id
             )
--- a/pistachiolift/workflows/scheduler_state.py
+++ b/pistachiolift/workflows/scheduler_state.py
@@ -3,17 +3,18 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from ..common import CustomerId, JobId, WorkerHealth, WorkerId
+from ..common import CustomerId, JobId, WorkerId
 from .decisions import Decision, JobChanged
+from .failure_rates import FailureRates
 from .model import Customer, JobStatus, PoolId, Queue, QueueId, StepKey, TaskKey
 from .records import LedgerRecord
 from .state import JobEntry, StepEntry, TaskRun, WorkerEntry
 
 __all__ = ["SchedulerState"]
 
-# First quarantine period of a worker that fails tasks of several jobs: about the time
-# in which a fault passes or the operator replaces the worker.
-QUARANTINE_BASE_S = 5.0
+# Share of the workers that may be in quarantine, so that work does not wait beside many
+# idle workers if jobs are to blame. A data centre that fails may hold as many.
+MAX_QUARANTINED_SHARE = 0.5
 
 
 @dataclass(slots=True)
@@ -42,9 +43,13 @@
     recorded: int = 0
     committed: int = 0
     counts: Counter[str] = field(default_factory=Counter)
-    health: WorkerHealth = field(
-        default_factory=lambda: WorkerHealth(quarantine_base_s=QUARANTINE_BASE_S)
-    )
+    health: FailureRates = field(init=False)
+
+    def __post_init__(self):
+        self.health = FailureRates(limit=self._quarantine_limit)
+
+    def _quarantine_limit(self) -> int:
+        return max(1, int(MAX_QUARANTINED_SHARE * len(self.workers_by_id)))
 
     def record(self, record: LedgerRecord) -> int:
         """Queue a record for the ledger.
--- a/pistachiolift/workflows/state.py
+++ b/pistachiolift/workflows/state.py
@@ -148,6 +148,8 @@
     :param approved: workers that the adviser approved; ``None`` before its answer.
     :param moves_by_index: for each task the number of its runs that were stopped since
         their worker was behind.
+    :param safe_waits: tasks that have waited, or wait, with their last attempt for a
+        worker on which none has failed lately.
     :param pace_elsewhere: last known pace of its runs on workers that are not behind;
         ``None`` before two of them are known.
     :param asked_s: time of the advice call in flight, or ``None``.
@@ -173,6 +175,7 @@
     failed_on_by_index: dict[int, set[WorkerId]] = field(default_factory=dict)
     last_run_by_index: dict[int, int] = field(default_factory=dict)
     moves_by_index: dict[int, int] = field(default_factory=dict)
+    safe_waits: set[int] = field(default_factory=set)
     pace_elsewhere: float | None = None
     tickets_by_worker: dict[WorkerId, tuple[str, float]] = field(default_factory=dict)
     approved: frozenset[WorkerId] | None = None
@@ -195,6 +198,13 @@
         """Whether a task is started alone on a worker."""
         return self.failure_slot(index) in self.isolated
 
+    def is_last_attempt(self, index: int) -> bool:
+        """Whether a task has failed, and its job fails with the next failure."""
+        if self.step.long_running:
+            return False
+        failures = len(self.failed_runs_by_index.get(self.failure_slot(index), ()))
+        return 0 < failures >= self.job.queue.max_failures - 1
+
     def is_held(self, index: int, now_s: float) -> bool:
         """Whether a task may not be started yet."""
         return now_s < self.held_until_by_index.get(self.failure_slot(index), 0.0)
@@ -304,6 +314,10 @@
     :param clock_ms: worker's clock at its newest run report; 0 if unknown.
     :param behind_s: time at which its runs were last far slower than those elsewhere;
         ``None`` if they are not.
+    :param quarantined_s: begin of its quarantine for failures; ``None`` without one.
+    :param risky: whether a task has failed on it lately, or its data centre fails; it
+        gets no last attempts.
+    :param zone_fails_s: time since which its data centre fails as a whole, or ``None``.
     :param probe_only: whether it gets a single task at a time, to see whether it works.
     :param probe_urgent: whether this may be an urgent task.
     :param suspect: whether it is used only if no other fits.
@@ -332,6 +346,9 @@
     leaves_s: float | None = None
     clock_ms: int = 0
     behind_s: float | None = None
+    quarantined_s: float | None = None
+    risky: bool = False
+    zone_fails_s: float | None = None
     probe_only: bool = False
     probe_urgent: bool = False
     suspect: bool = False
@@ -344,6 +361,13 @@
         """The worker's identifier."""
         return self.worker.worker_id
 
+    @property
+    def probes_since_s(self) -> float | None:
+        """Time since which it gets a single task at a time; ``None``: any number."""
+        if self.quarantined_s is not None:
+            return self.quarantined_s
+        return 0.0 if self.probe_only else self.zone_fails_s
+
     @property
     def free_cpu_milli(self) -> int:
         """Unreserved processors, in thousandths of a core."""
--- a/pistachiolift/workflows/tests/uneven_cell.py
+++ b/pistachiolift/workflows/tests/uneven_cell.py
@@ -43,9 +43,12 @@
         self.report_s = 0.8
         # Time until a run on a failing worker fails; ``None``: at its end.
         self.fail_after_s: float | None = None
+        # Whether a run fails by the fault of its task, on any worker.
+        self.faulty = lambda task, number: False
         # Work of each run in seconds, and its position at the start.
         self._work: dict = {}
         self._saved_by_run: dict = {}
+        self._failing_runs: set = set()
         # Begin and end of each hang or slow time, and the share of the work lost.
         self._losses_by_worker: dict = defaultdict(list)
         self._leaves_s_by_worker: dict[WorkerId, float] = {}
@@ -78,8 +81,12 @@
         done = float(order.checkpoint or 0) / 100
         key = (order.task, order.number)
         self._work[key] = (work_s, done)
+        if fake.fails:
+            self._failing_runs.add(key)
         if fake.fails and self.fail_after_s is not None:
             self._after(self.fail_after_s, self._fail, fake, key)
+        if self.faulty(order.task, order.number):
+            self._after(0.1, self._fail, fake, key)
         return work_s * (1 - done)
 
     def _fail(self, fake: FakeWorker, key) -> None:
@@ -134,7 +141,10 @@
             if rest_s > 1e-6:
                 self._after(max(rest_s, 0.02), self._finish, fake, key)
                 return
+        # A run that was started before the fault succeeds.
+        fails, fake.fails = fake.fails, key in self._failing_runs
         super()._finish(fake, key)
+        fake.fails = fails
 
     def _end(self, fake: FakeWorker, task, number: int, kind: EndKind) -> None:
         self.ends_by_kind[kind] += 1
--- a/pistachiolift/workflows/tests/uneven_scenarios.py
+++ b/pistachiolift/workflows/tests/uneven_scenarios.py
@@ -5,6 +5,7 @@
 
 import random
 import sys
+import zlib
 from collections import Counter
 
 from pistachiolift.workflows import JobStatus
@@ -59,6 +60,16 @@
             cell.at(FAULT_AT_S, cell.fail, name, 6.5)
 
 
+def faulty_jobs(cell):
+    """Each eighth job fails on all workers."""
+    cell.faulty = lambda task, number: zlib.crc32(task.job_id.encode()) % 8 == 0
+
+
+def chance(cell):
+    """Three runs in a hundred fail on any worker."""
+    cell.faulty = lambda task, number: zlib.crc32(f"{task} {number}".encode()) % 100 < 3
+
+
 def flap(cell):
     """Workers go down and up every 1.4 s for 7 s."""
     _spread(cell, cell.flap, 7.0)
@@ -86,6 +97,8 @@
     fail,
     fail_at_end,
     fail_zone,
+    faulty_jobs,
+    chance,
     flap,
     slow,
     late_starts,
