Use workers last that have returned or leave starts unanswered, and let gangs probe at last

A worker that goes down and up every 1.4 s got tasks in each phase in which it answered, and one that answers starts late got more of them while the first waited.

Both are used only if no other fits, for 5 s after a return and 3 s after a start without an answer within 0.3 s.

Gangs now get such workers 3 s after their probe was due, with all members.

--- a/pistachiolift/workflows/fleet.py
+++ b/pistachiolift/workflows/fleet.py
@@ -7,7 +7,7 @@
 from .advice import AdvicePlanner
 from .crashes import CrashTracker
 from .lifecycle import Lifecycle
-from .model import EndKind, Worker, WorkerState
+from .model import EndKind, TaskRunStatus, Worker, WorkerState
 from .records import WorkerInUse, WorkerReleased
 from .run_reports import ReportedEnd, ReportedRun, RunReportHandler
 from .scheduler_state import SchedulerState
@@ -25,6 +25,13 @@
 # if no other task has been placed there for this time.
 PROBE_URGENT_AFTER_S = 3.0
 
+# A worker that answers again after it was unreachable is used last for this time, since
+# it may go down again soon.
+RETURNED_SUSPECT_S = 5.0
+# A worker that has not answered a start for the first time is used last for the second.
+START_ANSWER_S = 0.3
+START_SUSPECT_S = 3.0
+
 # Within this time, the replacement of a worker process appears in the directory or the
 # leases of its runs expire.
 UNCERTAIN_START_TIMEOUT_S = 12.0
@@ -170,6 +177,8 @@
         entry = self._state.workers_by_id.get(worker_id)
         if entry is None:
             return False
+        if entry.has_reported and not entry.reachable:
+            self._state.suspect(entry, "returned", now_s, RETURNED_SUSPECT_S)
         entry.reachable = True
         self._crashes.handle_report(entry.worker, now_s)
         self._update_notice(entry, remaining_s, sent_s, now_s)
@@ -272,6 +281,7 @@
                 entry.worker_id, now_s
             )
             self._check_probe(entry, now_s)
+            self._check_starts(entry, now_s)
             due_s = entry.zone_fails_s
             if entry.quarantined_s is not None:
                 due_s = health.quarantined_until_s(entry.worker_id)
@@ -293,6 +303,22 @@
                 self._lifecycle.apply_quarantine(entry, run.task.job_id, now_s)
                 return
 
+    def _check_starts(self, entry: WorkerEntry, now_s: float) -> None:
+        """Suspect a worker that leaves a start without an answer.
+
+        Runs that have survived were started for certain.
+        """
+        for key in entry.unproven:
+            run = entry.runs[key]
+            if (
+                run.status is TaskRunStatus.STARTING
+                and run.sent_s is not None
+                and now_s - run.sent_s > START_ANSWER_S
+            ):
+                reason = "start_unanswered"
+                self._state.suspect(entry, reason, now_s, START_SUSPECT_S)
+                return
+
     def _check_worker(
         self, worker_id: WorkerId, entry: WorkerEntry, now_s: float
     ) -> None:
--- a/pistachiolift/workflows/pace.py
+++ b/pistachiolift/workflows/pace.py
@@ -183,7 +183,7 @@
         silent_s = now_s - worker.behind_s
         if sound or silent_s > MAX_BEHIND_S:
             worker.behind_s, worker.probe_only = None, False
-            worker.suspect, worker.suspect_until_s = True, now_s + SUSPECT_S
+            self._state.suspect(worker, "was_behind", now_s, SUSPECT_S)
             self._log_worker("worker_pace_recovered", worker, measures, typical, now_s)
         elif not worker.runs and silent_s >= PROBE_AFTER_S:
             worker.probe_only = True
--- a/pistachiolift/workflows/placement.py
+++ b/pistachiolift/workflows/placement.py
@@ -80,18 +80,19 @@
     room = entry.room_for(step.step.reserved)
     if room and step.step.max_per_worker:
         room = min(room, step.step.max_per_worker - _count_tasks(step, entry))
-    return max(0, min(room, 1) if probes else room)
+    return max(0, min(room, 1) if probes and not step.step.gang else room)
 
 
 def _may_probe(step: StepEntry, entry: WorkerEntry, since_s: float) -> bool:
     """Whether a task of the step may show if a suspected worker works again.
 
-    It may fail or stand still, which would cost a gang or an urgent job most.
+    It may fail or stand still, which would cost a gang or an urgent job most. They are
+    the probe, a gang with any number of members, if there was no other for a while.
     """
-    if step.step.gang or any(run.placed_s >= since_s for run in entry.runs.values()):
+    if any(run.placed_s >= since_s for run in entry.runs.values()):
         return False
-    if entry.probe_urgent:
-        return True
+    if step.step.gang or entry.probe_urgent:
+        return entry.probe_urgent
     failed = max(map(len, step.failed_runs_by_index.values()), default=0)
     attempts = step.job.queue.max_failures - failed
     return step.job.queue.priority > 0 and attempts > 1
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -245,7 +245,7 @@
         if not self._has_room_to_send(run, step):
             self._withdraw_start(run)
             return None
-        run.sent = True
+        run.sent, run.sent_s = True, now_s
         return order
 
     def _has_room_to_send(self, run: TaskRun, step: StepEntry | None) -> bool:
--- a/pistachiolift/workflows/scheduler_state.py
+++ b/pistachiolift/workflows/scheduler_state.py
@@ -1,9 +1,10 @@
 """The owner's jobs and workers, and its pending records and decisions."""
 
+import logging
 from collections import Counter
 from dataclasses import dataclass, field
 
-from ..common import CustomerId, JobId, WorkerId
+from ..common import CustomerId, JobId, WorkerId, log_event
 from .decisions import Decision, JobChanged
 from .failure_rates import FailureRates
 from .model import Customer, JobStatus, PoolId, Queue, QueueId, StepKey, TaskKey
@@ -12,6 +13,8 @@
 
 __all__ = ["SchedulerState"]
 
+logger = logging.getLogger(__name__)
+
 # Share of the workers that may be in quarantine, so that work does not wait beside many
 # idle workers if jobs are to blame. A data centre that fails may hold as many.
 MAX_QUARANTINED_SHARE = 0.5
@@ -64,6 +67,27 @@
         """Queue a decision."""
         self.decisions.append(decision)
 
+    def suspect(
+        self, entry: WorkerEntry, reason: str, now_s: float, for_s: float
+    ) -> None:
+        """Use a worker only if no other fits, for some time.
+
+        :param reason: reason in snake case.
+        """
+        if not entry.suspect:
+            self.counts[f"health.suspect.{reason}"] += 1
+            log_event(
+                logger,
+                "worker_suspect",
+                worker=entry.worker_id,
+                reason=reason,
+                for_s=for_s,
+                runs=len(entry.runs),
+                report_age_s=now_s - entry.report_requested_s,
+            )
+        entry.suspect = True
+        entry.suspect_until_s = max(entry.suspect_until_s, now_s + for_s)
+
     def set_status(self, job: JobEntry, status: JobStatus, reason: str) -> None:
         """Change a job's state and emit a :class:`JobChanged`."""
         if job.status is status:
--- a/pistachiolift/workflows/state.py
+++ b/pistachiolift/workflows/state.py
@@ -80,6 +80,7 @@
         run; a report requested later contains the run if it still exists.
     :param stop_answered: whether the worker has answered a stop.
     :param sent: whether a start may have been sent.
+    :param sent_s: time from which it may have been sent, or ``None``.
     :param usage: last reported usage: the tail latency in milliseconds for a serving
         task, thousandths of a core in use for any other.
     :param speed_percent: last ordered share of the free processor time.
@@ -105,6 +106,7 @@
     status: TaskRunStatus
     placed_s: float
     sent: bool = False
+    sent_s: float | None = None
     stop_answered: bool = False
     confirmed_s: float | None = None
     answered_s: float | None = None
--- a/pistachiolift/workflows/tests/test_failure_rates.py
+++ b/pistachiolift/workflows/tests/test_failure_rates.py
@@ -265,6 +265,28 @@
         assert cell.status(job) is JobStatus.COMPLETED
         assert [w for _, w, _ in cell.runs_by_job[job]] == ["w0", "w0", "w1"]
 
+    def test_a_gang_gets_quarantined_workers_in_the_end(self):
+        """Load: checks, and later a gang that needs all 4 workers, alone.
+
+        Guards against a gang that waits for ever for probes of other tasks.
+        """
+        cell = UnevenCell(sizes=(8,) * 4)
+        cell.fail_after_s = 0.1
+        cell.fail("w0", 2.0)
+        for number in range(12):
+            queue = make_queue("q", priority=2, max_failures=9)
+            step = make_step(4, cpu=2000, estimate_s=0.5)
+            cell.at(0.1 * number, cell.submit, f"j{number}", queue, make_graph(step))
+        cell.run(1.0)
+        assert cell.scheduler.state.health.is_quarantined("w0")
+        for number in range(12):
+            cell.at(0.5, cell.cancel, f"j{number}")
+        cell.run(1.0)
+        gang = make_step(8, cpu=4000, estimate_s=1.0, gang=True)
+        job = cell.submit("g", URGENT, make_graph(gang))
+        cell.run(12.0)
+        assert cell.status(job) is JobStatus.COMPLETED
+
     def test_the_wait_is_bounded(self):
         """Guards against a last attempt that waits for ever beside one worker."""
         cell = UnevenCell(sizes=(8,))
