--- a/pistachiolift/common/__init__.py
+++ b/pistachiolift/common/__init__.py
@@ -11,20 +11,40 @@
 from .lazy_exports import lazy_exports
 from .logs import configure_logging, log_event
 from .metrics import Metrics
+from .quota_shares import (
+    CustomerShare,
+    QuotaRecord,
+    ShareEntry,
+    StarvingWork,
+    next_share,
+)
+from .quota_table import QuotaDemand, QuotaTable, QuotaUse
 from .rendezvous import rendezvous_ranking, stable_hash
+from .resource_amounts import NO_LIMIT, ResourceAmounts
 from .urgency import Urgency
+from .victims import choose_victims
 from .wait_reason import WaitReason
 from .worker_health import WorkerHealth
 
 __all__ = [
+    "NO_LIMIT",
     "Clock",
+    "CustomerShare",
     "ManualClock",
     "Message",
     "Metrics",
+    "QuotaDemand",
+    "QuotaRecord",
+    "QuotaTable",
+    "QuotaUse",
+    "ResourceAmounts",
+    "ShareEntry",
+    "StarvingWork",
     "SystemClock",
     "Urgency",
     "WaitReason",
     "WorkerHealth",
+    "choose_victims",
     "configure_logging",
     "decode_json",
     "encode_json",
@@ -32,6 +52,7 @@
     "lazy_exports",
     "log_event",
     "new_process_identity",
+    "next_share",
     "parse_address",
     "platform_instance_id",
     "rendezvous_ranking",
--- a/pistachiolift/home/quota_manager.py
+++ b/pistachiolift/home/quota_manager.py
@@ -11,19 +11,22 @@
 
 from ..backends import KeyValueStore
 from ..common import (
+    NO_LIMIT,
     Clock,
     CustomerId,
+    CustomerShare,
     Epoch,
     Metrics,
     PartitionId,
     PistachioliftError,
+    QuotaRecord,
+    QuotaUse,
     VersionConflictError,
     log_event,
 )
-from ..jobs import QuotaUse, Resources
-from .quota_shares import NO_RESOURCES, UNLIMITED, CustomerShare, QuotaRecord
+from ..jobs import Resources
 
-__all__ = ["JobQuotas", "QuotaManager", "QuotaUser"]
+__all__ = ["UNLIMITED", "JobQuotas", "QuotaManager", "QuotaUser"]
 
 logger = logging.getLogger(__name__)
 
@@ -34,7 +37,10 @@
 # have returned shares.
 REREAD_INTERVAL_S = 3.0
 
-_record_decoder = msgspec.msgpack.Decoder(QuotaRecord)
+NO_RESOURCES = Resources()
+UNLIMITED = Resources(NO_LIMIT, NO_LIMIT, NO_LIMIT)
+
+_record_decoder = msgspec.msgpack.Decoder(QuotaRecord[Resources])
 
 
 class JobQuotas(ABC):
@@ -123,7 +129,7 @@
         for customer_id in {*uses, *self._share_by_customer}:
             self.apply_limit(customer_id)
             if customer_id in self._share_by_customer:
-                use = uses.get(customer_id, QuotaUse())
+                use = uses.get(customer_id, QuotaUse(NO_RESOURCES))
                 self._start(customer_id, self._adjust_share(customer_id, use))
 
     def _start(self, customer_id: CustomerId, work: Coroutine) -> None:
--- a/pistachiolift/node/partition.py
+++ b/pistachiolift/node/partition.py
@@ -123,6 +123,7 @@
             self.ownership,
             peers=self._peers,
             fitness=self._fitness,
+            recovering=lambda: self._owner is not None and not self._owner.ready,
             **common,
         )
         self.jobs = JobService(
@@ -154,6 +155,11 @@
         """Whether the owner is here or connected."""
         return self.owned or self._link.connection is not None
 
+    @property
+    def owner_connection(self) -> PeerConnection | None:
+        """The open connection to the owner, ``None`` if there is none."""
+        return self._link.connection
+
     def current_owner(self) -> Owner | None:
         """Return the owner if it runs here and has recovered."""
         owner = self._owner
@@ -230,6 +236,7 @@
             table=context.table,
             directory=self._workers,
             authority_s=authority_s,
+            partitions=self._partition_count,
         )
         self._owner = owner
         self._directory = DirectoryWatch(
@@ -252,11 +259,13 @@
             on_failure=lambda: owner.handle_superseded("recovery_failed"),
         )
 
-    def _commit_interval_s(self) -> float:
+    def _partition_count(self) -> int:
         partition_map = self._context.partition_map()
-        partitions = 1 if partition_map is None else partition_map.count
+        return 1 if partition_map is None else partition_map.count
+
+    def _commit_interval_s(self) -> float:
         settings = self._context.settings()
-        return commit_interval_s(partitions, settings.store_writes_per_s)
+        return commit_interval_s(self._partition_count(), settings.store_writes_per_s)
 
     def _workers(self) -> dict[WorkerId, Worker]:
         """Return the partition's workers that are in the directory."""
--- a/pistachiolift/workflows/customer_rates.py
+++ b/pistachiolift/workflows/customer_rates.py
@@ -104,6 +104,17 @@
         bucket.tokens -= 1
         return False
 
+    def would_exceed(self, customer_id: CustomerId, received_ms: int) -> bool:
+        """Whether a job would be excess; takes no token.
+
+        :param received_ms: Unix time of the first request, in milliseconds.
+        """
+        bucket = self._buckets_by_id.get(customer_id)
+        if bucket is None:
+            return False
+        bucket.refill(received_ms)
+        return bucket.tokens < 1
+
     def take_marked(self) -> Counter[CustomerId]:
         """Return and clear the numbers of jobs marked as excess, by customer."""
         marked, self._marked_by_id = self._marked_by_id, Counter()
--- a/pistachiolift/workflows/details.py
+++ b/pistachiolift/workflows/details.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..common import JobId, WaitReason, WorkerId
+from ..common import CustomerId, JobId, WaitReason, WorkerId
 from .model import JobStatus, TaskRunStatus, WorkerState
 from .placement import room_for_step, with_required_label
 from .scheduler_state import SchedulerState
@@ -44,6 +44,7 @@
 class JobDetails(msgspec.Struct, frozen=True, kw_only=True):
     """State of a job at its owner, with task counts over all steps.
 
+    :param customer_id: the customer whose job it is; empty for none.
     :param durable: whether its acceptance is durable; no task starts before.
     :param listed_tasks: the first tasks that have not succeeded.
     """
@@ -57,6 +58,7 @@
     retrying: int
     not_started: int
     durable: bool
+    customer_id: CustomerId = CustomerId("")
     listed_tasks: tuple[TaskDetails, ...] = ()
 
 
@@ -104,6 +106,7 @@
         retrying=retrying,
         not_started=waiting - retrying,
         durable=job.accepted_record <= state.committed,
+        customer_id=job.customer_id,
         listed_tasks=tuple(unfinished[:MAX_LISTED_TASKS]),
     )
 
@@ -156,6 +159,9 @@
         return WaitReason.EARLIER_STEPS
     if step.not_before_s > now_s:
         return WaitReason.RETRY_DELAY
+    needed = step.step.count if step.step.gang else 1
+    if not state.caps.allows(step.job.customer_id, step.step.size.times(needed)):
+        return WaitReason.QUOTA
     pool_id, size = step.job.queue.pool_id, step.step.reserved
     usable = list(state.usable_workers(pool_id, now_s).values())
     labelled = with_required_label(step, usable)
@@ -163,7 +169,6 @@
         return WaitReason.NO_WORKERS
     if not any(each.worker.capacity.holds(size) for each in labelled):
         return WaitReason.NEVER_FITS
-    needed = step.step.count if step.step.gang else 1
     if sum(room_for_step(step, each) for each in labelled) < needed:
         return WaitReason.NO_ROOM
     if step.job.queue.advice is not None and step.tickets_end_s <= now_s:
--- a/pistachiolift/workflows/dispatch.py
+++ b/pistachiolift/workflows/dispatch.py
@@ -2,6 +2,7 @@
 
 from ..common import WorkerId
 from .advice import AdvicePlanner
+from .cap_gate import CapGate
 from .decisions import StartRun
 from .holding import RoomHolder
 from .lifecycle import Lifecycle
@@ -25,6 +26,7 @@
     :param state: the owner's jobs and workers.
     :param lifecycle: records the runs.
     :param advice: requests tickets for steps that need advice.
+    :param gate: keeps customers within their caps.
     :param policy: order of the waiting steps; :class:`CostAware` by default.
     """
 
@@ -33,6 +35,7 @@
         state: SchedulerState,
         lifecycle: Lifecycle,
         advice: AdvicePlanner,
+        gate: CapGate,
         policy: OrderPolicy | None = None,
     ):
         self._state = state
@@ -46,6 +49,7 @@
         # Workers that get no ordinary runs in the next pass, so that the runs that
         # are started alone find a worker.
         self._kept_free: set[WorkerId] = set()
+        self._gate = gate
 
     def run(self, now_s: float, wall_ms: float) -> None:
         """Place all waiting tasks that fit now.
@@ -54,6 +58,7 @@
         :param wall_ms: Unix time, in milliseconds.
         """
         self._open_due_steps(wall_ms)
+        self._gate.begin_pass(now_s)
         self.holder = RoomHolder()
         self._full = set()
         if not self._state.open_steps:
@@ -78,7 +83,8 @@
                 self._place_tasks(step, usable, blocked | kept_free, now_s)
                 blocked |= self._keep_room(step, usable, blocked, now_s, wall_ms)
             if step.waiting and step.job.queue.advice is not None:
-                waiting.append(step)
+                if self._gate.may_ask_adviser(step):
+                    waiting.append(step)
         self._advice.plan(waiting, usable_by_pool, now_s)
 
     def _open_due_steps(self, wall_ms: float) -> None:
@@ -99,6 +105,10 @@
         """Start a gang if it fits; otherwise return the workers to keep free for it."""
         if len(step.waiting) != step.step.count or step.is_held(0, now_s):
             return frozenset()
+        size = step.step.size.times(step.step.count)
+        if not self._gate.allows(step, size, usable_by_id, now_s):
+            # No worker is kept free for it, which would delay other customers.
+            return frozenset()
         health = self._state.health
         eligible = eligible_workers(step, usable_by_id, now_s)
         if step.is_isolated(0):
@@ -125,6 +135,10 @@
         blocked: frozenset[WorkerId],
         now_s: float,
     ) -> None:
+        if step.waiting <= step.isolated:
+            return
+        if not self._allows_task(step, usable_by_id, now_s):
+            return
         place = (step.job.queue.pool_id, step.step.reserved)
         if place in self._full:
             return
@@ -137,6 +151,8 @@
         for index in sorted(step.waiting):
             if step.is_isolated(index):
                 continue
+            if not self._allows_task(step, usable_by_id, now_s):
+                return
             worker = choice.choose(index)
             if worker is None:
                 return
@@ -151,9 +167,13 @@
         now_s: float,
         wall_ms: float,
     ) -> frozenset[WorkerId]:
-        """Return the workers to keep free for the tasks that have not been placed."""
+        """Return the workers to keep free for the tasks that have not been placed.
+
+        None are kept if the customer's cap holds the tasks back.
+        """
         if (
             not step.waiting
+            or self._gate.is_refused(step)
             or not self.holder.may_hold(step.job.queue.pool_id, len(usable_by_id))
             or not self.order.holds_room(step, now_s, wall_ms)
         ):
@@ -182,7 +202,7 @@
         for index in sorted(step.waiting & step.isolated):
             if step.is_held(index, now_s):
                 continue
-            if spare < 1:
+            if spare < 1 or not self._allows_task(step, usable_by_id, now_s):
                 return
             spare -= 1
             worker = choice.choose(index)
@@ -192,6 +212,11 @@
             number = step.next_number([index], self._state.fence * RUNS_PER_FENCE)
             self._start(step, index, number, worker, now_s)
 
+    def _allows_task(
+        self, step: StepEntry, usable_by_id: dict[WorkerId, WorkerEntry], now_s: float
+    ) -> bool:
+        return self._gate.allows(step, step.step.size, usable_by_id, now_s)
+
     def _keep_worker_free(self, candidates: list[WorkerEntry]) -> None:
         """Give one of the workers no ordinary runs in the next pass."""
         found = [entry for entry in candidates if entry.unproven and not entry.isolated]
@@ -215,11 +240,18 @@
             status=TaskRunStatus.STARTING,
             placed_s=now_s,
             alone=step.is_isolated(index),
+            charge=step.charge,
         )
         self._lifecycle.add_run(step, run, worker)
         self._state.health.record_placement(worker.worker_id)
         record = self._state.record(
-            RunPlaced(run.task, number, worker.worker_id, worker.worker.incarnation)
+            RunPlaced(
+                run.task,
+                number,
+                worker.worker_id,
+                worker.worker.incarnation,
+                run.charge,
+            )
         )
         self._state.emit(
             StartRun(
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -6,10 +6,13 @@
 import msgspec
 
 from ..common import CustomerId, JobId, WorkerId, log_event
+from .admission import Admission
 from .advice import AdvicePlanner
+from .cap_gate import CapGate
 from .crashes import CrashTracker
 from .decisions import Decision, StartRun
 from .dispatch import Dispatcher
+from .evacuation import EvacuationPlanner
 from .fleet import Fleet
 from .lifecycle import Lifecycle
 from .model import (
@@ -24,12 +27,14 @@
     TaskRunStatus,
 )
 from .order import OrderPolicy
+from .pace import PaceMonitor
 from .progress import ProgressMonitor
 from .records import (
     JobAccepted,
     JobCancelled,
     JobForgotten,
     LedgerRecord,
+    QueueChanged,
 )
 from .replay import Replay, compact_records
 from .scheduler_state import SchedulerState
@@ -51,11 +56,13 @@
     :param reason: reason of a refusal, in snake case.
     :param repeated: whether an earlier attempt to send the start had no answer, so
         that the worker may still carry it out.
+    :param clock_ms: worker's clock when it answered, in milliseconds; 0 if unknown.
     """
 
     started: bool
     reason: str = ""
     repeated: bool = False
+    clock_ms: int = 0
 
 
 class GraphScheduler:
@@ -86,9 +93,15 @@
         self._lifecycle = Lifecycle(self.state)
         self._crashes = CrashTracker(self.state, self._lifecycle)
         self.advice = AdvicePlanner(self.state)
-        self._dispatcher = Dispatcher(self.state, self._lifecycle, self.advice, policy)
+        self.cap_gate = CapGate(self.state)
+        self._dispatcher = Dispatcher(
+            self.state, self._lifecycle, self.advice, self.cap_gate, policy
+        )
         self.order = self._dispatcher.order
+        self.admission = Admission(self.state, self.order)
         self._progress = ProgressMonitor(self.state, self._lifecycle)
+        self._pace = PaceMonitor(self.state, self._lifecycle)
+        self._evacuation = EvacuationPlanner(self.state, self._lifecycle)
         self._sharing = SharingController(self.state)
         self.fleet = Fleet(
             self.state,
@@ -129,10 +142,12 @@
         )
         for record in records:
             replay.apply(record)
+        replay.apply_policies()
         self.state.rates.rebuild(self.state.jobs_by_id.values())
         for job in self.state.jobs_by_id.values():
             job.last_record = job.accepted_record = 0
-        # Verdicts and crashes that are counted now are not durable yet.
+        # Policies, verdicts and crashes that are recorded now are not durable yet.
+        replay.record_policies()
         replay.give_up_failed_jobs()
         replay.add_runs(lease_end_s, lease_end_s + self._longest_lease_s)
         self.state.decisions.clear()
@@ -145,10 +160,18 @@
 
     # Configuration.
 
-    def set_queues(self, queues: Iterable[Queue]) -> None:
-        """Update the queues; jobs of a removed queue keep its last policy."""
+    def set_queues(self, queues: Iterable[Queue], *, version: int = 0) -> None:
+        """Update the queues; jobs of a removed queue keep its last policy.
+
+        :param version: version of the configuration.
+        """
+        self.state.queues_version = version
+        used = self.state.used_queues()
         for queue in queues:
+            known = self.state.queues_by_id.get(queue.queue_id)
             self.state.queues_by_id[queue.queue_id] = queue
+            if queue.queue_id in used and known not in (None, queue):
+                self.state.record(QueueChanged(queue, version))
         for job in self.state.jobs_by_id.values():
             job.queue = self.state.queues_by_id.get(job.queue.queue_id, job.queue)
 
@@ -156,6 +179,7 @@
         """Replace the customers; jobs of a removed customer stay without its limits."""
         self.state.customers_by_id = {each.customer_id: each for each in customers}
         self.state.rates.set_customers(self.state.customers_by_id.values())
+        self.state.caps.set_customers(self.state.customers_by_id.values())
 
     # Calls of clients.
 
@@ -188,6 +212,7 @@
             customer_id=customer_id,
             excess=self.state.rates.take(customer_id, received_ms),
         )
+        self.admission.record_submission(job)
         record = JobAccepted(job_id, queue, received_ms, graph, customer_id, job.excess)
         job.accepted_record = self.state.record(record)
         return job.accepted_record
@@ -256,7 +281,10 @@
                 return None
             order = msgspec.structs.replace(order, ticket=ticket)
         if not self._has_room_to_send(run, step):
-            self._withdraw_start(run)
+            self._withdraw_start(run, "capacity_shrunk")
+            return None
+        if self._exceeds_cap(run, step):
+            self._withdraw_start(run, "cap_lowered")
             return None
         run.sent = True
         return order
@@ -282,7 +310,19 @@
             if worker_id in workers
         )
 
-    def _withdraw_start(self, run: TaskRun) -> None:
+    def _exceeds_cap(self, run: TaskRun, step: StepEntry | None) -> bool:
+        """Whether the customer's cap has been lowered below its use meanwhile.
+
+        The rest of a gang is sent if the start of a member has been sent.
+        """
+        if run.charge is None or not self.state.caps.is_exceeded(
+            run.charge.customer_id
+        ):
+            return False
+        gang = step is not None and step.step.gang
+        return not (gang and any(r.sent for r in step.runs_by_index.values()))
+
+    def _withdraw_start(self, run: TaskRun, reason: str) -> None:
         """Place a run anew, and with it its gang, whose start is not sent."""
         worker = self.state.workers_by_id[run.worker_id]
         log_event(
@@ -293,9 +333,9 @@
             run=run.number,
             worker=run.worker_id,
             free_cpu_milli=worker.free_cpu_milli,
-            reason="capacity_shrunk",
+            reason=reason,
         )
-        self._lifecycle.stop(run, "capacity_shrunk")
+        self._lifecycle.stop(run, reason)
 
     def handle_start_answer(
         self,
@@ -312,6 +352,7 @@
             return
         if answer.started:
             run.answered_s = now_s
+            self._record_start(run, answer)
             self._lifecycle.confirm_run(run, now_s)
             return
         if answer.reason == "old":
@@ -330,6 +371,16 @@
         worker.release(run)
         self._lifecycle.end_without_result(run, EndKind.STOPPED, now_s)
 
+    def _record_start(self, run: TaskRun, answer: StartAnswer) -> None:
+        """Begin to measure the pace of a run that the worker has just started."""
+        if answer.repeated or run.started_ms:
+            return
+        run.started_ms = answer.clock_ms
+        step = self.state.step_of(run.task)
+        # A run that resumes begins at an unknown percent.
+        if step is not None and not step.checkpoint(run.task.index):
+            run.mark_ms = run.mark_ms or answer.clock_ms
+
     def handle_unanswered_start(
         self, worker_id: WorkerId, task: TaskKey, number: int
     ) -> None:
@@ -372,8 +423,11 @@
         """Handle timeouts, stalled runs, lost workers and expired jobs."""
         self.advice.expire_calls(now_s)
         self._progress.check(now_s)
+        self._pace.check(now_s)
+        self._evacuation.check(now_s)
         self._sharing.check(now_s)
         self.fleet.check(now_s)
+        self.admission.observe(now_s)
         for job_id, job in list(self.state.jobs_by_id.items()):
             if (
                 job.finished_s is not None
@@ -396,6 +450,12 @@
         records, self.state.records = self.state.records, []
         return records
 
+    def take_counts(self) -> dict[str, int]:
+        """Return and clear the numbers of decisions, by dotted name."""
+        counts = dict(self.state.counts)
+        self.state.counts.clear()
+        return counts
+
     def record_commit(self, count: int) -> None:
         """Record that the next ``count`` records are durable."""
         self.state.committed += count
--- a/pistachiolift/workflows/state.py
+++ b/pistachiolift/workflows/state.py
@@ -5,11 +5,13 @@
 from math import log
 
 from ..common import CustomerId, JobId, WorkerId
+from .caps import CustomerCaps
 from .model import (
     CrashCause,
     JobGraph,
     JobStatus,
     Queue,
+    RunCharge,
     Size,
     Step,
     StepKey,
@@ -86,8 +88,17 @@
     :param speed_set_s: time of that order.
     :param percent: last reported progress.
     :param progressed_s: time at which ``percent`` last changed.
+    :param first_percent: progress in the first report that shows the run.
+    :param first_percent_s: time of that report, or ``None``.
+    :param started_ms: worker's clock when it answered the start; 0 if unknown.
+    :param mark_percent: progress at the begin of the window that measures the pace.
+    :param mark_ms: worker's clock at that time; 0 before the first.
+    :param pace: work done in the last window, in seconds of the declared time per
+        second; ``None`` before its end.
+    :param pace_ms: worker's clock at the end of that window.
     :param survived: whether a report has shown it some time after its start.
     :param alone: whether its worker gets no other run until it has survived.
+    :param charge: what it counts against its customer's cap; ``None`` without one.
     """
 
     task: TaskKey
@@ -102,11 +113,19 @@
     answered_s: float | None = None
     percent: int = 0
     progressed_s: float = 0.0
+    first_percent: int = 0
+    first_percent_s: float | None = None
+    started_ms: int = 0
+    mark_percent: int = 0
+    mark_ms: int = 0
+    pace: float | None = None
+    pace_ms: int = 0
     usage: int = 0
     speed_percent: int = 100
     speed_set_s: float = 0.0
     survived: bool = False
     alone: bool = False
+    charge: RunCharge | None = None
 
     @property
     def key(self) -> tuple[TaskKey, int]:
@@ -131,10 +150,16 @@
     :param survived_run_by_index: newest run of a task that has survived its start.
     :param tickets_by_worker: ticket and the time at which it expires.
     :param approved: workers that the adviser approved; ``None`` before its answer.
+    :param moves_by_index: for each task the number of its runs that were stopped since
+        their worker was behind.
+    :param pace_elsewhere: last known pace of its runs on workers that are not behind;
+        ``None`` before two of them are known.
     :param asked_s: time of the advice call in flight, or ``None``.
     :param asked_workers: workers for which the adviser was called.
     :param last_asked: workers included in the newest calls.
     :param tickets_end_s: time at which the first ticket of those workers expires.
+    :param timing: objective of the job under a queue's policy, and length of the
+        critical path from this step, in seconds; ``None`` until they are needed.
     """
 
     key: StepKey
@@ -153,6 +178,8 @@
     checkpoint_by_index: dict[int, str] = field(default_factory=dict)
     failed_on_by_index: dict[int, set[WorkerId]] = field(default_factory=dict)
     last_run_by_index: dict[int, int] = field(default_factory=dict)
+    moves_by_index: dict[int, int] = field(default_factory=dict)
+    pace_elsewhere: float | None = None
     tickets_by_worker: dict[WorkerId, tuple[str, float]] = field(default_factory=dict)
     approved: frozenset[WorkerId] | None = None
     asked_s: float | None = None
@@ -160,12 +187,21 @@
     last_asked: tuple[WorkerId, ...] = ()
     tickets_end_s: float = 0.0
     not_before_s: float = 0.0
+    timing: tuple[Queue, float, float] | None = None
 
     @property
     def complete(self) -> bool:
         """Whether all tasks have succeeded."""
         return len(self.finished) == self.step.count
 
+    @property
+    def charge(self) -> RunCharge | None:
+        """What one of the tasks counts against its customer's cap."""
+        customer_id = self.job.customer_id
+        if not customer_id:
+            return None
+        return RunCharge(customer_id, self.step.size, self.step.long_running)
+
     def failure_slot(self, index: int) -> int:
         """Return the index under which the failed runs of a task are stored."""
         return 0 if self.step.gang else index
@@ -269,21 +305,38 @@
 class WorkerEntry:
     """A worker and the runs placed on it.
 
+    The runs are charged to their customers here, where their resources are reserved and
+    freed, so that no way of adding or ending a run is missed.
+
+    :param caps: adds up the charges of all workers.
     :param has_reported: whether a complete run report was applied under this owner.
     :param reachable: whether the worker answered the last poll.
     :param registered: whether the worker is in the directory.
     :param report_requested_s: time at which its newest run report was requested.
+    :param reported_s: time at which its newest run report was applied.
     :param has_unknown_run: whether it has a run of unknown size.
     :param recorded: whether the ledger shall hold that the worker is in use.
     :param use_record: number of the record that must be durable before a start.
     :param paused_until_s: time before which it gets no new runs.
     :param fill_percent: share that its filling tasks may use; ``None`` without any.
     :param lease_end_s: time after which no run can still be running on the worker.
+    :param leaves_s: time at which it kills its runs, by its own report; ``None`` if it
+        stays.
+    :param clock_ms: worker's clock at its newest run report; 0 if unknown.
+    :param behind_s: time at which its runs were last far slower than those elsewhere;
+        ``None`` if they are not.
+    :param probe_only: whether it gets a single task at a time, to see whether it works.
+    :param probe_urgent: whether this may be an urgent task.
+    :param suspect: whether it is used only if no other fits.
+    :param suspect_until_s: time until which this holds.
     :param unproven: keys of the runs that have not survived their start yet.
     :param isolated: keys of those that were started alone.
+    :param possible_charges_by_run: charges of runs that earlier owners placed and that
+        may still be on the worker, although their tasks need them no longer.
     """
 
     worker: Worker
+    caps: CustomerCaps
     has_reported: bool = False
     reachable: bool = True
     registered: bool = True
@@ -293,14 +346,25 @@
     used_accelerators: int = 0
     runs: dict[tuple[TaskKey, int], TaskRun] = field(default_factory=dict)
     report_requested_s: float = 0.0
+    reported_s: float = 0.0
     recorded: bool = False
     use_record: int = 0
     paused_until_s: float = 0.0
     has_unknown_run: bool = False
     speed: SpeedEstimate = field(default_factory=SpeedEstimate)
     fill_percent: int | None = None
+    leaves_s: float | None = None
+    clock_ms: int = 0
+    behind_s: float | None = None
+    probe_only: bool = False
+    probe_urgent: bool = False
+    suspect: bool = False
+    suspect_until_s: float = 0.0
     unproven: set[tuple[TaskKey, int]] = field(default_factory=set)
     isolated: set[tuple[TaskKey, int]] = field(default_factory=set)
+    possible_charges_by_run: dict[tuple[TaskKey, int], RunCharge] = field(
+        default_factory=dict
+    )
 
     @property
     def worker_id(self) -> WorkerId:
@@ -320,6 +384,8 @@
             and self.registered
             and not self.has_unknown_run
             and self.worker.state is WorkerState.READY
+            and self.leaves_s is None
+            and (self.behind_s is None or self.probe_only)
             and now_s >= self.paused_until_s
         )
 
@@ -372,6 +438,8 @@
         """Add a run and reserve its resources."""
         self.runs[run.key] = run
         self._add(run.size, 1)
+        self.caps.charge(run.charge)
+        self.caps.release(self.possible_charges_by_run.pop(run.key, None))
         if not run.survived:
             self.unproven.add(run.key)
             if run.alone:
@@ -393,8 +461,22 @@
         self.unproven.discard(run.key)
         self.isolated.discard(run.key)
         self._add(run.size, -1)
+        self.caps.release(run.charge)
         return True
 
+    def charge_possible_run(self, key: tuple[TaskKey, int], charge: RunCharge) -> None:
+        """Count a run that may still be on the worker, until it reports."""
+        if key not in self.runs and key not in self.possible_charges_by_run:
+            self.possible_charges_by_run[key] = charge
+            self.caps.charge(charge)
+
+    def release_possible_runs(self) -> dict[tuple[TaskKey, int], RunCharge]:
+        """Stop counting, and return, what may have been on the worker."""
+        charges, self.possible_charges_by_run = self.possible_charges_by_run, {}
+        for charge in charges.values():
+            self.caps.release(charge)
+        return charges
+
     def _add(self, size: Size, sign: int) -> None:
         self.used_cpu_milli += sign * size.cpu_milli
         self.used_memory_mb += sign * size.memory_mb
--- a/pistachiolift/workflows/urgency.py
+++ b/pistachiolift/workflows/urgency.py
@@ -86,9 +86,15 @@
     :returns: the band, and the monotonic time of the latest start.
     """
     job = step.job
-    received_s = _received_s(step, now_s, wall_ms)
-    objective = objective_s(job)
-    remaining = critical_path_s(job, from_step=step.key.step)
+    if job.graph.occurrences:
+        received_s = _received_s(step, now_s, wall_ms)
+    else:
+        received_s = job.received_s
+    timing = step.timing
+    if timing is None or timing[0] is not job.queue:
+        remaining_s = critical_path_s(job, from_step=step.key.step)
+        step.timing = timing = (job.queue, objective_s(job), remaining_s)
+    _, objective, remaining = timing
     finish_s = now_s + remaining
     if finish_s <= received_s + objective:
         band = Band.ON_TIME
