Bound the wait of raised work while urgent work fills all workers

Raised work followed the useful work of the most urgent priority, which could fill all workers for as long as it came.

A raised job that has run nothing for 5 s comes first. The new test failed before with a job that had not started after 15 s, and passes. pytest test_order.py and test_holding.py: passed.

--- a/pistachiolift/workflows/ageing.py
+++ b/pistachiolift/workflows/ageing.py
@@ -19,6 +19,9 @@
 # Share of a pool's cores that raised work may use; what it uses is lost to work that
 # can still be on time.
 AGED_SHARE = 0.05
+# A raised job that runs nothing for this time precedes the most urgent work as well,
+# which would otherwise starve it by filling all workers.
+FIRST_AFTER_S = 5.0
 # A raised job that runs nothing for this time makes way for the next one, since it may
 # fit on no worker or exceed its customer's cap.
 RAISED_IDLE_S = 10.0
@@ -76,6 +79,13 @@
         jobs = self._state.jobs_by_id
         return {job_id: self._since_s(jobs[job_id]) for job_id in self.raised_by_id}
 
+    def comes_first(self, job_id: JobId, now_s: float) -> bool:
+        """Whether a raised job precedes the most urgent work as well.
+
+        :param now_s: monotonic time.
+        """
+        return now_s - self.raised_by_id[job_id] >= FIRST_AFTER_S
+
     def _drop_ended(self) -> None:
         jobs = self._state.jobs_by_id
         for table in (self.raised_by_id, self._passed_over_by_id):
--- a/pistachiolift/workflows/order.py
+++ b/pistachiolift/workflows/order.py
@@ -1,5 +1,6 @@
 """Order in which waiting steps are placed."""
 
+import math
 from abc import ABC, abstractmethod
 from collections.abc import Collection
 from heapq import heapify, heappop, heappush
@@ -25,6 +26,7 @@
 LATE_VALUE = 0.2
 # Raised work has its place between the most urgent work, class 0, and the rest.
 RAISED_CLASS = 0.5
+FIRST_CLASS = -math.inf
 # Work that takes no processor time is compared as if it took this, in core-seconds.
 MIN_WORK_CORE_S = 0.001
 
@@ -169,14 +171,15 @@
         for step in steps:
             sort_key = key(step, now_s, wall_ms)
             if step.job.job_id in raised:
-                sort_key = (RAISED_CLASS, raised[step.job.job_id], step.key.step)
+                first = self._ageing.comes_first(step.job.job_id, now_s)
+                place = FIRST_CLASS if first else RAISED_CLASS
+                sort_key = (place, raised[step.job.job_id], step.key.step)
             elif step.job.excess:
                 excess.append((sort_key, step))
                 continue
             due.append((sort_key, step))
-        first = itemgetter(0)
-        due.sort(key=first)
-        excess.sort(key=first)
+        due.sort(key=itemgetter(0))
+        excess.sort(key=itemgetter(0))
         return [step for _, step in due] + self._share_out([step for _, step in excess])
 
     def key(self, step: StepEntry, now_s: float, wall_ms: float) -> tuple:
--- a/pistachiolift/workflows/tests/test_order.py
+++ b/pistachiolift/workflows/tests/test_order.py
@@ -6,7 +6,11 @@
 
 from pistachiolift.common import CustomerId
 from pistachiolift.workflows import Customer
-from pistachiolift.workflows.ageing import AGED_AFTER_S, RAISED_IDLE_S
+from pistachiolift.workflows.ageing import (
+    AGED_AFTER_S,
+    FIRST_AFTER_S,
+    RAISED_IDLE_S,
+)
 from pistachiolift.workflows.order import BandsFirst
 
 from .virtual_cell import VirtualCell, make_graph, make_queue, make_step
@@ -160,6 +164,17 @@
         )
         assert AGED_AFTER_S <= cell.wait_s("old") < AGED_AFTER_S + 3
 
+    def test_urgent_work_that_fills_all_workers_does_not_starve_raised_work(self):
+        cell = make_cell(workers=2, cpu=8000)
+        cell.submit("first", URGENT, make_graph(make_step(16, estimate_s=0.8)))
+        cell.submit("old", REBUILD, make_graph(make_step(1, cpu=6000)))
+        cell.scheduler.state.jobs_by_id["old"].received_s -= AGED_AFTER_S
+        for number in range(300):
+            step = make_step(2, estimate_s=0.8)
+            cell.at(number / 20, cell.submit, f"j{number}", URGENT, make_graph(step))
+        cell.run(15.0)
+        assert cell.wait_s("old") < FIRST_AFTER_S + 2.0
+
     def test_raised_work_uses_a_limited_share(self):
         cell = make_cell(workers=10, cpu=8000)
         for number in range(50):
