--- a/pistachiolift/workflows/dispatch.py
+++ b/pistachiolift/workflows/dispatch.py
@@ -158,11 +158,11 @@
     ) -> None:
         if step.waiting <= step.isolated:
             return
+        if not self._allows_task(step, usable_by_id, now_s):
+            return
         place = (step.job.queue.pool_id, step.step.reserved)
         if place in self._full and not self.preemptor.held_for(step):
             return
-        if not self._allows_task(step, usable_by_id, now_s):
-            return
         candidates = _workers_with_room(step, usable_by_id, blocked, now_s)
         if not candidates:
             if _may_use_any_worker(step):
--- a/pistachiolift/workflows/state.py
+++ b/pistachiolift/workflows/state.py
@@ -162,6 +162,8 @@
     :param asked_workers: workers for which the adviser was called.
     :param last_asked: workers included in the newest calls.
     :param tickets_end_s: time at which the first ticket of those workers expires.
+    :param timing: objective of the job under a queue's policy, and length of the
+        critical path from this step, in seconds; ``None`` until they are needed.
     """
 
     key: StepKey
@@ -190,6 +192,7 @@
     last_asked: tuple[WorkerId, ...] = ()
     tickets_end_s: float = 0.0
     not_before_s: float = 0.0
+    timing: tuple[Queue, float, float] | None = None
 
     @property
     def complete(self) -> bool:
