--- a/pistachiolift/workflows/tests/test_caps.py
+++ b/pistachiolift/workflows/tests/test_caps.py
@@ -22,6 +22,7 @@
 from .cap_load import submit_stream
 from .virtual_cell import (
     LEASE_LIMIT_S,
+    TICK_S,
     VirtualCell,
     make_graph,
     make_queue,
