--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -26,6 +26,7 @@
 from .advice_service import AdviceService
 from .background import run_in_background
 from .cap_gauges import CapGauges
+from .cap_shares import CapShares
 from .decision_log import log_job_changed, log_start, log_stop
 from .interfaces import (
     COMMAND_TIMEOUT_S,
@@ -72,6 +73,7 @@
     :param table: returns the configuration in force.
     :param directory: returns the partition's workers that are in the directory.
     :param authority_s: time for which earlier owners may still renew leases.
+    :param partitions: returns the number of partitions of the cell.
     """
 
     def __init__(
@@ -96,6 +98,7 @@
         table: Callable[[], QueueTable],
         directory: Callable[[], dict[WorkerId, Worker]],
         authority_s: float = AUTHORITY_S,
+        partitions: Callable[[], int] = lambda: 1,
     ):
         self._reactor = reactor
         self._store = store
@@ -138,6 +141,18 @@
             last_contact_s=last_contact_s,
             on_changed=self._execute_and_reschedule,
         )
+        self._cap_shares = CapShares(
+            reactor,
+            store,
+            partition=keys.number,
+            partitions=partitions,
+            fence=lambda: self.scheduler.state.fence,
+            clock=clock,
+            metrics=metrics,
+            scheduler=self.scheduler,
+            may_write=self.may_send_commands,
+            on_changed=self._schedule_pass,
+        )
         self._cap_gauges = CapGauges(metrics, prefix=f"partition.{keys.number}")
         self._waiting_report = WaitingReporter(
             self.scheduler, metrics, f"partition.{keys.number}"
@@ -179,6 +194,7 @@
         for entry in list(self.scheduler.state.workers_by_id.values()):
             self._ensure_driver(entry.worker)
         self._advice_service.update_instance_count(self.scheduler)
+        self._cap_shares.start()
         self.ready = True
         self._ticking.start(TICK_INTERVAL_S, now=False)
         log_event(
@@ -214,6 +230,7 @@
         if self._scheduled_pass is not None:
             self._scheduled_pass.cancel()
             self._scheduled_pass = None
+        self._cap_shares.close()
         self.ledger.close()
         for driver in self._drivers_by_id.values():
             driver.close()
@@ -340,6 +357,7 @@
         self._table = table
         self.scheduler.set_queues(table.queues, version=table.version)
         self.scheduler.set_customers(table.customers)
+        self._cap_shares.handle_new_caps()
         self._schedule_pass()
 
     def update_worker(self, worker: Worker) -> None:
@@ -449,6 +467,7 @@
             now_s=now_s,
             wall_ms=wall_ms,
             remaining_s=report.remaining_s,
+            clock_ms=report.clock_ms,
         )
         if not taken:
             return succeed(False)
--- a/pistachiolift/workflows/preemption.py
+++ b/pistachiolift/workflows/preemption.py
@@ -178,7 +178,9 @@
             usable_by_id.items(), key=lambda item: (-item[1].free_cpu_milli, item[0])
         )
         usable_by_id = dict(by_free)
-        least_urgent = max(q.priority for q in self._state.queues_by_id.values())
+        queues = self._state.queues_by_id.values()
+        # An owner may know no queue; then nothing is stopped.
+        least_urgent = max((queue.priority for queue in queues), default=0)
         examined = 0
         for step, blocked in short:
             if step.job.queue.priority >= least_urgent or step.job.excess:
@@ -221,14 +223,18 @@
     ) -> list[WorkerEntry]:
         """Return the workers on which room may be made for a step.
 
-        Their tickets, if the step needs some, are valid when the stop is over.
+        Workers that may fail or delay its tasks are left out. The tickets, if the step
+        needs some, are valid when the stop is over.
         """
         excluded = blocked | self.held
         excluded = excluded.union(*step.failed_on_by_index.values())
         return [
             entry
             for entry in eligible_workers(step, usable_by_id, now_s + STOP_S)
-            if entry.worker_id not in excluded and not entry.isolated
+            if entry.worker_id not in excluded
+            and not entry.isolated
+            and not entry.probe_only
+            and not entry.suspect
         ]
 
     def _reason_against(
