--- a/pistachiolift/workflows/preemption.py
+++ b/pistachiolift/workflows/preemption.py
@@ -222,14 +222,18 @@
     ) -> list[WorkerEntry]:
         """Return the workers on which room may be made for a step.
 
-        Their tickets, if the step needs some, are valid when the stop is over.
+        Workers that may fail or delay its tasks are left out. The tickets, if the step
+        needs some, are valid when the stop is over.
         """
         excluded = blocked | self.held
         excluded = excluded.union(*step.failed_on_by_index.values())
         return [
             entry
             for entry in eligible_workers(step, usable_by_id, now_s + STOP_S)
-            if entry.worker_id not in excluded and not entry.isolated
+            if entry.worker_id not in excluded
+            and not entry.isolated
+            and not entry.probe_only
+            and not entry.suspect
         ]
 
     def _reason_against(
--- a/pistachiolift/workflows/tests/test_preemption_for_urgent_bursts.py
+++ b/pistachiolift/workflows/tests/test_preemption_for_urgent_bursts.py
@@ -145,6 +145,18 @@
         cell.run(20.0)
         assert not cell.stops
 
+    def test_an_owner_that_knows_no_queue_stops_nothing(self):
+        """Guards against an exception in the pass of such an owner."""
+        cell = PreemptionCell()
+        cell.fill(jobs=2)
+        # Without customers, nothing is stopped when the job is submitted.
+        cell.scheduler.set_customers(())
+        cell.submit("u", URGENT, make_graph(urgent_step()))
+        cell.scheduler.state.queues_by_id.clear()
+        cell.scheduler.set_customers(CUSTOMERS)
+        cell.run(1.0)
+        assert not cell.stops
+
     def test_it_waits_for_runs_that_end_in_time(self):
         """Guards against stops that only move work."""
         cell = PreemptionCell()
