--- a/pistachiolift/workflows/order.py
+++ b/pistachiolift/workflows/order.py
@@ -3,7 +3,7 @@
 import math
 from abc import ABC, abstractmethod
 from collections.abc import Collection
-from heapq import heapify, heappop, heappush
+from heapq import heapify, heappop, heapreplace
 from operator import itemgetter
 
 from ..common import CustomerId, JobId
@@ -234,16 +234,18 @@
         heapify(heap)
         arranged = []
         while heap:
-            used_by_weight, order, weight, customer_id, index = heappop(heap)
+            used_by_weight, order, weight, customer_id, index = heap[0]
             own = steps_by_customer[customer_id]
             step = own[index]
             arranged.append(step)
-            if index + 1 < len(own):
-                # Counted as if it were placed now.
-                used_by_weight += (
-                    len(step.waiting) * step.step.reserved.cpu_milli / weight
-                )
-                heappush(heap, (used_by_weight, order, weight, customer_id, index + 1))
+            index += 1
+            if index == len(own):
+                heappop(heap)
+                continue
+            # Counted as if it were placed now.
+            cpu_milli = 0 if step.step.fills else step.step.size.cpu_milli
+            used_by_weight += len(step.waiting) * cpu_milli / weight
+            heapreplace(heap, (used_by_weight, order, weight, customer_id, index))
         return arranged
 
     def _excess_cpu_milli_by_customer(self) -> dict[CustomerId, int]:
