--- a/pistachiolift/workflows/tests/uneven_cell.py
+++ b/pistachiolift/workflows/tests/uneven_cell.py
@@ -158,11 +158,9 @@
 
     def fail(self, worker_id: str, for_s: float) -> None:
         """Let a worker fail what it starts for a while."""
-        self.workers_by_id[WorkerId(worker_id)].fails = True
-        self._after(for_s, self._recover, worker_id)
-
-    def _recover(self, worker_id: str) -> None:
-        self.workers_by_id[WorkerId(worker_id)].fails = False
+        fake = self.workers_by_id[WorkerId(worker_id)]
+        fake.fails = True
+        self._after(for_s, setattr, fake, "fails", False)
 
     def slow(self, worker_id: str, for_s: float, *, factor: float = 8.0) -> None:
         """Let the runs of a worker take a multiple of their time for a while."""
