Check for probes only on workers that have room

The check for probes was made for each waiting step and each worker, although most workers are full under load.

--- a/pistachiolift/workflows/placement.py
+++ b/pistachiolift/workflows/placement.py
@@ -73,14 +73,20 @@
 
 def room_for_step(step: StepEntry, entry: WorkerEntry) -> int:
     """Return how many more tasks of the step fit on the worker."""
-    probes_since_s = entry.probes_since_s
-    probes = probes_since_s is not None
-    if entry.isolated or (probes and not _may_probe(step, entry, probes_since_s)):
+    if entry.isolated:
         return 0
     room = entry.room_for(step.step.reserved)
     if room and step.step.max_per_worker:
         room = min(room, step.step.max_per_worker - _count_tasks(step, entry))
-    return max(0, min(room, 1) if probes and not step.step.gang else room)
+    # Most workers are full, so that the rest is checked for few of them.
+    if room < 1:
+        return 0
+    since_s = entry.probes_since_s
+    if since_s is None:
+        return room
+    if not _may_probe(step, entry, since_s):
+        return 0
+    return room if step.step.gang else 1
 
 
 def _may_probe(step: StepEntry, entry: WorkerEntry, since_s: float) -> bool:
