--- a/pistachiolift/workflows/fleet.py
+++ b/pistachiolift/workflows/fleet.py
@@ -1,13 +1,14 @@
 """State of the workers from the directory, their reachability and run reports."""
 
 import logging
+from collections import Counter
 from dataclasses import dataclass, field
 
 from ..common import WorkerId, log_event
 from .advice import AdvicePlanner
 from .crashes import CrashTracker
 from .lifecycle import Lifecycle
-from .model import EndKind, RunCharge, TaskKey, Worker, WorkerState
+from .model import EndKind, RunCharge, TaskKey, TaskRunStatus, Worker, WorkerState
 from .records import WorkerInUse, WorkerReleased
 from .run_reports import ReportedEnd, ReportedRun, RunReportHandler
 from .scheduler_state import SchedulerState
@@ -21,6 +22,17 @@
 # has not said so. Reports are polled at intervals of at most 1.5 s.
 REPORT_TIMEOUT_S = 4.0
 
+# A quarantined worker is probed with an urgent task, or one on its last attempt, only
+# if no other task has been placed there for this time.
+PROBE_URGENT_AFTER_S = 3.0
+
+# A worker that answers again after it was unreachable is used last for this time, since
+# it may go down again soon.
+RETURNED_SUSPECT_S = 5.0
+# A worker that has not answered a start for the first time is used last for the second.
+START_ANSWER_S = 0.3
+START_SUSPECT_S = 3.0
+
 # Within this time, the replacement of a worker process appears in the directory or the
 # leases of its runs expire.
 UNCERTAIN_START_TIMEOUT_S = 12.0
@@ -67,6 +79,7 @@
         self._crashes = crashes
         self._longest_lease_s = longest_lease_s
         self._report_handler = RunReportHandler(state, lifecycle, crashes)
+        self._failing_zones: frozenset[str] = frozenset()
         # Runs whose start may have reached the replacement of a worker process, maybe
         # none.
         self._uncertain_starts_by_worker: dict[WorkerId, UncertainStarts] = {}
@@ -198,6 +211,8 @@
         entry = self._state.workers_by_id.get(worker_id)
         if entry is None:
             return False
+        if entry.has_reported and not entry.reachable:
+            self._state.suspect(entry, "returned", now_s, RETURNED_SUSPECT_S)
         entry.reachable = True
         self._crashes.handle_report(entry.worker, now_s)
         self._update_notice(entry, remaining_s, sent_s, now_s)
@@ -263,6 +278,7 @@
     def check(self, now_s: float) -> None:
         """End the runs of lost workers, and uncertain starts after their timeout."""
         self._crashes.check(now_s)
+        self._check_zones(now_s)
         for worker_id, uncertain in list(self._uncertain_starts_by_worker.items()):
             if now_s > uncertain.end_s:
                 del self._uncertain_starts_by_worker[worker_id]
@@ -274,6 +290,70 @@
         for worker_id, entry in list(self._state.workers_by_id.items()):
             self._check_worker(worker_id, entry, now_s)
 
+    def _check_zones(self, now_s: float) -> None:
+        """Find the data centres that fail, and the workers that may be probed."""
+        health = self._state.health
+        entries = self._state.workers_by_id.values()
+        sizes_by_zone = Counter(entry.worker.zone for entry in entries)
+        health.update_zones(sizes_by_zone, now_s)
+        known, self._failing_zones = self._failing_zones, health.failing_zones
+        for zone in sorted(known ^ self._failing_zones):
+            name = "zone_recovered" if zone in known else "zone_failing"
+            self._state.counts[f"health.{name}"] += 1
+            log_event(
+                logger,
+                name,
+                zone=zone,
+                workers=sizes_by_zone[zone],
+                quarantined=sum(
+                    entry.worker.zone == zone and entry.quarantined_s is not None
+                    for entry in entries
+                ),
+            )
+        for entry in entries:
+            entry.zone_fails_s = health.zone_fails_since_s(entry.worker.zone)
+            entry.risky = entry.zone_fails_s is not None or health.is_risky(
+                entry.worker_id, now_s
+            )
+            self._check_probe(entry, now_s)
+            self._check_starts(entry, now_s)
+            due_s = entry.zone_fails_s
+            if entry.quarantined_s is not None:
+                due_s = health.quarantined_until_s(entry.worker_id)
+            if due_s is not None:
+                entry.probe_urgent = now_s >= due_s + PROBE_URGENT_AFTER_S
+
+    def _check_probe(self, entry: WorkerEntry, now_s: float) -> None:
+        """End a quarantine whose probe runs for longer than the runs that failed."""
+        since_s = entry.quarantined_s
+        if since_s is None:
+            return
+        for run in entry.runs.values():
+            if run.placed_s < since_s or run.percent <= run.first_percent:
+                continue
+            age_s = run.progressed_s - run.placed_s
+            if self._state.health.record_probe(
+                entry.worker_id, zone=entry.worker.zone, age_s=age_s, now_s=now_s
+            ):
+                self._lifecycle.apply_quarantine(entry, run.task.job_id, now_s)
+                return
+
+    def _check_starts(self, entry: WorkerEntry, now_s: float) -> None:
+        """Suspect a worker that leaves a start without an answer.
+
+        Runs that have survived were started for certain.
+        """
+        for key in entry.unproven:
+            run = entry.runs[key]
+            if (
+                run.status is TaskRunStatus.STARTING
+                and run.sent_s is not None
+                and now_s - run.sent_s > START_ANSWER_S
+            ):
+                reason = "start_unanswered"
+                self._state.suspect(entry, reason, now_s, START_SUSPECT_S)
+                return
+
     def _check_worker(
         self, worker_id: WorkerId, entry: WorkerEntry, now_s: float
     ) -> None:
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -286,7 +286,7 @@
         if self._exceeds_cap(run, step):
             self._withdraw_start(run, "cap_lowered")
             return None
-        run.sent = True
+        run.sent, run.sent_s = True, now_s
         return order
 
     def _has_room_to_send(self, run: TaskRun, step: StepEntry | None) -> bool:
--- a/pistachiolift/workflows/scheduler_state.py
+++ b/pistachiolift/workflows/scheduler_state.py
@@ -1,12 +1,14 @@
 """The owner's jobs and workers, and its pending records and decisions."""
 
+import logging
 from collections import Counter
 from dataclasses import dataclass, field
 
-from ..common import CustomerId, JobId, WorkerHealth, WorkerId
+from ..common import CustomerId, JobId, WorkerId, log_event
 from .caps import CustomerCaps
 from .customer_rates import CustomerRates
 from .decisions import Decision, JobChanged
+from .failure_rates import FailureRates
 from .model import (
     Customer,
     JobStatus,
@@ -22,9 +24,11 @@
 
 __all__ = ["SchedulerState"]
 
-# First quarantine period of a worker that fails tasks of several jobs: about the time
-# in which a fault passes or the operator replaces the worker.
-QUARANTINE_BASE_S = 5.0
+logger = logging.getLogger(__name__)
+
+# Share of the workers that may be in quarantine, so that work does not wait beside many
+# idle workers if jobs are to blame. A data centre that fails may hold as many.
+MAX_QUARANTINED_SHARE = 0.5
 
 
 @dataclass(slots=True)
@@ -64,9 +68,13 @@
     recorded: int = 0
     committed: int = 0
     counts: Counter[str] = field(default_factory=Counter)
-    health: WorkerHealth = field(
-        default_factory=lambda: WorkerHealth(quarantine_base_s=QUARANTINE_BASE_S)
-    )
+    health: FailureRates = field(init=False)
+
+    def __post_init__(self):
+        self.health = FailureRates(limit=self._quarantine_limit)
+
+    def _quarantine_limit(self) -> int:
+        return max(1, int(MAX_QUARANTINED_SHARE * len(self.workers_by_id)))
 
     def record(self, record: LedgerRecord) -> int:
         """Queue a record for the ledger.
@@ -81,6 +89,27 @@
         """Queue a decision."""
         self.decisions.append(decision)
 
+    def suspect(
+        self, entry: WorkerEntry, reason: str, now_s: float, for_s: float
+    ) -> None:
+        """Use a worker only if no other fits, for some time.
+
+        :param reason: reason in snake case.
+        """
+        if not entry.suspect:
+            self.counts[f"health.suspect.{reason}"] += 1
+            log_event(
+                logger,
+                "worker_suspect",
+                worker=entry.worker_id,
+                reason=reason,
+                for_s=for_s,
+                runs=len(entry.runs),
+                report_age_s=now_s - entry.report_requested_s,
+            )
+        entry.suspect = True
+        entry.suspect_until_s = max(entry.suspect_until_s, now_s + for_s)
+
     def set_status(self, job: JobEntry, status: JobStatus, reason: str) -> None:
         """Change a job's state and emit a :class:`JobChanged`."""
         if job.status is status:
--- a/pistachiolift/workflows/state.py
+++ b/pistachiolift/workflows/state.py
@@ -82,6 +82,7 @@
         run; a report requested later contains the run if it still exists.
     :param stop_answered: whether the worker has answered a stop.
     :param sent: whether a start may have been sent.
+    :param sent_s: time from which it may have been sent, or ``None``.
     :param usage: last reported usage: the tail latency in milliseconds for a serving
         task, thousandths of a core in use for any other.
     :param speed_percent: last ordered share of the free processor time.
@@ -108,6 +109,7 @@
     status: TaskRunStatus
     placed_s: float
     sent: bool = False
+    sent_s: float | None = None
     stop_answered: bool = False
     confirmed_s: float | None = None
     answered_s: float | None = None
@@ -152,12 +154,16 @@
     :param approved: workers that the adviser approved; ``None`` before its answer.
     :param moves_by_index: for each task the number of its runs that were stopped since
         their worker was behind.
+    :param safe_waits: tasks that have waited, or wait, with their last attempt for a
+        worker on which none has failed lately.
     :param pace_elsewhere: last known pace of its runs on workers that are not behind;
         ``None`` before two of them are known.
     :param asked_s: time of the advice call in flight, or ``None``.
     :param asked_workers: workers for which the adviser was called.
     :param last_asked: workers included in the newest calls.
     :param tickets_end_s: time at which the first ticket of those workers expires.
+    :param timing: objective of the job under a queue's policy, and length of the
+        critical path from this step, in seconds; ``None`` until they are needed.
     """
 
     key: StepKey
@@ -177,6 +183,7 @@
     failed_on_by_index: dict[int, set[WorkerId]] = field(default_factory=dict)
     last_run_by_index: dict[int, int] = field(default_factory=dict)
     moves_by_index: dict[int, int] = field(default_factory=dict)
+    safe_waits: set[int] = field(default_factory=set)
     pace_elsewhere: float | None = None
     tickets_by_worker: dict[WorkerId, tuple[str, float]] = field(default_factory=dict)
     approved: frozenset[WorkerId] | None = None
@@ -185,6 +192,7 @@
     last_asked: tuple[WorkerId, ...] = ()
     tickets_end_s: float = 0.0
     not_before_s: float = 0.0
+    timing: tuple[Queue, float, float] | None = None
 
     @property
     def complete(self) -> bool:
@@ -207,6 +215,13 @@
         """Whether a task is started alone on a worker."""
         return self.failure_slot(index) in self.isolated
 
+    def is_last_attempt(self, index: int) -> bool:
+        """Whether a task has failed, and its job fails with the next failure."""
+        if self.step.long_running:
+            return False
+        failures = len(self.failed_runs_by_index.get(self.failure_slot(index), ()))
+        return 0 < failures >= self.job.queue.max_failures - 1
+
     def is_held(self, index: int, now_s: float) -> bool:
         """Whether a task may not be started yet."""
         return now_s < self.held_until_by_index.get(self.failure_slot(index), 0.0)
@@ -322,6 +337,10 @@
     :param clock_ms: worker's clock at its newest run report; 0 if unknown.
     :param behind_s: time at which its runs were last far slower than those elsewhere;
         ``None`` if they are not.
+    :param quarantined_s: begin of its quarantine for failures; ``None`` without one.
+    :param risky: whether a task has failed on it lately, or its data centre fails; it
+        gets no last attempts.
+    :param zone_fails_s: time since which its data centre fails as a whole, or ``None``.
     :param probe_only: whether it gets a single task at a time, to see whether it works.
     :param probe_urgent: whether this may be an urgent task.
     :param suspect: whether it is used only if no other fits.
@@ -353,6 +372,9 @@
     leaves_s: float | None = None
     clock_ms: int = 0
     behind_s: float | None = None
+    quarantined_s: float | None = None
+    risky: bool = False
+    zone_fails_s: float | None = None
     probe_only: bool = False
     probe_urgent: bool = False
     suspect: bool = False
@@ -368,6 +390,13 @@
         """The worker's identifier."""
         return self.worker.worker_id
 
+    @property
+    def probes_since_s(self) -> float | None:
+        """Time since which it gets a single task at a time; ``None``: any number."""
+        if self.quarantined_s is not None:
+            return self.quarantined_s
+        return 0.0 if self.probe_only else self.zone_fails_s
+
     @property
     def free_cpu_milli(self) -> int:
         """Unreserved processors, in thousandths of a core."""
