--- a/pistachiolift/workflows/preemption.py
+++ b/pistachiolift/workflows/preemption.py
@@ -179,6 +179,7 @@
         )
         usable_by_id = dict(by_free)
         queues = self._state.queues_by_id.values()
+        # An owner may know no queue; then nothing is stopped.
         least_urgent = max((queue.priority for queue in queues), default=0)
         examined = 0
         for step, blocked in short:
