Test the use of room under the caps with due and with excess work

The customers of the test had a weight of 1, so that the merged order took most of their jobs for excess.

--- a/pistachiolift/workflows/tests/test_caps.py
+++ b/pistachiolift/workflows/tests/test_caps.py
@@ -255,11 +255,16 @@
         room = sum(worker.room_for(step.step.size) for worker in workers)
         return 2 * used < cap and used + cpu <= cap and room >= 2 * count
 
+    @pytest.mark.parametrize("weight", [10.0, 1.0])
     @pytest.mark.parametrize("seed", range(6))
-    def test_a_job_below_half_of_the_cap_has_something_running(self, seed):
+    def test_a_job_below_half_of_the_cap_has_something_running(self, seed, weight):
+        """With a weight of 1, most of the jobs are excess."""
         cell = VirtualCell(workers=10, seed=seed)
         cell.set_customers(
-            *(make_customer(name, cpu=cap) for name, cap in self.CAPS.items())
+            *(
+                make_customer(name, cpu=cap, weight=weight)
+                for name, cap in self.CAPS.items()
+            )
         )
         self._submit_load(cell)
         idle_since_s: dict = {}
