Leave failures of faulty jobs out of a worker's share of failures

Sound workers were quarantined by jobs that fail everywhere. The share of failures kept the failures of such jobs, and counted each task of them again once they were known, since only the list of failed jobs forgot them.

The failures are kept by job, and do not count as long as the job fails everywhere. Workers in quarantine are one place for this verdict, so that sound jobs no longer release the failing workers that they met.

--- a/pistachiolift/workflows/failure_rates.py
+++ b/pistachiolift/workflows/failure_rates.py
@@ -20,10 +20,14 @@
 # A worker that fails this share of its runs is quarantined, although some succeed.
 FAILING_SHARE = 0.4
 MIN_FAILURES = 3.0
+# Failures of a job with less weight are dropped, so that old jobs take no memory.
+MIN_WEIGHT = 0.02
 
 # A data centre fails if this many of its workers, and this share of them, have failed
 # within a time without a success since, and elsewhere a third of this share at most.
+# The tasks of one faulty job fail at the same time on many workers.
 FAILING_ZONE_WORKERS = 3
+FAILING_ZONE_JOBS = 2
 FAILING_ZONE_SHARE = 0.5
 SOUND_ZONE_FACTOR = 1 / 3
 RECENT_S = 2.0
@@ -49,21 +53,20 @@
 class _Rate:
     """Failures and successes whose weight halves with each half-life."""
 
-    failures: float = 0.0
+    failures_by_job: dict[JobId, float] = field(default_factory=dict)
     successes: float = 0.0
     at_s: float = 0.0
 
     def decay(self, now_s: float) -> None:
         factor = 0.5 ** (max(0.0, now_s - self.at_s) / HALF_LIFE_S)
-        self.failures *= factor
+        self.failures_by_job = {
+            job_id: weight * factor
+            for job_id, weight in self.failures_by_job.items()
+            if weight * factor >= MIN_WEIGHT
+        }
         self.successes *= factor
         self.at_s = max(self.at_s, now_s)
 
-    @property
-    def share(self) -> float:
-        total = self.failures + self.successes
-        return self.failures / total if total else 0.0
-
 
 @dataclass(slots=True)
 class _ZoneFailure:
@@ -146,13 +149,14 @@
     def failure_share(self, worker_id: WorkerId) -> float:
         """Return the share of failures among the recent ends on a worker."""
         evidence = self._evidence_by_worker.get(worker_id)
-        return 0.0 if evidence is None else evidence.rate.share
+        return 0.0 if evidence is None else self._measure(evidence.rate)[1]
 
     def job_fails_everywhere(self, job_id: JobId) -> bool:
         """Whether a job has failed at several places and succeeded at none.
 
-        The workers of a failing data centre are one place, and one data centre of
-        several does not suffice, since it may be about to count as failing.
+        The workers of a failing data centre are one place, and so are all workers in
+        quarantine, since they fail sound jobs as well. One data centre of several does
+        not suffice, since it may be about to count as failing.
         """
         if not super().job_fails_everywhere(job_id):
             return False
@@ -161,7 +165,10 @@
             evidence = self._evidence_by_worker.get(worker_id)
             zone = "" if evidence is None else evidence.zone
             zones.add(zone)
-            places.add(zone if zone in self._failing_zones else worker_id)
+            if zone in self._failing_zones:
+                places.add(zone)
+            else:
+                places.add("" if self.is_quarantined(worker_id) else worker_id)
         several = len(zones) > 1 or self._zone_count < 2
         return several and len(places) >= FAULTY_JOB_WORKERS
 
@@ -188,7 +195,8 @@
         evidence = self._evidence_by_worker.get(worker_id)
         if evidence is None:
             return
-        self._add(evidence.rate, now_s, failed=False)
+        evidence.rate.decay(now_s)
+        evidence.rate.successes += 1
         if started_s < evidence.newest_start_s:
             # The fault may have begun after the start of this run.
             return
@@ -258,8 +266,10 @@
         # Many tasks of one job may fail for the same reason.
         if zone in self._failing_zones:
             self._failing_zones[zone].successes = 0
-        if not repeated:
-            self._add(evidence.rate, now_s, failed=True)
+        if not repeated and not self.job_fails_everywhere(job_id):
+            evidence.rate.decay(now_s)
+            counted = evidence.rate.failures_by_job
+            counted[job_id] = counted.get(job_id, 0.0) + 1
         since_s = evidence.quarantined_s
         if (
             since_s is not None
@@ -274,13 +284,19 @@
             self._note_quarantine(each, now_s)
         return changed
 
-    @staticmethod
-    def _add(rate: _Rate, now_s: float, *, failed: bool) -> None:
-        rate.decay(now_s)
-        if failed:
-            rate.failures += 1
-        else:
-            rate.successes += 1
+    def _measure(self, rate: _Rate) -> tuple[float, float]:
+        """Return the weight of the failures, and their share among all ends.
+
+        Failures of a job that fails everywhere say nothing about the worker. They
+        count again if the job succeeds after all.
+        """
+        failures = sum(
+            weight
+            for job_id, weight in rate.failures_by_job.items()
+            if not self.job_fails_everywhere(job_id)
+        )
+        total = failures + rate.successes
+        return failures, failures / total if total else 0.0
 
     def _note_quarantine(self, worker_id: WorkerId, now_s: float) -> None:
         evidence = self._evidence_by_worker.get(worker_id)
@@ -301,10 +317,11 @@
             self._weight(job_id) * 0.5 ** ((now_s - failed_s) / HALF_LIFE_S)
             for job_id, failed_s in evidence.failed_s_by_job.items()
         )
-        rate = evidence.rate
-        return weight >= QUARANTINE_WEIGHT or (
-            rate.failures >= MIN_FAILURES and rate.share >= FAILING_SHARE
-        )
+        if weight >= QUARANTINE_WEIGHT:
+            return True
+        evidence.rate.decay(now_s)
+        failures, share = self._measure(evidence.rate)
+        return failures >= MIN_FAILURES and share >= FAILING_SHARE
 
     def _weight(self, job_id: JobId) -> float:
         known = job_id in self._succeeded_jobs
@@ -332,14 +349,18 @@
         for zone, failure in list(self._failing_zones.items()):
             if now_s - failure.since_s > MAX_ZONE_FAILURE_S:
                 self._end_zone_failure(zone, now_s)
-        failing_by_zone = Counter(
-            evidence.zone
-            for evidence in self._evidence_by_worker.values()
-            if evidence.failed_s_by_job and now_s - evidence.failed_s < RECENT_S
-        )
+        failing_by_zone: Counter[str] = Counter()
+        jobs_by_zone: dict[str, set[JobId]] = {}
+        for evidence in self._evidence_by_worker.values():
+            if evidence.failed_s_by_job and now_s - evidence.failed_s < RECENT_S:
+                failing_by_zone[evidence.zone] += 1
+                jobs = jobs_by_zone.setdefault(evidence.zone, set())
+                jobs.update(evidence.failed_s_by_job)
         for zone, failing in failing_by_zone.items():
             if zone in self._failing_zones or failing < FAILING_ZONE_WORKERS:
                 continue
+            if len(jobs_by_zone[zone]) < FAILING_ZONE_JOBS:
+                continue
             elsewhere = sum(sizes_by_zone.values()) - sizes_by_zone.get(zone, 0)
             failing_elsewhere = failing_by_zone.total() - failing
             share = failing / max(1, sizes_by_zone.get(zone, 0))
@@ -361,9 +382,12 @@
 
     def forget_job(self, job_id: JobId) -> None:
         """Remove the records of a job that has ended."""
+        faulty = self.job_fails_everywhere(job_id)
         super().forget_job(job_id)
         for evidence in self._evidence_by_worker.values():
             evidence.failed_s_by_job.pop(job_id, None)
+            if faulty:
+                evidence.rate.failures_by_job.pop(job_id, None)
 
     def forget_worker(self, worker_id: WorkerId) -> None:
         """Remove the record of a worker that is gone."""
--- a/pistachiolift/workflows/tests/test_failure_rates.py
+++ b/pistachiolift/workflows/tests/test_failure_rates.py
@@ -82,6 +82,53 @@
                 assert rates.record_failure("w1", f"j{number}", now_s) == []
             rates.record_success("w1", f"j{number}", started_s=now_s, now_s=now_s)
 
+    def fail_jobs_everywhere(self, rates, *, jobs):
+        """Let jobs fail three times on each of three workers with a few successes."""
+        changed = []
+        for number in range(jobs):
+            now_s = 0.3 * number
+            for worker in ("w1", "w2", "w3") * 3:
+                started_s = now_s - 0.1
+                changed += rates.record_failure(
+                    worker, f"bad{number}", now_s, started_s=started_s
+                )
+            for worker in ("w1", "w2", "w3"):
+                rates.record_success(worker, "good", started_s=now_s, now_s=now_s)
+        return changed
+
+    def test_jobs_that_fail_everywhere_do_not_count_in_the_share(self):
+        """Guards against quarantines of sound workers by faulty jobs of many tasks."""
+        rates = make_rates()
+        assert self.fail_jobs_everywhere(rates, jobs=12) == []
+        assert rates.failure_share("w1") == 0.0
+
+    def test_their_failures_stay_out_once_they_are_forgotten(self):
+        rates = make_rates()
+        self.fail_jobs_everywhere(rates, jobs=12)
+        for number in range(12):
+            rates.forget_job(f"bad{number}")
+        assert rates.failure_share("w1") == 0.0
+        assert rates.record_failure("w1", "other", 3.4, started_s=3.35) == []
+
+    def test_the_failures_count_again_if_the_job_succeeds_after_all(self):
+        """Guards against failing workers that the first jobs there hide."""
+        rates = make_rates()
+        self.fail_jobs_everywhere(rates, jobs=1)
+        rates.record_success("w4", "bad0", now_s=0.1)
+        assert rates.failure_share("w1") == pytest.approx(0.5)
+
+    def test_workers_in_quarantine_are_one_place(self):
+        """Guards against sound jobs that release the failing workers they met."""
+        rates = make_rates()
+        for worker in ("w1", "w2", "w3"):
+            for number in range(3):
+                rates.record_failure(worker, f"{worker}-{number}", 1.0)
+            rates.record_failure(worker, "k", 1.1)
+        assert not rates.job_fails_everywhere("k")
+        rates.record_failure("w4", "k", 1.2)
+        rates.record_failure("w5", "k", 1.3)
+        assert rates.job_fails_everywhere("k")
+
     def test_no_more_than_the_limit(self):
         """Guards against jobs that wait beside many idle workers."""
         rates = make_rates(limit=2)
@@ -154,6 +201,18 @@
         self.fail_zone(rates, ["w1a", "w1b", "w1c", "w2a", "w2b", "w3a"])
         assert not rates.failing_zones
 
+    def test_one_job_is_no_reason(self):
+        """Guards against a faulty job whose tasks fail in one data centre first."""
+        rates = make_rates()
+        rates.update_zones(self.SIZES, 0.0)
+        for worker in ("w1a", "w1b", "w1c", "w1d"):
+            rates.record_failure(worker, "k", 1.0, zone="z1")
+        rates.update_zones(self.SIZES, 1.0)
+        assert not rates.failing_zones
+        rates.record_failure("w1a", "other", 1.1, zone="z1")
+        rates.update_zones(self.SIZES, 1.1)
+        assert rates.failing_zones == {"z1"}
+
     def test_each_failure_there_starts_a_quarantine(self):
         rates = make_rates()
         self.fail_zone(rates, ["w1a", "w1b", "w1c"])
@@ -216,13 +275,14 @@
         assert not (quarantined and state.open_steps)
 
     @pytest.mark.parametrize("scenario", [faulty_jobs, chance])
-    def test_failures_of_jobs_keep_no_sound_worker_idle(self, scenario):
+    @pytest.mark.parametrize("seed", [1, 3])
+    def test_failures_of_jobs_keep_no_sound_worker_idle(self, seed, scenario):
         """Load: all three kinds; jobs that fail everywhere, or 3% of all runs.
 
         Guards against quarantines of sound workers while tasks wait. A worker gets
         a probe after the first period, so that none stays in quarantine for long.
         """
-        cell = run_scenario(scenario, 1)
+        cell = run_scenario(scenario, seed)
         assert cell.counts["health.zone_failing"] == 0
         quarantines = cell.counts["health.worker_quarantined"]
         # Less than 1 in 50 of the time of all workers.
