--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -356,6 +356,7 @@
             return
         self._table = table
         self.scheduler.set_queues(table.queues, version=table.version)
+        self.scheduler.set_shared(table.needs_keys)
         self.scheduler.set_customers(table.customers)
         self._cap_shares.handle_new_caps()
         self._schedule_pass()
--- a/pistachiolift/node/tests/test_cap_shares.py
+++ b/pistachiolift/node/tests/test_cap_shares.py
@@ -171,7 +171,10 @@
         scheduler.fleet.extend_lease(self.worker.worker_id, now_s + 5)
         scheduler.fleet.apply_report(
             self.worker.worker_id,
-            [ReportedRun(*key) for key in self.running],
+            [
+                ReportedRun(*key, percent=self._percent(key, end_s))
+                for key, (end_s, _, _) in self.running.items()
+            ],
             self.ended,
             complete=True,
             sent_s=now_s,
@@ -183,6 +186,12 @@
         scheduler.dispatch(now_s=now_s, wall_ms=self.cell.wall_ms)
         self._commit()
 
+    def _percent(self, key, end_s) -> int:
+        """Return a run's progress; without any, it would count as stalled."""
+        duration_s = self.cell.duration_by_job[key[0].job_id]
+        left_s = max(0.0, end_s - self.cell.now_s)
+        return min(99, int(100 * (1 - left_s / duration_s)))
+
     def _commit(self):
         records = self.scheduler.take_records()
         self.records += records
--- a/pistachiolift/workflows/failure_rates.py
+++ b/pistachiolift/workflows/failure_rates.py
@@ -7,7 +7,11 @@
 from ..common import JobId, WorkerHealth, WorkerId
 from ..common.worker_health import FAULTY_JOB_WORKERS
 
-__all__ = ["FailureRates"]
+__all__ = ["FailingJobCounts", "FailureRates"]
+
+# First quarantine of a worker that fails tasks of several jobs: about the time in which
+# a fault passes or the operator replaces the worker.
+QUARANTINE_BASE_S = 5.0
 
 # Faults of workers last about this long; older failures count for little.
 HALF_LIFE_S = 6.0
@@ -393,3 +397,51 @@
         """Remove the record of a worker that is gone."""
         super().forget_worker(worker_id)
         self._evidence_by_worker.pop(worker_id, None)
+
+
+class FailingJobCounts(FailureRates):
+    """Judges workers by the number of jobs that have failed since a success only.
+
+    The judgement of cells that are not shared by customers.
+    """
+
+    def __init__(self, *, limit: Callable[[], int]):
+        super().__init__(limit=limit)
+        self._quarantine_base_s = QUARANTINE_BASE_S
+
+    def is_risky(self, worker_id: WorkerId, now_s: float) -> bool:
+        """No task avoids a worker because of an earlier failure of others."""
+        return False
+
+    def job_fails_everywhere(self, job_id: JobId) -> bool:
+        """Whether a job has failed on several workers and succeeded on none."""
+        return WorkerHealth.job_fails_everywhere(self, job_id)
+
+    def record_success(self, worker_id: WorkerId, job_id: JobId, **details) -> None:
+        """Record a success."""
+        WorkerHealth.record_success(self, worker_id, job_id)
+
+    def record_failure(
+        self, worker_id: WorkerId, job_id: JobId, now_s: float, **details
+    ) -> list[WorkerId]:
+        """Record a failure.
+
+        :returns: workers that were quarantined or released as a result.
+        """
+        return WorkerHealth.record_failure(self, worker_id, job_id, now_s)
+
+    def record_probe(self, worker_id: WorkerId, **details) -> bool:
+        """Return false: only the end of a probe counts."""
+        return False
+
+    def update_zones(self, sizes_by_zone: Mapping[str, int], now_s: float) -> None:
+        """Do nothing: data centres are not judged."""
+
+    def _is_failing(self, worker_id: WorkerId, now_s: float) -> bool:
+        return WorkerHealth._is_failing(self, worker_id, now_s)
+
+    def _period_s(self, quarantines: int) -> float:
+        return WorkerHealth._period_s(self, quarantines)
+
+    def _discard_failures(self, job_id: JobId, now_s: float) -> list[WorkerId]:
+        return WorkerHealth._discard_failures(self, job_id, now_s)
--- a/pistachiolift/workflows/order.py
+++ b/pistachiolift/workflows/order.py
@@ -209,6 +209,8 @@
 
     def _is_simple(self) -> bool:
         state = self._state
+        if not state.shared:
+            return True
         if state.customers_by_id:
             return False
         priorities = {queue.priority for queue in state.queues_by_id.values()}
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -175,6 +175,10 @@
         for job in self.state.jobs_by_id.values():
             job.queue = self.state.queues_by_id.get(job.queue.queue_id, job.queue)
 
+    def set_shared(self, shared: bool) -> None:
+        """Choose the decisions of a cell with or without customers."""
+        self.state.set_shared(shared)
+
     def set_customers(self, customers: Iterable[Customer]) -> None:
         """Replace the customers; jobs of a removed customer stay without its limits."""
         self.state.customers_by_id = {each.customer_id: each for each in customers}
@@ -423,8 +427,9 @@
         """Handle timeouts, stalled runs, lost workers and expired jobs."""
         self.advice.expire_calls(now_s)
         self._progress.check(now_s)
-        self._pace.check(now_s)
-        self._evacuation.check(now_s)
+        if self.state.shared:
+            self._pace.check(now_s)
+            self._evacuation.check(now_s)
         self._sharing.check(now_s)
         self.fleet.check(now_s)
         self.admission.observe(now_s)
--- a/pistachiolift/workflows/scheduler_state.py
+++ b/pistachiolift/workflows/scheduler_state.py
@@ -8,7 +8,7 @@
 from .caps import CustomerCaps
 from .customer_rates import CustomerRates
 from .decisions import Decision, JobChanged
-from .failure_rates import FailureRates
+from .failure_rates import FailingJobCounts, FailureRates
 from .model import (
     Customer,
     JobStatus,
@@ -41,6 +41,9 @@
     :param caps: what the customers' runs reserve, and the limits.
     :param uncertain_charges_by_run: charges of runs whose worker process was replaced
         and that its replacement, not in the directory yet, may have started.
+    :param shared: whether several customers share the cell: the order weighs costs, and
+        workers are judged by their pace and their recent failures. Other cells keep the
+        order and the judgement that they were measured with.
     :param open_steps: steps with tasks to place whose predecessors are complete.
     :param timed_steps: steps that wait for the due time of their occurrence.
     :param records: records to be committed, in order.
@@ -68,11 +71,23 @@
     recorded: int = 0
     committed: int = 0
     counts: Counter[str] = field(default_factory=Counter)
+    shared: bool = True
     health: FailureRates = field(init=False)
 
     def __post_init__(self):
         self.health = FailureRates(limit=self._quarantine_limit)
 
+    def set_shared(self, shared: bool) -> None:
+        """Choose the decisions of a cell with or without customers.
+
+        What is known of the workers' failures is forgotten if this changes.
+        """
+        if shared == self.shared:
+            return
+        self.shared = shared
+        make = FailureRates if shared else FailingJobCounts
+        self.health = make(limit=self._quarantine_limit)
+
     def _quarantine_limit(self) -> int:
         return max(1, int(MAX_QUARANTINED_SHARE * len(self.workers_by_id)))
 
@@ -96,6 +111,8 @@
 
         :param reason: reason in snake case.
         """
+        if not self.shared:
+            return
         if not entry.suspect:
             self.counts[f"health.suspect.{reason}"] += 1
             log_event(
