--- a/pistachiolift/platform/tests/platform_cell.py
+++ b/pistachiolift/platform/tests/platform_cell.py
@@ -173,7 +173,9 @@
             time.sleep(0.05)
 
     @staticmethod
-    def request(port, method, path, body=None, timeout_s=5.0) -> tuple[int, dict]:
+    def request(
+        port, method, path, body=None, timeout_s=5.0, key=""
+    ) -> tuple[int, dict]:
         """Make a call; the status is 0 if there is no answer."""
         connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout_s)
         try:
@@ -181,6 +183,8 @@
             if body is not None and not isinstance(body, bytes):
                 data = json.dumps(body)
             headers = {"Host": HOST, "Content-Type": "application/json"}
+            if key:
+                headers["Authorization"] = f"Bearer {key}"
             connection.request(method, path, body=data, headers=headers)
             answer = connection.getresponse()
             text = answer.read()
@@ -200,9 +204,11 @@
         """Whether an instance's readiness check passes."""
         return self.request(self.ready_ports[index], "GET", "/api/readyz")[0] == 200
 
-    def call(self, index: int, method: str, path: str, body=None) -> tuple[int, dict]:
+    def call(
+        self, index: int, method: str, path: str, body=None, key=""
+    ) -> tuple[int, dict]:
         """Call an instance as a client does."""
-        return self.request(self.caller_ports[index], method, path, body)
+        return self.request(self.caller_ports[index], method, path, body, key=key)
 
     def submit(self, index: int, job: str, *, ms=200, queue="urgent", steps=None):
         """Submit a job; ``ms`` is the run time of each task."""
--- a/pistachiolift/platform/tests/soak/checks.py
+++ b/pistachiolift/platform/tests/soak/checks.py
@@ -9,13 +9,17 @@
 CANCEL_LIMIT_S = 8.0
 
 
-def check_history(jobs: dict, states: dict, runs: list[dict]) -> list[str]:
+def check_history(
+    jobs: dict, states: dict, runs: list[dict], cap_milli_by_customer: dict[str, int]
+) -> list[str]:
     """Return descriptions of all violations.
 
     :param jobs: jobs by identifier, with their steps and the statuses of their
         submissions.
     :param states: final states that clients received, by job identifier.
     :param runs: runs recorded by the workers.
+    :param cap_milli_by_customer: caps, in thousandths of a core; empty without
+        customers.
     """
     by_task = defaultdict(list)
     for run in runs:
@@ -26,6 +30,7 @@
         *_check_states(jobs, states, by_task),
         *_check_order(jobs, runs),
         *_check_capacity(jobs, runs),
+        *_check_caps(jobs, runs, cap_milli_by_customer),
         *_check_cancellations(jobs, runs),
     ]
 
@@ -48,7 +53,7 @@
 def _check_refusals(jobs: dict, runs: list[dict]):
     started = {run["task"].split(".")[0] for run in runs}
     for job, each in jobs.items():
-        refused = all(status in (503, 429, -1) for status in each["statuses"])
+        refused = all(status in (401, 503, 429, -1) for status in each["statuses"])
         if refused and job in started:
             yield f"{job}: ran although all answers were {each['statuses']}"
     for job in started - jobs.keys():
@@ -110,6 +115,22 @@
                 break
 
 
+def _check_caps(jobs: dict, runs: list[dict], cap_milli_by_customer: dict[str, int]):
+    for customer, cap in cap_milli_by_customer.items():
+        events = []
+        for run in runs:
+            job, _, step, _ = run["task"].split(".")
+            if jobs.get(job, {}).get("customer") == customer:
+                cpu = jobs[job]["steps"][int(step)]["Cpu"]
+                events += [(run["start"], cpu), (_end(run), -cpu)]
+        used = 0
+        for _, cpu in sorted(events):
+            used += cpu
+            if used > cap:
+                yield f"{customer}: {used} thousandths of a core in use, cap {cap}"
+                break
+
+
 def _check_cancellations(jobs: dict, runs: list[dict]):
     for run in runs:
         job = run["task"].split(".")[0]
--- a/pistachiolift/platform/tests/soak/run.py
+++ b/pistachiolift/platform/tests/soak/run.py
@@ -18,6 +18,7 @@
 import click
 
 from ..platform_cell import PlatformCell
+from ..standin_platform import configuration
 from .checks import check_history
 
 INSTANCES = 3
@@ -26,6 +27,9 @@
 CALM_S = 4.0
 FINISH_LIMIT_S = 40.0
 JOB_MS = (50, 150, 400, 1200)
+# Caps of the customers, in thousandths of a core; the workers have 32,000 together.
+CAP_MILLI_BY_CUSTOMER = {"small": 14_000, "large": 24_000}
+FIRST_VERSION = 10
 
 
 class SoakCell(PlatformCell):
@@ -37,6 +41,20 @@
         )
         self.locks = [threading.Lock() for _ in range(INSTANCES)]
         self.store_lock = threading.Lock()
+        self.key_by_customer: dict[str, str] = {}
+        self._version = FIRST_VERSION
+
+    def replace_key(self, customer: str) -> None:
+        """Give a customer another key; its earlier one becomes unknown."""
+        self._version += 1
+        self.key_by_customer[customer] = f"{customer}-{self._version}"
+        tenants = [
+            {"Name": name, "ApiKeys": [key], "Weight": 5, "Cap": {"Cpu": cap}}
+            for name, cap in CAP_MILLI_BY_CUSTOMER.items()
+            if (key := self.key_by_customer.get(name))
+        ]
+        document = {**configuration(self._version), "Tenants": tenants}
+        self.control("/item/op/config", document)
 
     def port_count(self) -> int:
         """Return the number of ports that the cell and its proxy need."""
@@ -90,6 +108,8 @@
         """Start faults one after the other; some of them overlap."""
         threads = []
         kinds = [self._kill, self._pause, self._terminate, self._store, self._link]
+        if self._cell.key_by_customer:
+            kinds.append(self._replace_key)
         try:
             while time.monotonic() < self._end_s:
                 fault = self._rng.choice(kinds)
@@ -163,6 +183,13 @@
             time.sleep(share * 2.5)
             self._cell.control("/store/up")
 
+    def _replace_key(self, share: float, number: int) -> None:
+        with self._cell.store_lock:
+            customers = sorted(CAP_MILLI_BY_CUSTOMER)
+            customer = customers[number % len(customers)]
+            self._record(f"replace key of {customer}")
+            self._cell.replace_key(customer)
+
     def _link(self, share: float, number: int) -> None:
         port = self._rng.choice(self._cell.store_links + self._cell.worker_links)
         modes = ("delay", "reset", "silent", "cut_to_server", "cut_to_client")
@@ -184,6 +211,8 @@
         self._end_s = end_s
         self._connection: http.client.HTTPConnection | None = None
         self._index = number % INSTANCES
+        customers = sorted(cell.key_by_customer) or [""]
+        self._customer = customers[number % len(customers)]
         self.jobs: dict[str, dict] = {}
 
     def run(self) -> None:
@@ -212,6 +241,9 @@
             return -1
         try:
             headers = {"Host": "jobs.example", "Content-Type": "application/json"}
+            if self._customer:
+                key = self._cell.key_by_customer[self._customer]
+                headers["Authorization"] = f"Bearer {key}"
             data = None if body is None else json.dumps(body)
             self._connection.request(method, path, body=data, headers=headers)
             answer = self._connection.getresponse()
@@ -231,7 +263,13 @@
         if self._rng.random() < 0.2:
             steps[0].update(Gang=True, Count=3)
         body = {"Spec": str(self._rng.choice(JOB_MS)), "Steps": steps}
-        record = {"queue": queue, "steps": steps, "statuses": [], "cancelled_s": None}
+        record = {
+            "queue": queue,
+            "customer": self._customer,
+            "steps": steps,
+            "statuses": [],
+            "cancelled_s": None,
+        }
         self.jobs[job] = record
         for _ in range(self._rng.randrange(1, 5)):
             status = self._call("POST", f"/{queue}/{job}", body)
@@ -250,14 +288,23 @@
 
 
 def run_soak(
-    seed: int, duration_s: float, directory: Path, partitions: int = 1
+    seed: int,
+    duration_s: float,
+    directory: Path,
+    partitions: int = 1,
+    *,
+    customers: bool = False,
 ) -> list[str]:
     """Run the soak with one seed.
 
+    :param customers: whether the clients belong to customers with keys and caps.
     :returns: descriptions of the violations found.
     """
     rng = random.Random(seed)
     with SoakCell(directory, partitions) as cell:
+        if customers:
+            for customer in CAP_MILLI_BY_CUSTOMER:
+                cell.replace_key(customer)
         end_s = time.monotonic() + duration_s
         clients = [Client(cell, n, seed, end_s) for n in range(CLIENTS)]
         faults = Faults(cell, rng, duration_s)
@@ -275,7 +322,8 @@
     (directory / "history.json").write_text(
         json.dumps({"jobs": jobs, "states": states, "runs": runs})
     )
-    return check_history(jobs, states, runs)
+    caps = CAP_MILLI_BY_CUSTOMER if customers else {}
+    return check_history(jobs, states, runs, caps)
 
 
 def _final_states(cell: SoakCell, jobs: dict) -> dict[str, str]:
@@ -285,7 +333,9 @@
     end_s = time.monotonic() + FINISH_LIMIT_S
     while open_jobs and time.monotonic() < end_s:
         for job in sorted(open_jobs):
-            status, body = cell.call(0, "GET", f"/{jobs[job]['queue']}/{job}")
+            key = cell.key_by_customer.get(jobs[job]["customer"], "")
+            path = f"/{jobs[job]['queue']}/{job}"
+            status, body = cell.call(0, "GET", path, key=key)
             states[job] = body.get("State", f"status {status}")
         ended = ("completed", "cancelled", "failed")
         open_jobs = {job for job in open_jobs if states[job] not in ended}
@@ -298,12 +348,14 @@
 @click.option("--seeds", type=int, default=1, help="Number of seeds.")
 @click.option("--duration", "duration_s", type=float, default=20.0, help="Seconds.")
 @click.option("--partitions", type=int, default=1, help="Partitions of the cell.")
+@click.option("--customers", is_flag=True, help="With keys and caps of customers.")
 @click.option("--keep", type=click.Path(path_type=Path), help="Folder for failed runs.")
 def main(
     seed: int | None,
     seeds: int,
     duration_s: float,
     partitions: int,
+    customers: bool,
     keep: Path | None,
 ) -> None:
     """Run the soak and report each seed."""
@@ -311,7 +363,9 @@
     failed = 0
     for number in range(first, first + seeds):
         directory = Path(tempfile.mkdtemp(prefix=f"soak-{number}-", dir=keep))
-        problems = run_soak(number, duration_s, directory, partitions)
+        problems = run_soak(
+            number, duration_s, directory, partitions, customers=customers
+        )
         failed += bool(problems)
         click.echo(f"seed {number}: {'FAILED' if problems else 'passed'} {directory}")
         for problem in problems[:10]:
--- a/pistachiolift/platform/tests/test_soak.py
+++ b/pistachiolift/platform/tests/test_soak.py
@@ -19,5 +19,10 @@
     assert run_soak(seed, DURATION_S, tmp_path) == []
 
 
+def test_promises_hold_under_faults_with_customers(tmp_path):
+    """Guards also against runs above a cap, and runs for keys that were replaced."""
+    assert run_soak(1, DURATION_S, tmp_path, customers=True) == []
+
+
 def test_promises_hold_under_faults_with_two_owners(tmp_path):
     assert run_soak(1, DURATION_S, tmp_path, partitions=2) == []
