Leave no judgement of shared cells behind in cells without customers

The switch of missed three places: a failure marked its worker as one that last attempts avoid, until the next check 0.1 s later; a quarantine was no longer logged, since its begin is only noted in shared cells; and a worker that was behind when a configuration lost its customers stayed out of use for good, because only the pace of its runs takes that back. The check of the data centres also went through all workers every 0.1 s there.

The mark now follows from the judgement in force, a change of a quarantine is logged where the judgement reports it, a changed switch clears what is noted against the workers, and the check runs in shared cells only. Found by reading the change.

--- a/pistachiolift/workflows/fleet.py
+++ b/pistachiolift/workflows/fleet.py
@@ -278,7 +278,8 @@
     def check(self, now_s: float) -> None:
         """End the runs of lost workers, and uncertain starts after their timeout."""
         self._crashes.check(now_s)
-        self._check_zones(now_s)
+        if self._state.shared:
+            self._check_zones(now_s)
         for worker_id, uncertain in list(self._uncertain_starts_by_worker.items()):
             if now_s > uncertain.end_s:
                 del self._uncertain_starts_by_worker[worker_id]
--- a/pistachiolift/workflows/lifecycle.py
+++ b/pistachiolift/workflows/lifecycle.py
@@ -327,7 +327,6 @@
     def record_failure(self, worker: WorkerEntry, run: TaskRun, now_s: float) -> None:
         """Record that a run has failed or made no progress on its worker."""
         health = self._state.health
-        worker.risky = True
         changed = health.record_failure(
             worker.worker_id,
             run.task.job_id,
@@ -335,29 +334,36 @@
             zone=worker.worker.zone,
             started_s=run.placed_s,
         )
+        worker.risky = worker.risky or health.is_risky(worker.worker_id, now_s)
         for worker_id in changed:
             entry = self._state.workers_by_id.get(worker_id)
             if entry is not None:
-                self.apply_quarantine(entry, run.task.job_id, now_s)
+                self._apply_quarantine(entry, run.task.job_id, now_s)
 
     def apply_quarantine(
         self, worker: WorkerEntry, job_id: JobId, now_s: float
+    ) -> None:
+        """Note and log a change of a worker's quarantine, if there is one."""
+        since_s = self._state.health.quarantined_since_s(worker.worker_id)
+        if since_s != worker.quarantined_s:
+            self._apply_quarantine(worker, job_id, now_s)
+
+    def _apply_quarantine(
+        self, worker: WorkerEntry, job_id: JobId, now_s: float
     ) -> None:
         """Note and log that a worker's quarantine has begun, was renewed or is over."""
         health = self._state.health
-        since_s = health.quarantined_since_s(worker.worker_id)
-        if since_s == worker.quarantined_s:
-            return
-        worker.quarantined_s = since_s
+        worker.quarantined_s = health.quarantined_since_s(worker.worker_id)
+        quarantined = health.is_quarantined(worker.worker_id)
         until_s = health.quarantined_until_s(worker.worker_id)
-        name = "released" if since_s is None else "quarantined"
+        name = "quarantined" if quarantined else "released"
         self._state.counts[f"health.worker_{name}"] += 1
         log_event(
             logger,
             "worker_quarantine_changed",
             worker=worker.worker_id,
             zone=worker.worker.zone,
-            quarantined=since_s is not None,
+            quarantined=quarantined,
             period_s=-1.0 if until_s is None else until_s - now_s,
             failing_jobs=health.failing_job_count(worker.worker_id),
             failure_share=health.failure_share(worker.worker_id),
--- a/pistachiolift/workflows/scheduler_state.py
+++ b/pistachiolift/workflows/scheduler_state.py
@@ -80,13 +80,16 @@
     def set_shared(self, shared: bool) -> None:
         """Choose the decisions of a cell with or without customers.
 
-        What is known of the workers' failures is forgotten if this changes.
+        What is known against the workers is forgotten if this changes, since what takes
+        it back may not be in force any more.
         """
         if shared == self.shared:
             return
         self.shared = shared
         make = FailureRates if shared else FailingJobCounts
         self.health = make(limit=self._quarantine_limit)
+        for entry in self.workers_by_id.values():
+            entry.clear_judgement()
 
     def _quarantine_limit(self) -> int:
         return max(1, int(MAX_QUARANTINED_SHARE * len(self.workers_by_id)))
--- a/pistachiolift/workflows/state.py
+++ b/pistachiolift/workflows/state.py
@@ -397,6 +397,11 @@
             return self.quarantined_s
         return 0.0 if self.probe_only else self.zone_fails_s
 
+    def clear_judgement(self) -> None:
+        """Forget that the worker has failed, stood still or been out of reach."""
+        self.behind_s = self.quarantined_s = self.zone_fails_s = None
+        self.risky = self.probe_only = self.probe_urgent = self.suspect = False
+
     @property
     def free_cpu_milli(self) -> int:
         """Unreserved processors, in thousandths of a core."""
