Log what tells the causes of a late configuration apart

No log line told a read that was given up half way from one that was never answered, a change that a watch had passed without an event, or the versions under which the two instances that take part in a call decide.

Calls about jobs now carry the version under which they were judged; an owner with another one logs call_version_differs, once for each pair, and counts each call. A listing that shows a change which the watch had passed is logged as watch_change_missed. The reason of a time-out holds its length and the bytes received, and configuration_in_force the version that it replaces and the length of the value. No decision changes.

--- a/pistachiolift/backends/http.py
+++ b/pistachiolift/backends/http.py
@@ -110,13 +110,18 @@
         """
         request = self._encode(method, path, headers or {}, body)
         result: defer.Deferred[tuple[int, bytes]] = defer.Deferred(self._cancel)
-        exchange = defer.ensureDeferred(self._exchange(request))
+        used: list[HttpConnection] = []
+        exchange = defer.ensureDeferred(self._exchange(request, used))
+        sent_s = self._reactor.seconds()
 
         # The result fails at the time-out even if the connection ignores its
         # cancellation.
         def expire() -> None:
             if not result.called:
-                result.errback(self._make_error("timeout"))
+                waited_s = self._reactor.seconds() - sent_s
+                received = sum(connection.received_bytes for connection in used)
+                reason = f"timeout after {waited_s:.2f} s, {received} bytes received"
+                result.errback(self._make_error(reason))
             exchange.cancel()
             # The idle connections may be as dead as the unanswered one.
             self._close_idle()
@@ -157,8 +162,15 @@
         lines.append("\r\n")
         return "".join(lines).encode("latin-1") + (body or b"")
 
-    async def _exchange(self, request: bytes) -> tuple[int, bytes]:
+    async def _exchange(
+        self, request: bytes, used: list[HttpConnection]
+    ) -> tuple[int, bytes]:
+        """Send a request and wait for the answer.
+
+        :param used: receives the connection once the request is sent on it.
+        """
         connection = self._take_idle() or await self._connect()
+        used.append(connection)
         answer = connection.send(request)
         try:
             return await answer
--- a/pistachiolift/backends/http_connection.py
+++ b/pistachiolift/backends/http_connection.py
@@ -51,6 +51,8 @@
         self._persistent = True
         self._closed = False
         self.idle_since_s = 0.0
+        # What has arrived of the answer in progress.
+        self.received_bytes = 0
 
     # Called by the client.
 
@@ -62,6 +64,7 @@
         """
         self._answer = Deferred()
         self._status = 0
+        self.received_bytes = 0
         self.transport.write(request)
         return self._answer
 
@@ -89,6 +92,7 @@
             # Nothing was asked for, so the next answer could be mistaken.
             self.abort()
             return
+        self.received_bytes += len(data)
         try:
             self._receive(data)
         except (
--- a/pistachiolift/backends/tests/test_http.py
+++ b/pistachiolift/backends/tests/test_http.py
@@ -58,6 +58,17 @@
         assert len(failures) == 1
         assert failures[0].check(StoreUnavailableError)
 
+    def test_the_error_tells_a_slow_answer_from_none(self):
+        reactor = MemoryReactorClock()
+        failures = []
+        ensureDeferred(make_client(reactor).call("GET", "/")).addErrback(
+            failures.append
+        )
+        connect(reactor).dataReceived(ANSWER[:20])
+        reactor.advance(0.4)
+        message = "timeout after 0.40 s, 20 bytes received"
+        assert failures[0].value.message == message
+
     def test_a_caller_that_leaves_gets_the_error_of_the_client(self):
         reactor = MemoryReactorClock()
         call = make_client(reactor).call("GET", "/")
--- a/pistachiolift/node/job_router.py
+++ b/pistachiolift/node/job_router.py
@@ -39,17 +39,24 @@
         *,
         until_s: float,
         customer_id: CustomerId = CustomerId(""),
+        configuration_version: int | None = None,
     ) -> JobAnswer:
         """Submit a job.
 
         :param until_s: time by which the call must be answered.
+        :param configuration_version: version that the queue and the customer are from.
         """
         partition_map = self._partition_map()
         if partition_map is None:
             return JobAnswer(JobOutcome.REFUSED)
         service = self._service(partition_map.of_graph(job_id, graph))
         return await service.submit(
-            job_id, queue, graph, until_s=until_s, customer_id=customer_id
+            job_id,
+            queue,
+            graph,
+            until_s=until_s,
+            customer_id=customer_id,
+            configuration_version=configuration_version,
         )
 
     async def cancel(
@@ -58,15 +65,22 @@
         *,
         until_s: float,
         customer_id: CustomerId | None = None,
+        configuration_version: int | None = None,
     ) -> JobAnswer:
         """Cancel a job.
 
         :param customer_id: the caller's customer; empty for a caller without a key,
             ``None`` if callers need no keys.
+        :param configuration_version: version that the customer is from.
         """
         return await self._find(
             job_id,
-            lambda s: s.cancel(job_id, until_s=until_s, customer_id=customer_id),
+            lambda s: s.cancel(
+                job_id,
+                until_s=until_s,
+                customer_id=customer_id,
+                configuration_version=configuration_version,
+            ),
         )
 
     async def status(
@@ -75,15 +89,22 @@
         *,
         until_s: float,
         customer_id: CustomerId | None = None,
+        configuration_version: int | None = None,
     ) -> JobAnswer:
         """Return a job's state.
 
         :param customer_id: the caller's customer; empty for a caller without a key,
             ``None`` if callers need no keys.
+        :param configuration_version: version that the customer is from.
         """
         return await self._find(
             job_id,
-            lambda s: s.status(job_id, until_s=until_s, customer_id=customer_id),
+            lambda s: s.status(
+                job_id,
+                until_s=until_s,
+                customer_id=customer_id,
+                configuration_version=configuration_version,
+            ),
         )
 
     async def explain(self, job_id: JobId, *, until_s: float) -> JobAnswer:
@@ -91,15 +112,24 @@
         return await self._find(job_id, lambda s: s.explain(job_id, until_s=until_s))
 
     async def count_pending_jobs(
-        self, queue_id: QueueId, *, until_s: float
+        self,
+        queue_id: QueueId,
+        *,
+        until_s: float,
+        configuration_version: int | None = None,
     ) -> JobAnswer:
-        """Return the number of a queue's jobs that have not started."""
+        """Return the number of a queue's jobs that have not started.
+
+        :param configuration_version: version that the queue is from.
+        """
         partition_map = self._partition_map()
         if partition_map is None:
             return JobAnswer(JobOutcome.REFUSED)
         answers = await self._ask(
             partition_map.numbers(),
-            lambda s: s.count_pending_jobs(queue_id, until_s=until_s),
+            lambda s: s.count_pending_jobs(
+                queue_id, until_s=until_s, configuration_version=configuration_version
+            ),
         )
         for answer in answers:
             if answer.outcome is not JobOutcome.OK:
--- a/pistachiolift/node/job_service.py
+++ b/pistachiolift/node/job_service.py
@@ -10,9 +10,11 @@
 
 from ..common import Clock, CustomerId, JobId, Metrics, NoOwnerError, log_event
 from ..workflows import JobGraph, Queue, QueueId
+from .call_versions import CallVersions
 from .owner import Owner
 from .owner_link import OwnerLink
 from .peer_messages import (
+    CallMessage,
     CancelJob,
     CountWaiting,
     DescribePartition,
@@ -70,6 +72,7 @@
         self._owner = owner
         self._link = link
         self._store_lost_s = store_lost_s
+        self._versions = CallVersions(metrics)
 
     async def submit(
         self,
@@ -79,17 +82,21 @@
         *,
         until_s: float,
         customer_id: CustomerId = CustomerId(""),
+        configuration_version: int | None = None,
     ) -> JobAnswer:
         """Submit a job.
 
         :param until_s: time by which the call must be answered.
         :param customer_id: the customer that submits it; empty for none.
+        :param configuration_version: version that the queue and the customer are from.
         """
         begun_s = self._clock.monotonic_s()
 
         def message() -> SubmitJob:
             age_s = self._clock.monotonic_s() - begun_s
-            return SubmitJob(job_id, queue, graph, age_s, customer_id)
+            return SubmitJob(
+                job_id, queue, graph, age_s, customer_id, configuration_version
+            )
 
         answer = await self._call(message, until_s)
         if answer.outcome is not JobOutcome.OK:
@@ -113,13 +120,16 @@
         *,
         until_s: float,
         customer_id: CustomerId | None = None,
+        configuration_version: int | None = None,
     ) -> JobAnswer:
         """Cancel a job.
 
         :param customer_id: the caller's customer; empty for a caller without a key,
             ``None`` if callers need no keys.
+        :param configuration_version: version that the customer is from.
         """
-        return await self._call(lambda: CancelJob(job_id, customer_id), until_s)
+        message = CancelJob(job_id, customer_id, configuration_version)
+        return await self._call(lambda: message, until_s)
 
     async def status(
         self,
@@ -127,19 +137,30 @@
         *,
         until_s: float,
         customer_id: CustomerId | None = None,
+        configuration_version: int | None = None,
     ) -> JobAnswer:
         """Return a job's state.
 
         :param customer_id: the caller's customer; empty for a caller without a key,
             ``None`` if callers need no keys.
+        :param configuration_version: version that the customer is from.
         """
-        return await self._call(lambda: GetStatus(job_id, customer_id), until_s)
+        message = GetStatus(job_id, customer_id, configuration_version)
+        return await self._call(lambda: message, until_s)
 
     async def count_pending_jobs(
-        self, queue_id: QueueId, *, until_s: float
+        self,
+        queue_id: QueueId,
+        *,
+        until_s: float,
+        configuration_version: int | None = None,
     ) -> JobAnswer:
-        """Return the number of a queue's jobs that have not started."""
-        return await self._call(lambda: CountWaiting(queue_id), until_s)
+        """Return the number of a queue's jobs that have not started.
+
+        :param configuration_version: version that the queue is from.
+        """
+        message = CountWaiting(queue_id, configuration_version)
+        return await self._call(lambda: message, until_s)
 
     async def explain(self, job_id: JobId, *, until_s: float) -> JobAnswer:
         """Return the details of a job and of its tasks."""
@@ -232,9 +253,10 @@
         answered.addBoth(finish)
         return await result
 
-    @staticmethod
-    async def answer(owner: Owner, message: Message) -> JobAnswer:
+    async def answer(self, owner: Owner, message: Message) -> JobAnswer:
         """Answer a call as the owner."""
+        if isinstance(message, CallMessage):
+            self._versions.compare(message, owner.configuration_version)
         match message:
             case SubmitJob():
                 return await owner.calls.submit(
--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -361,6 +361,11 @@
         self._cap_shares.handle_new_caps()
         self._schedule_pass()
 
+    @property
+    def configuration_version(self) -> int:
+        """Version of the configuration in force; 0 before the first."""
+        return self._table.version
+
     def update_worker(self, worker: Worker) -> None:
         """Apply a worker's directory entry, unless a newer process is known."""
         self.scheduler.fleet.update_worker(worker, now_s=self._clock.monotonic_s())
--- a/pistachiolift/node/peer_messages.py
+++ b/pistachiolift/node/peer_messages.py
@@ -22,6 +22,7 @@
     "AdviceReply",
     "Advise",
     "Announce",
+    "CallMessage",
     "CancelJob",
     "ConfigurationReply",
     "CountWaiting",
@@ -112,6 +113,8 @@
 
     :param age_s: seconds since the caller's request arrived.
     :param customer_id: the customer that submits it; empty for none.
+    :param configuration_version: version under which the sender has decided about the
+        caller's request; ``None`` from an instance of an earlier version.
     """
 
     job_id: JobId
@@ -119,6 +122,7 @@
     graph: JobGraph
     age_s: float
     customer_id: CustomerId = CustomerId("")
+    configuration_version: int | None = None
 
 
 class CancelJob(msgspec.Struct, frozen=True, tag="cancel", array_like=True):
@@ -126,10 +130,12 @@
 
     :param customer_id: the caller's customer; empty for a caller without a key,
         ``None`` if callers need no keys.
+    :param configuration_version: as in :class:`SubmitJob`.
     """
 
     job_id: JobId
     customer_id: CustomerId | None = None
+    configuration_version: int | None = None
 
 
 class GetStatus(msgspec.Struct, frozen=True, tag="status", array_like=True):
@@ -137,16 +143,22 @@
 
     :param customer_id: the caller's customer; empty for a caller without a key,
         ``None`` if callers need no keys.
+    :param configuration_version: as in :class:`SubmitJob`.
     """
 
     job_id: JobId
     customer_id: CustomerId | None = None
+    configuration_version: int | None = None
 
 
 class CountWaiting(msgspec.Struct, frozen=True, tag="waiting", array_like=True):
-    """Requests the number of a queue's jobs that have not started."""
+    """Requests the number of a queue's jobs that have not started.
+
+    :param configuration_version: as in :class:`SubmitJob`.
+    """
 
     queue_id: QueueId
+    configuration_version: int | None = None
 
 
 class ExplainJob(msgspec.Struct, frozen=True, tag="explain", array_like=True):
@@ -259,6 +271,9 @@
     valid_s: float = 0.0
 
 
+# Calls in which the sender has decided about a caller's request already.
+CallMessage = SubmitJob | CancelJob | GetStatus | CountWaiting
+
 Message = (
     Hello
     | Ping
--- a/pistachiolift/node/store_watches.py
+++ b/pistachiolift/node/store_watches.py
@@ -64,6 +64,9 @@
         self._stopped = False
         self.last_contact_s = float("-inf")
         self._lost = False
+        # Revision up to which changes are known, and that of each entry's last change.
+        self._position = 0
+        self._revision_by_key: dict[str, int] = {}
 
     def start(self) -> None:
         """Start watching."""
@@ -92,16 +95,18 @@
                     listing = await self.store.list_prefix(self.prefix)
                     if self._stopped:
                         return
+                    self._check_for_missed_changes(listing.entries_by_key)
                     self.apply_snapshot(listing.entries_by_key)
-                    revision = listing.revision
+                    revision = self._position = listing.revision
                 else:
                     changes = await self.store.changes(
                         self.prefix, after_revision=revision, wait_s=self.wait_s
                     )
                     if self._stopped:
                         return
-                    revision = max(revision, changes.revision)
+                    revision = self._position = max(revision, changes.revision)
                     for event in changes.events:
+                        self._record_revision(event)
                         self.apply_change(event)
             except HistoryLostError:
                 log_event(logger, "watch_history_lost", prefix=self.prefix)
@@ -116,6 +121,31 @@
             if self.pause_s:
                 await deferLater(self._reactor, self.pause_s)
 
+    def _record_revision(self, event: WatchEvent) -> None:
+        if event.entry is None:
+            self._revision_by_key.pop(event.key, None)
+        else:
+            self._revision_by_key[event.key] = event.entry.version
+
+    def _check_for_missed_changes(self, entries_by_key: dict[str, Entry]) -> None:
+        """Report changes in a listing that the watch had passed without an event."""
+        for entry in entries_by_key.values():
+            known = self._revision_by_key.get(entry.key, 0)
+            if known < entry.version <= self._position:
+                self._metrics.count("watch.change_missed")
+                log_event(
+                    logger,
+                    "watch_change_missed",
+                    level=logging.WARNING,
+                    key=entry.key,
+                    revision=entry.version,
+                    known_revision=known,
+                    passed_revision=self._position,
+                )
+        self._revision_by_key = {
+            entry.key: entry.version for entry in entries_by_key.values()
+        }
+
     def _record_lost_contact(self, error: StoreUnavailableError) -> None:
         self._metrics.count("watch.failed")
         if not self._lost:
@@ -230,6 +260,7 @@
                     source=source,
                 )
             return True
+        replaced = None if self.table is None else self.table.version
         self.table, self.value = table, value
         self._confirmed_s = read_s
         log_event(
@@ -238,6 +269,8 @@
             config=table.version,
             queues=len(table.queues),
             customers=len(table.customers),
+            replaced=replaced,
+            value_bytes=len(value),
             source=source,
             age_s=round(self.age_s, 3),
         )
--- a/pistachiolift/node/tests/test_job_router.py
+++ b/pistachiolift/node/tests/test_job_router.py
@@ -26,13 +26,13 @@
         self.count = 0
         self.failed_outcome = None
 
-    async def submit(self, job_id, queue, graph, *, until_s, customer_id):
+    async def submit(self, job_id, queue, graph, *, until_s, **_):
         if self.failed_outcome:
             return JobAnswer(self.failed_outcome)
         self.jobs.add(job_id)
         return JobAnswer(JobOutcome.OK)
 
-    async def status(self, job_id, *, until_s, customer_id):
+    async def status(self, job_id, *, until_s, **_):
         if self.failed_outcome:
             return JobAnswer(self.failed_outcome)
         if job_id not in self.jobs:
@@ -41,7 +41,7 @@
 
     cancel = status
 
-    async def count_pending_jobs(self, queue_id, *, until_s):
+    async def count_pending_jobs(self, queue_id, *, until_s, **_):
         if self.failed_outcome:
             return JobAnswer(self.failed_outcome)
         return JobAnswer(JobOutcome.OK, count=self.count)
--- a/pistachiolift/node/tests/test_job_service.py
+++ b/pistachiolift/node/tests/test_job_service.py
@@ -31,6 +31,8 @@
 class StalledOwner:
     """An owner in this process that answers only when the test lets it."""
 
+    configuration_version = 0
+
     def __init__(self):
         self.calls = self
         self.answer = Deferred()
--- a/pistachiolift/node/tests/test_store_watches.py
+++ b/pistachiolift/node/tests/test_store_watches.py
@@ -1,5 +1,6 @@
 """The watch of the worker directory."""
 
+import logging
 from dataclasses import dataclass
 
 import pytest
@@ -7,7 +8,7 @@
 from twisted.internet.task import Clock as ReactorClock
 
 from pistachiolift.common import MalformedMessageError, ManualClock, Metrics
-from pistachiolift.node.interfaces import PlatformAdapter, Put
+from pistachiolift.node.interfaces import Changes, PlatformAdapter, Put
 from pistachiolift.node.store_watches import DirectoryWatch
 
 from .fake_store import FakeStore
@@ -35,9 +36,9 @@
 class Harness:
     """A watch that has read a directory with one worker."""
 
-    def __init__(self):
+    def __init__(self, store=None):
         self.reactor, self.clock = ReactorClock(), ManualClock()
-        self.store = FakeStore()
+        self.store = store or FakeStore()
         self.events = []
         self.watch = DirectoryWatch(
             self.reactor,
@@ -90,3 +91,34 @@
         harness.advance(5.0)
         assert harness.events == ["changed"]
         assert set(harness.watch.workers_by_id) == {WORKER.worker_id}
+
+
+class ForgetfulStore(FakeStore):
+    """A store that sometimes answers a watch without the events before its revision."""
+
+    skips = False
+
+    async def changes(self, prefix, *, after_revision, wait_s):
+        changes = await super().changes(
+            prefix, after_revision=after_revision, wait_s=wait_s
+        )
+        return Changes([], changes.revision) if self.skips else changes
+
+
+class TestChangesWithoutAnEvent:
+    """A change that the watch has passed is reported once a listing shows it."""
+
+    @pytest.mark.parametrize("skips", [True, False])
+    def test_it_is_logged(self, skips, caplog):
+        harness = Harness(store=ForgetfulStore())
+        harness.store.skips = skips
+        with caplog.at_level(logging.INFO):
+            harness.put(b"worker")
+            harness.advance(2.0)
+            harness.store.skips = False
+            harness.store.down = True
+            harness.store.wake()
+            harness.advance(1.0)
+            harness.store.down = False
+            harness.advance(1.0)
+        assert ("watch_change_missed" in caplog.text) == skips
--- a/pistachiolift/platform/caller_api.py
+++ b/pistachiolift/platform/caller_api.py
@@ -119,7 +119,7 @@
     )
     rest = path[len(queue.prefix) :]
     if not rest and request.method == b"GET":
-        return await _count_pending_jobs(instance, queue, call.until_s)
+        return await _count_pending_jobs(call, queue)
     if not _JOB_ID.fullmatch(rest):
         raise InvalidInputError(f"job id {rest[:40]!r} is not 16 hexadecimal digits")
     job_id = JobId(rest)
@@ -128,23 +128,29 @@
     visible_to = call.customer_id if table.needs_keys else None
     if request.method == b"GET":
         answer = await instance.jobs.status(
-            job_id, until_s=call.until_s, customer_id=visible_to
+            job_id,
+            until_s=call.until_s,
+            customer_id=visible_to,
+            configuration_version=table.version,
         )
         if answer.outcome is JobOutcome.OK:
             return _Reply(200, encode_status(answer.status))
         return _error_reply(answer)
     if request.method == b"DELETE":
         answer = await instance.jobs.cancel(
-            job_id, until_s=call.until_s, customer_id=visible_to
+            job_id,
+            until_s=call.until_s,
+            customer_id=visible_to,
+            configuration_version=table.version,
         )
         return _Reply(200) if answer.outcome is JobOutcome.OK else _error_reply(answer)
     return _Reply(405)
 
 
-async def _count_pending_jobs(
-    instance: NodeInstance, queue: Queue, until_s: float
-) -> _Reply:
-    answer = await instance.jobs.count_pending_jobs(queue.queue_id, until_s=until_s)
+async def _count_pending_jobs(call: _Call, queue: Queue) -> _Reply:
+    answer = await call.instance.jobs.count_pending_jobs(
+        queue.queue_id, until_s=call.until_s, configuration_version=call.table.version
+    )
     if answer.outcome is JobOutcome.OK:
         return _Reply(200, encode_waiting(answer.count))
     return _error_reply(answer)
@@ -158,7 +164,12 @@
         raise InvalidInputError(error.message) from error
     validate_graph(graph)
     answer = await call.instance.jobs.submit(
-        job_id, queue, graph, until_s=call.until_s, customer_id=call.customer_id
+        job_id,
+        queue,
+        graph,
+        until_s=call.until_s,
+        customer_id=call.customer_id,
+        configuration_version=call.table.version,
     )
     if answer.outcome is JobOutcome.OK:
         return _Reply(200)
--- a/pistachiolift/platform/tests/test_caller_api.py
+++ b/pistachiolift/platform/tests/test_caller_api.py
@@ -70,18 +70,18 @@
         self.outcome = None
         self.retry_after_s = 0.0
 
-    async def submit(self, job_id, queue, graph, *, until_s, customer_id):
+    async def submit(self, job_id, queue, graph, *, until_s, customer_id, **_):
         if self.outcome is not None:
             return JobAnswer(self.outcome, retry_after_s=self.retry_after_s)
         return await self._calls.submit(job_id, queue, graph, 0.0, customer_id)
 
-    async def status(self, job_id, *, until_s, customer_id):
+    async def status(self, job_id, *, until_s, customer_id, **_):
         return self._calls.status(job_id, customer_id)
 
-    async def cancel(self, job_id, *, until_s, customer_id):
+    async def cancel(self, job_id, *, until_s, customer_id, **_):
         return await self._calls.cancel(job_id, customer_id)
 
-    async def count_pending_jobs(self, queue_id, *, until_s):
+    async def count_pending_jobs(self, queue_id, *, until_s, **_):
         return self._calls.count_pending_jobs(queue_id)
 
 
