--- a/pistachiolift/platform/tests/test_configuration.py
+++ b/pistachiolift/platform/tests/test_configuration.py
@@ -5,8 +5,14 @@
 from hashlib import sha256
 
 import pytest
-
-from pistachiolift.common import MalformedMessageError
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import Clock as ReactorClock
+
+from pistachiolift.common import MalformedMessageError, ManualClock, Metrics
+from pistachiolift.node.interfaces import Put
+from pistachiolift.node.store_watches import ConfigurationWatch
+from pistachiolift.node.tests.fake_store import FakeStore
+from pistachiolift.platform.adapter import HttpPlatformAdapter
 from pistachiolift.platform.configuration import decode_configuration
 from pistachiolift.workflows import Size
 
@@ -188,3 +194,51 @@
         value = json.dumps({"Version": 3, "Routes": [ROUTE], "Tenants": tenants})
         with pytest.raises(MalformedMessageError):
             decode_configuration(value.encode())
+
+
+def in_force(*values):
+    """Return the version and the queues that a watch has after some stored values."""
+    reactor, clock, store = ReactorClock(), ManualClock(), FakeStore()
+    watch = ConfigurationWatch(
+        reactor,
+        store,
+        HttpPlatformAdapter(reactor=reactor),
+        on_table=lambda table: None,
+        clock=clock,
+        metrics=Metrics(),
+    )
+    watch.start()
+    for value in values:
+        put = Put(json.dumps(value).encode())
+        ensureDeferred(store.transact(expected={}, puts={"op/config": put}))
+        reactor.advance(0.5)
+    return watch.table.version, [queue.queue_id for queue in watch.table.queues]
+
+
+class TestInvalidConfigurations:
+    VALID = {"Version": 3, "Routes": [ROUTE]}
+
+    # Guards against an incomplete or contradictory value that is taken for a
+    # configuration, which would drop or confuse the routes in force.
+    def test_the_earlier_one_stays_in_force_until_the_next_valid_one(self):
+        later = {"Version": 9, "Routes": [ROUTE, {**ROUTE, "Name": "r"}]}
+        for invalid in (
+            {"Version": 4},
+            {"Version": 0, "Routes": []},
+            {"Version": -4, "Routes": []},
+            {"Version": 2**60, "Routes": []},
+            {"Version": 4, "Routes": [ROUTE, {**ROUTE, "Prefix": "/r/"}]},
+            {"Version": 4, "Routes": [{**ROUTE, "Name": ""}]},
+            {"Version": 4, "Routes": [{**ROUTE, "Host": ""}]},
+            {"Version": 4, "Routes": [{**ROUTE, "Service": ""}]},
+            {"Version": 4, "Routes": [{**ROUTE, "Prefix": "q/"}]},
+            {"Version": 4, "Routes": [{**ROUTE, "Priority": -1}]},
+            {"Version": 4, "Routes": [{**ROUTE, "Priority": 2**70}]},
+            {"Version": 4, "Routes": [{**ROUTE, "MaxAttempts": 2**70}]},
+            {"Version": 4, "Routes": [{**ROUTE, "Stretch": -1.0}]},
+        ):
+            assert in_force(self.VALID, invalid) == (3, ["q"]), invalid
+            assert in_force(self.VALID, invalid, later) == (9, ["q", "r"]), invalid
+
+    def test_a_configuration_may_have_no_routes_and_unknown_fields(self):
+        assert in_force(self.VALID, {"Version": 4, "Routes": [], "New": [1]}) == (4, [])
