Read responses that keep arriving to their end

Cause: a watch's answer had to be complete 0.6 s after the watch's wait, and a page of a listing within 0.8 to 2 s, whatever its length. On a link of 5 Mbit/s a configuration of 2,800 routes takes 1.6 s, so that the answer was given up half way and asked for again.

The time limit now holds until a response begins; after that it fails only if nothing arrives for 0.5 s, or after 10 s. An answer that is on its way is therefore transferred once. Listings of the directory and of the ledger gain by the same change.

--- a/pistachiolift/backends/http.py
+++ b/pistachiolift/backends/http.py
@@ -29,6 +29,9 @@
     OSError,
 )
 
+# A response that keeps arriving is given up after this time.
+LONGEST_RESPONSE_S = 10.0
+
 _BASE_URL = re.compile(r"(https?)://([^/]+)")
 _TARGET = re.compile(r"/[!-~]*")
 _UNSAFE_HEADER = re.compile(r"[\r\n\0]")
@@ -100,10 +103,14 @@
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
         timeout_s: float | None = None,
+        stall_timeout_s: float | None = None,
     ) -> defer.Deferred[tuple[int, bytes]]:
         """Send a request and read the whole response.
 
         :param timeout_s: overrides the client's time-out, in seconds.
+        :param stall_timeout_s: longest time, in seconds, in which nothing of a response
+            arrives that has begun before the time-out. Without it, the whole response
+            must have arrived by then.
         :returns: fires with the HTTP status and the body; fails with the error of
             ``make_error`` if no response arrives.
         :raises InvalidInputError: if the path or a header is not valid in HTTP.
@@ -113,13 +120,19 @@
         used: list[HttpConnection] = []
         exchange = defer.ensureDeferred(self._exchange(request, used))
         sent_s = self._reactor.seconds()
+        longest_s = max(timeout_s or self._timeout_s, LONGEST_RESPONSE_S)
 
         # The result fails at the time-out even if the connection ignores its
         # cancellation.
-        def expire() -> None:
+        def expire(seen_bytes: int = 0) -> None:
+            nonlocal timer
+            waited_s = self._reactor.seconds() - sent_s
+            received = sum(connection.received_bytes for connection in used)
+            arriving = received > seen_bytes and waited_s < longest_s
+            if stall_timeout_s is not None and arriving and not result.called:
+                timer = self._reactor.callLater(stall_timeout_s, expire, received)
+                return
             if not result.called:
-                waited_s = self._reactor.seconds() - sent_s
-                received = sum(connection.received_bytes for connection in used)
                 reason = f"timeout after {waited_s:.2f} s, {received} bytes received"
                 result.errback(self._make_error(reason))
             exchange.cancel()
--- a/pistachiolift/backends/tests/test_http.py
+++ b/pistachiolift/backends/tests/test_http.py
@@ -82,6 +82,49 @@
         assert not reactor.getDelayedCalls()
 
 
+class TestLongResponses:
+    """Guards against responses that are given up while they arrive."""
+
+    HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n"
+
+    @staticmethod
+    def call(stall_timeout_s):
+        reactor, results = MemoryReactorClock(), []
+        client = make_client(reactor)
+        call = client.call("GET", "/", stall_timeout_s=stall_timeout_s)
+        ensureDeferred(call).addBoth(results.append)
+        return reactor, connect(reactor), results
+
+    def test_one_that_keeps_arriving_is_read_to_its_end(self):
+        reactor, connection, results = self.call(0.2)
+        connection.dataReceived(self.HEAD)
+        for _ in range(10):
+            connection.dataReceived(bytes(100_000))
+            reactor.advance(0.1)
+        assert results == [(200, bytes(1_000_000))]
+        assert not reactor.getDelayedCalls()
+
+    @pytest.mark.parametrize(("stall_timeout_s", "limit_s"), [(0.2, 0.8), (None, 0.4)])
+    def test_one_that_stops_arriving_fails(self, stall_timeout_s, limit_s):
+        reactor, connection, results = self.call(stall_timeout_s)
+        connection.dataReceived(self.HEAD)
+        reactor.advance(0.25)
+        connection.dataReceived(bytes(1000))
+        for _ in range(round((limit_s - 0.25) / 0.05)):
+            reactor.advance(0.05)
+        assert len(results) == 1 and results[0].check(StoreUnavailableError)
+
+    def test_one_that_trickles_fails_in_the_end(self):
+        reactor, connection, results = self.call(0.2)
+        connection.dataReceived(self.HEAD)
+        for _ in range(120):
+            if results:
+                break
+            connection.dataReceived(b"x")
+            reactor.advance(0.1)
+        assert len(results) == 1 and results[0].check(StoreUnavailableError)
+
+
 class TestRequests:
     def test_head_and_body_are_sent_in_one_packet(self):
         """Guards against the round trip that a second small packet costs."""
--- a/pistachiolift/platform/store.py
+++ b/pistachiolift/platform/store.py
@@ -35,7 +35,7 @@
 # The smallest links carry 5 Mbit/s, and several calls may share one.
 MIN_BYTES_PER_S = 250_000
 
-# Upper bound of the adaptive time limit for a page of a listing, which has up to 1 MB.
+# Upper bound of the adaptive time limit until a page of a listing begins to arrive.
 MAX_PAGE_TIMEOUT_S = 2.0
 
 # Time limit of the small read that precedes a listing after a lost one. It is twice the
@@ -43,7 +43,11 @@
 # return of a silent store is noticed soon.
 PROBE_TIMEOUT_S = 0.5
 
-# Time that a watch call may take beyond its requested wait.
+# Longest pause in an answer that is arriving. A megabyte takes seconds on a small link,
+# and giving it up would start the transfer anew.
+STALL_TIMEOUT_S = 0.5
+
+# Time that a watch's answer may begin to arrive beyond its requested wait.
 WATCH_SLACK_S = 0.6
 
 # Idle connections kept to the store, as many as calls are in flight at once.
@@ -162,7 +166,12 @@
     ) -> tuple[int, bytes]:
         headers = {} if data is None else {"Content-Type": "application/json"}
         status, answer = await self._client.call(
-            method, path, body=data, headers=headers, timeout_s=timeout_s
+            method,
+            path,
+            body=data,
+            headers=headers,
+            timeout_s=timeout_s,
+            stall_timeout_s=STALL_TIMEOUT_S,
         )
         if status not in accept:
             # Only status 503 means that the store has done nothing.
