Exchange configurations between instances in compressed form

Above 1 MiB a value was not exchanged at all, so that instances which the store rejects never learned of it.

Cause: all instances fetch the plain bytes from the owner 0.25 s after its announcement, within 0.5 s, while the answer of the store is still on its way.

Configurations are lists of similar routes and compress to a tenth or less. Replies hold the compressed bytes if the request accepts them, so that instances of both versions work together. An instance that reaches the store waits as long as the last value would take on the smallest link before it asks a peer.

The new tests of long values fail without the change.

--- a/pistachiolift/node/configuration_exchange.py
+++ b/pistachiolift/node/configuration_exchange.py
@@ -1,12 +1,13 @@
 """Exchange of configurations between instances, for those that the store rejects."""
 
 import logging
+import zlib
 from collections.abc import Callable, Iterable
 
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall, deferLater
 
-from ..common import Clock, Metrics, NoOwnerError, log_event
+from ..common import Clock, MalformedMessageError, Metrics, NoOwnerError, log_event
 from .background import run_in_background
 from .peer_link import PeerConnection
 from .peer_messages import (
@@ -29,13 +30,25 @@
 # fetch. Without it, each new version would be sent to all instances by the owner.
 OWN_WATCH_DELAY_S = 0.25
 
+# A long configuration may still be on its way from the store after that delay, which is
+# extended by the time that one of the last one's length takes on the smallest link.
+OWN_WATCH_BYTES_PER_S = 600_000
+OWN_WATCH_DELAY_LIMIT_S = 1.5
+
+# Compression costs about a millisecond per megabyte of text; the rate matters more on
+# the owner's link, since all other instances may ask it at once.
+COMPRESSION_LEVEL = 1
+
 # Time for which the bytes of a version are not fetched from a peer again after they
 # could not be applied: fetches at each ping would repeat the transfer in vain.
 UNUSABLE_PAUSE_S = 5.0
 
-# Longest value that fits into a frame together with the rest of the message.
+# Longest bytes that fit into a frame together with the rest of the message.
 VALUE_LIMIT_BYTES = FRAME_LIMIT_BYTES - 1024
 
+# Longest value that is decompressed, above the store's limit.
+DECOMPRESSED_LIMIT_BYTES = 4 * 1024 * 1024
+
 CHECK_INTERVAL_S = 0.5
 
 # A configuration must be in force 3 s after the store has acknowledged it. One that
@@ -71,6 +84,8 @@
         self._fetching: set[int] = set()
         self._paused_until_s: dict[tuple[str, int], float] = {}
         self._unconfirmed = False
+        # The version that was compressed last, and its bytes.
+        self._compressed: tuple[int, bytes] | None = None
         self._checking = LoopingCall(self._check)
         self._checking.clock = reactor
 
@@ -88,12 +103,14 @@
         for connection in list(self._connections()):
             connection.send_state()
 
-    def answer(self) -> ConfigurationReply:
+    def answer(self, request: GetConfiguration) -> ConfigurationReply:
         """Answer a peer's fetch."""
         watch = self._watch
         if watch.table is None:
             return ConfigurationReply()
-        value: bytes | None = watch.value
+        value: bytes = watch.value
+        if request.accepts_compressed:
+            value = self._compress(watch.table.version, value)
         if len(value) > VALUE_LIMIT_BYTES:
             log_event(
                 logger,
@@ -103,8 +120,16 @@
                 value_bytes=len(value),
                 limit_bytes=VALUE_LIMIT_BYTES,
             )
-            value = None
-        return ConfigurationReply(watch.table.version, value, self._watch.age_s)
+            return ConfigurationReply(watch.table.version, None, watch.age_s)
+        if request.accepts_compressed:
+            return ConfigurationReply(watch.table.version, None, watch.age_s, value)
+        return ConfigurationReply(watch.table.version, value, watch.age_s)
+
+    def _compress(self, version: int, value: bytes) -> bytes:
+        """Return the compressed value, which is kept for the next peer."""
+        if self._compressed is None or self._compressed[0] != version:
+            self._compressed = version, zlib.compress(value, COMPRESSION_LEVEL)
+        return self._compressed[1]
 
     def handle_state(self, connection: PeerConnection, state: PeerState) -> None:
         """Compare a peer's version with the one in force, and fetch a newer one."""
@@ -135,10 +160,15 @@
         until_s = self._paused_until_s.get((connection.peer.instance_id, version), 0.0)
         return self._clock.monotonic_s() >= until_s
 
+    @property
+    def _own_watch_delay_s(self) -> float:
+        transfer_s = len(self._watch.value) / OWN_WATCH_BYTES_PER_S
+        return min(OWN_WATCH_DELAY_S + transfer_s, OWN_WATCH_DELAY_LIMIT_S)
+
     async def _fetch(self, connection: PeerConnection, version: int) -> None:
         """Fetch a version from the peer that offers it, or else from other peers."""
         if self._watch.connected:
-            await deferLater(self._reactor, OWN_WATCH_DELAY_S)
+            await deferLater(self._reactor, self._own_watch_delay_s)
         tried: list[PeerConnection] = []
         while connection is not None and self._is_newer(version):
             tried.append(connection)
@@ -159,7 +189,9 @@
         peer = connection.peer.instance_id
         sent_s = self._clock.monotonic_s()
         try:
-            reply = await connection.call(GetConfiguration(), timeout_s=FETCH_TIMEOUT_S)
+            reply = await connection.call(
+                GetConfiguration(accepts_compressed=True), timeout_s=FETCH_TIMEOUT_S
+            )
         except NoOwnerError as error:
             self._record_failure(peer, version, error.message)
             return
@@ -167,11 +199,13 @@
             # An instance that does not know the partition answers all calls so.
             self._record_failure(peer, version, f"answer is a {type(reply).__name__}")
             return
-        if reply.value is None:
-            self._record_failure(peer, version, "value is too long for a frame")
+        try:
+            value = _decompress(reply)
+        except MalformedMessageError as error:
+            self._record_failure(peer, version, error.message)
         else:
             self._metrics.count("configuration.fetched")
-            self._watch.apply(reply.value, source=peer, read_s=sent_s - reply.age_s)
+            self._watch.apply(value, source=peer, read_s=sent_s - reply.age_s)
         if self._is_newer(version):
             self._pause(peer, version)
 
@@ -217,3 +251,24 @@
                 store_reached=self._watch.connected,
                 peers=sum(1 for _ in self._connections()),
             )
+
+
+def _decompress(reply: ConfigurationReply) -> bytes:
+    """Return the stored bytes.
+
+    :raises MalformedMessageError: if the reply has none, or none that can be read.
+    """
+    if reply.compressed is None:
+        if reply.value is None:
+            raise MalformedMessageError("value is too long for a frame")
+        return reply.value
+    decompressor = zlib.decompressobj()
+    try:
+        value = decompressor.decompress(reply.compressed, DECOMPRESSED_LIMIT_BYTES)
+    except zlib.error as error:
+        raise MalformedMessageError(f"value cannot be decompressed: {error}") from error
+    if not decompressor.eof:
+        raise MalformedMessageError(
+            f"value is truncated, or exceeds {DECOMPRESSED_LIMIT_BYTES} bytes"
+        )
+    return value
--- a/pistachiolift/node/instance.py
+++ b/pistachiolift/node/instance.py
@@ -329,7 +329,7 @@
         self, connection: PeerConnection, message: Message
     ) -> Message | None:
         if isinstance(message, GetConfiguration):
-            return self._exchange.answer()
+            return self._exchange.answer(message)
         number = connection.partition
         if not 0 <= number < len(self._partitions):
             # This instance has not read the partition map yet.
--- a/pistachiolift/node/peer_messages.py
+++ b/pistachiolift/node/peer_messages.py
@@ -230,7 +230,12 @@
 class GetConfiguration(
     msgspec.Struct, frozen=True, tag="get_configuration", array_like=True
 ):
-    """Requests the configuration that an instance has in force."""
+    """Requests the configuration that an instance has in force.
+
+    :param accepts_compressed: whether the answer may hold the compressed bytes.
+    """
+
+    accepts_compressed: bool = False
 
 
 class ConfigurationReply(
@@ -239,14 +244,16 @@
     """The configuration that an instance has in force.
 
     :param version: its version, ``None`` if the instance has none.
-    :param value: the bytes that the store holds; ``None`` if they are too long for a
-        frame.
+    :param value: the bytes that the store holds; ``None`` if they are compressed, or
+        too long for a frame.
     :param age_s: seconds since the store last confirmed that it is the newest.
+    :param compressed: these bytes compressed by zlib, if the request accepts them.
     """
 
     version: int | None = None
     value: bytes | None = None
     age_s: float = 0.0
+    compressed: bytes | None = None
 
 
 class Advise(msgspec.Struct, frozen=True, tag="advise", array_like=True):
--- a/pistachiolift/node/tests/test_configuration_exchange.py
+++ b/pistachiolift/node/tests/test_configuration_exchange.py
@@ -6,6 +6,8 @@
 
 import json
 import logging
+import random
+import zlib
 from dataclasses import dataclass, field
 
 import msgspec
@@ -18,6 +20,7 @@
 from pistachiolift.backends import Entry, Listing, WatchEvent
 from pistachiolift.common import MalformedMessageError, ManualClock, Metrics
 from pistachiolift.node.configuration_exchange import (
+    DECOMPRESSED_LIMIT_BYTES,
     VALUE_LIMIT_BYTES,
     ConfigurationExchange,
 )
@@ -30,6 +33,7 @@
 )
 from pistachiolift.node.peer_link import PeerConnection
 from pistachiolift.node.peer_messages import (
+    FRAME_LIMIT_BYTES,
     ConfigurationReply,
     Frame,
     GetConfiguration,
@@ -46,6 +50,8 @@
 ROUND_TRIP_S = 0.02
 STEP_S = 0.01
 
+BOMB = bytes(DECOMPRESSED_LIMIT_BYTES + 1)
+
 
 def encode(version, filling=""):
     """Return the stored bytes of a version."""
@@ -200,7 +206,7 @@
 
     async def _answer(self, connection, message):
         assert isinstance(message, GetConfiguration)
-        return self.exchange.answer()
+        return self.exchange.answer(message)
 
     def connection(self, *, outgoing):
         return PeerConnection(
@@ -484,16 +490,54 @@
         value = encode(5, "x" * VALUE_LIMIT_BYTES)
         _, instance = self.start(value)
         with caplog.at_level(logging.INFO):
-            reply = instance.exchange.answer()
-        assert (reply.version, reply.value) == (5, None)
+            reply = instance.exchange.answer(GetConfiguration())
+        assert (reply.version, reply.value, reply.compressed) == (5, None, None)
         assert "configuration_too_long_to_exchange" in caplog.text
 
+    def test_nor_is_one_whose_compressed_bytes_are_too_long(self, caplog):
+        value = encode(5, random.Random(1).randbytes(VALUE_LIMIT_BYTES).hex())
+        _, instance = self.start(value)
+        with caplog.at_level(logging.INFO):
+            reply = instance.exchange.answer(GetConfiguration(accepts_compressed=True))
+        assert (reply.version, reply.value, reply.compressed) == (5, None, None)
+        assert "configuration_too_long_to_exchange" in caplog.text
+
+    def test_a_long_value_of_similar_routes_is_exchanged(self):
+        """Guards against rejected instances that never learn of long configurations."""
+        value = encode(5, "route" * (VALUE_LIMIT_BYTES // 2))
+        cell = FakeCell(2, stored=Stored(value), rejected=(1,))
+        cell.advance(1.0)
+        assert cell.versions() == [5, 5]
+
+    @pytest.mark.parametrize(
+        "compressed", [b"", b"odd", zlib.compress(encode(6))[:-1], zlib.compress(BOMB)]
+    )
+    def test_compressed_bytes_that_cannot_be_used_are_dropped(self, compressed, caplog):
+        _, instance = self.start()
+        peer = FakePeer("a")
+        with caplog.at_level(logging.INFO):
+            self.offer(instance, peer, 6)
+            reply = ConfigurationReply(6, compressed=compressed)
+            peer.calls[0].callback(reply)
+            self.offer(instance, peer, 6)
+        assert (instance.version, len(peer.calls)) == (5, 1)
+        assert "configuration_not_fetched" in caplog.text
+
+    def test_an_instance_of_an_earlier_version_gets_the_plain_value(self):
+        _, instance = self.start()
+        request = msgspec.msgpack.encode([7, False, ["get_configuration"]])
+        reply = instance.exchange.answer(decode_frame(request).message)
+        assert (reply.version, reply.value) == (5, encode(5))
+
     def test_the_longest_value_fits_into_a_frame(self):
         value = encode(5, "x" * (VALUE_LIMIT_BYTES - len(encode(5))))
         assert len(value) == VALUE_LIMIT_BYTES
         cell = FakeCell(2, stored=Stored(value), rejected=(1,))
         cell.advance(1.0)
         assert cell.versions() == [5, 5]
+        reply = cell.owner.exchange.answer(GetConfiguration())
+        assert reply.value == value
+        assert len(encode_frame(Frame(2**32, True, reply))) <= FRAME_LIMIT_BYTES
 
 
 class TestVersions:
