Refuse incomplete and contradictory configurations as a whole

Callers would see: 404 for every route, or a route served by another one's pool.

Cause: the list of routes was optional, so that a value with a version and nothing else replaced a configuration by one without routes; names, hosts and prefixes could be empty, numbers negative or above 64 bits (a priority of that size cannot be recorded in the ledger), and of two routes with one name the later one got both queues' jobs.

Such a value is now logged as configuration_malformed and the configuration in force stays, unconfirmed, until the next valid one. One test of customers used a value without routes as a valid one; it has an empty list now and checks the same.

--- a/pistachiolift/platform/configuration.py
+++ b/pistachiolift/platform/configuration.py
@@ -1,14 +1,16 @@
 """The operators' configuration in the platform's store."""
 
 import logging
+from collections import Counter
 from hashlib import sha256
+from typing import Annotated
 
 import msgspec
 
 from ..common import CustomerId, MalformedMessageError, log_event
 from ..node.interfaces import QueueTable
 from ..workflows import AdvicePolicy, Customer, PoolId, Queue, QueueId, Size
-from .wire import WireSize, decode_wire
+from .wire import MAX_NUMBER, Number, WholeNumber, WireSize, decode_wire
 
 __all__ = ["CONFIGURATION_KEY", "OPERATOR_PREFIX", "decode_configuration"]
 
@@ -18,26 +20,31 @@
 CONFIGURATION_KEY = "op/config"
 
 
+_Text = Annotated[str, msgspec.Meta(min_length=1)]
+_Path = Annotated[str, msgspec.Meta(pattern="^/")]
+_Version = Annotated[int, msgspec.Meta(ge=1, le=MAX_NUMBER)]
+
+
 class _Advice(msgspec.Struct, rename="pascal"):
-    decide_ms: float = 0.0
+    decide_ms: Number = 0.0
     # Processing time for each worker named in a call.
-    each_ms: float = 0.0
-    valid_ms: float = 0.0
+    each_ms: Number = 0.0
+    valid_ms: Number = 0.0
 
 
 class _Route(msgspec.Struct, rename="pascal"):
     """A queue, selected by the host and the path of a request."""
 
-    name: str
-    host: str
-    prefix: str
+    name: _Text
+    host: _Text
+    prefix: _Path
     # Pool of workers that runs the queue's tasks.
-    service: str
-    priority: int = 0
+    service: _Text
+    priority: WholeNumber = 0
     # Limit of failed runs of a task, not of a client's calls.
-    max_attempts: int = 1
-    stretch: float = 1.0
-    target_duration_ms: float = 0.0
+    max_attempts: WholeNumber = 1
+    stretch: Number = 1.0
+    target_duration_ms: Number = 0.0
     advice: _Advice | None = None
     # Whether callers need no key.
     public: bool = False
@@ -77,12 +84,13 @@
 
 
 class _Limits(msgspec.Struct, rename="pascal", frozen=True):
-    max_body_bytes: int = 262_144
+    max_body_bytes: WholeNumber = 262_144
 
 
 class _Configuration(msgspec.Struct, rename="pascal"):
-    version: int
-    routes: list[_Route] = []
+    version: _Version
+    # Required, since a value without it would drop all routes.
+    routes: list[_Route]
     limits: _Limits = _Limits()
     # ``None`` if callers need no key. Each entry is decoded by itself, so that a
     # malformed one does not keep the others from being applied.
@@ -92,9 +100,14 @@
 def decode_configuration(value: bytes) -> QueueTable:
     """Decode a configuration.
 
-    :raises MalformedMessageError: if the value cannot be decoded.
+    :raises MalformedMessageError: if the value cannot be decoded, or if two routes have
+        the same name.
     """
     wire = decode_wire(value, _Configuration)
+    names = Counter(route.name for route in wire.routes)
+    repeated = [name for name, count in names.items() if count > 1]
+    if repeated:
+        raise MalformedMessageError(f"{len(repeated)} names of routes are not unique")
     tenants = [] if wire.tenants is None else _decode_tenants(wire)
     return QueueTable(
         version=wire.version,
--- a/pistachiolift/platform/tests/test_configuration.py
+++ b/pistachiolift/platform/tests/test_configuration.py
@@ -157,7 +157,8 @@
         assert "bad-key" not in line
 
     def test_a_weight_above_all_numbers_is_skipped(self):
-        value = b'{"Version":3,"Tenants":[{"Name":"a","Weight":1e999},{"Name":"b"}]}'
+        tenants = b'[{"Name":"a","Weight":1e999},{"Name":"b"}]'
+        value = b'{"Version":3,"Routes":[],"Tenants":' + tenants + b"}"
         assert list(customers(decode_configuration(value))) == ["b"]
 
     @pytest.mark.parametrize("count", [2, 3])
--- a/pistachiolift/platform/wire.py
+++ b/pistachiolift/platform/wire.py
@@ -9,6 +9,7 @@
 from ..workflows import Size, StepKey, TaskKey
 
 __all__ = [
+    "MAX_NUMBER",
     "MESSAGE_LIMIT_BYTES",
     "Number",
     "WholeNumber",
@@ -28,9 +29,9 @@
 _TASK_NAME = re.compile(r"([^.]+)\.([0-9]{1,9})\.([0-9]{1,9})\.([0-9]{1,9})")
 
 # Larger numbers are not exact in JSON, and may not fit into the ledger's encoding.
-_MAX_NUMBER = 2**53 - 1
-WholeNumber = Annotated[int, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
-Number = Annotated[float, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
+MAX_NUMBER = 2**53 - 1
+WholeNumber = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+Number = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 
 
 class WireSize(msgspec.Struct, rename="pascal"):
