Decide calls under the newest configuration that takes part

Callers saw (in a test with real processes): a call on a route that had just been added was carried out through one instance, and the owner that had carried it out answered 404 for the same route a moment later. In the other direction, an instance that had not heard of a removed key or a dropped route got its calls carried out by an owner that had.

Cause: the instance that takes a call judges route and key, the owner queue, customer and cap, each under its own configuration, and neither knew the other's.

An owner that is behind fetches that version from its peers at once, before it decides, instead of waiting for its own watch. An owner that is ahead does nothing and names its version; the entry instance gets it and judges the call again, or tells the caller to come back. A call that another owner may have accepted stays undecided. If an owner cannot get the version, it decides under its own, since all calls would fail otherwise.

--- a/pistachiolift/node/configuration_exchange.py
+++ b/pistachiolift/node/configuration_exchange.py
@@ -4,6 +4,7 @@
 import zlib
 from collections.abc import Callable, Iterable
 
+from twisted.internet.defer import Deferred, succeed
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall, deferLater
 
@@ -82,6 +83,9 @@
         self._clock = clock
         self._metrics = metrics
         self._fetching: set[int] = set()
+        # Versions that calls wait for, and those that are fetched for them.
+        self._waiting: list[tuple[int, Deferred[bool]]] = []
+        self._fetching_at_once: set[int] = set()
         self._paused_until_s: dict[tuple[str, int], float] = {}
         self._unconfirmed = False
         # The version that was compressed last, and its bytes.
@@ -99,9 +103,40 @@
             self._checking.stop()
 
     def announce(self) -> None:
-        """Report the version in force to all peers, without waiting for a ping."""
+        """Report a new version in force to all peers, and to the calls that wait.
+
+        Peers get it before all later calls, without waiting for a ping.
+        """
         for connection in list(self._connections()):
             connection.send_state()
+        waiting, self._waiting = self._waiting, []
+        for version, waiter in waiting:
+            if self._is_newer(version):
+                self._waiting.append((version, waiter))
+            elif not waiter.called:
+                waiter.callback(True)
+
+    def catch_up(self, version: int, *, timeout_s: float) -> "Deferred[bool]":
+        """Wait until a version or a newer one is in force, and fetch it at once.
+
+        :param timeout_s: longest time to wait, in seconds.
+        :returns: fires with whether it is in force.
+        """
+        if not self._is_newer(version):
+            return succeed(True)
+        self._waiting = [each for each in self._waiting if not each[1].called]
+        waiter: Deferred[bool] = Deferred()
+        waiter.addTimeout(timeout_s, self._reactor, lambda *_: False)
+        self._waiting.append((version, waiter))
+        if version not in self._fetching_at_once:
+            self._fetching_at_once.add(version)
+            run_in_background(
+                self._fetch_from_peers(version, []),
+                logger=logger,
+                event="configuration_fetch_failed",
+                config=version,
+            ).addBoth(lambda _: self._fetching_at_once.discard(version))
+        return waiter
 
     def answer(self, request: GetConfiguration) -> ConfigurationReply:
         """Answer a peer's fetch."""
@@ -169,21 +204,36 @@
         """Fetch a version from the peer that offers it, or else from other peers."""
         if self._watch.connected:
             await deferLater(self._reactor, self._own_watch_delay_s)
-        tried: list[PeerConnection] = []
-        while connection is not None and self._is_newer(version):
-            tried.append(connection)
+        if self._is_newer(version):
             await self._fetch_from(connection, version)
+        await self._fetch_from_peers(version, [connection])
+
+    async def _fetch_from_peers(
+        self, version: int, tried: list[PeerConnection]
+    ) -> None:
+        """Fetch a version from the peers that have it, until one has sent it.
+
+        :param tried: connections that are left out.
+        """
+        while self._is_newer(version):
+            untried = (each for each in self._connections() if each not in tried)
             connection = next(
-                (
-                    each
-                    for each in self._connections()
-                    if each not in tried
-                    and each.peer_state is not None
-                    and each.peer_state.configuration_version == version
-                    and self._is_wanted(each, version)
-                ),
-                None,
+                (each for each in untried if self._is_offered(each, version)), None
             )
+            if connection is None:
+                return
+            tried.append(connection)
+            await self._fetch_from(connection, version)
+
+    def _is_offered(self, connection: PeerConnection, version: int) -> bool:
+        """Whether a peer has reported a version or a newer one, which may be usable."""
+        state = connection.peer_state
+        offered = None if state is None else state.configuration_version
+        return (
+            offered is not None
+            and offered >= version
+            and self._is_wanted(connection, version)
+        )
 
     async def _fetch_from(self, connection: PeerConnection, version: int) -> None:
         peer = connection.peer.instance_id
--- a/pistachiolift/node/instance.py
+++ b/pistachiolift/node/instance.py
@@ -40,6 +40,9 @@
 # Time for which an instance without a reachable owner still counts as ready.
 READY_WITHOUT_OWNER_S = 4.0
 
+# Longest time that a call waits for a configuration that another instance has.
+CATCH_UP_LIMIT_S = 1.0
+
 # Share of the time between SIGTERM and SIGKILL for which new connections are served,
 # until the load balancer has noticed the drain. The rest is for requests in flight.
 SERVE_SHARE = 0.5
@@ -138,6 +141,7 @@
             owned_partitions=self._owned_partitions,
             connect=self._connect,
             accepted_connections=self._accepted_connections,
+            catch_up=self.catch_up,
         )
         # The owner of the first partition writes the map of all partitions.
         self._partitions = [Partition(PartitionNumber(0), self._context)]
@@ -162,6 +166,17 @@
         """The configuration in force, ``None`` before the first."""
         return self._configuration.table
 
+    def catch_up(
+        self, version: int, *, timeout_s: float = CATCH_UP_LIMIT_S
+    ) -> "Deferred[bool]":
+        """Wait until a version of the configuration, or a newer one, is in force.
+
+        :param timeout_s: longest time to wait, in seconds.
+        :returns: fires with whether it is in force.
+        """
+        limit_s = max(0.0, min(timeout_s, CATCH_UP_LIMIT_S))
+        return self._exchange.catch_up(version, timeout_s=limit_s)
+
     # Start and graceful shutdown.
 
     def start(self) -> None:
--- a/pistachiolift/node/job_service.py
+++ b/pistachiolift/node/job_service.py
@@ -1,7 +1,7 @@
 """Forwards calls about jobs from an entry instance to a partition's owner."""
 
 import logging
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 from twisted.internet.defer import Deferred, ensureDeferred
@@ -10,7 +10,7 @@
 
 from ..common import Clock, CustomerId, JobId, Metrics, NoOwnerError, log_event
 from ..workflows import JobGraph, Queue, QueueId
-from .call_versions import CallVersions
+from .call_versions import CallVersions, VersionOrder
 from .owner import Owner
 from .owner_link import OwnerLink
 from .peer_messages import (
@@ -34,6 +34,10 @@
 # successor.
 RETRIED_OUTCOMES = (JobOutcome.NOT_OWNER, JobOutcome.UNDECIDED)
 
+# Outcomes that hold for one attempt: an earlier one may have been accepted by another
+# owner.
+UNDONE_OUTCOMES = (JobOutcome.REFUSED, JobOutcome.OLDER_CONFIGURATION)
+
 # Longest wait for the owner's answer before the call is repeated.
 CALL_TIMEOUT_S = 1.5
 RETRY_INTERVAL_S = 0.05
@@ -54,6 +58,8 @@
     :param owner: returns the owner if it runs in this process.
     :param link: connection to the owner in another process.
     :param store_lost_s: returns the seconds for which the store has not answered.
+    :param catch_up: waits for a time until a version of the configuration, or a newer
+        one, is in force at this instance.
     """
 
     def __init__(
@@ -65,6 +71,7 @@
         owner: Callable[[], Owner | None],
         link: OwnerLink,
         store_lost_s: Callable[[], float],
+        catch_up: Callable[[int], Awaitable[bool]],
     ):
         self._reactor = reactor
         self._clock = clock
@@ -72,6 +79,7 @@
         self._owner = owner
         self._link = link
         self._store_lost_s = store_lost_s
+        self._catch_up = catch_up
         self._versions = CallVersions(metrics)
 
     async def submit(
@@ -184,8 +192,7 @@
             sent, answer = await self._call_once(message(), remaining_s)
             undecided = undecided or sent
             if answer is not None and answer.outcome not in RETRIED_OUTCOMES:
-                if answer.outcome is JobOutcome.REFUSED and undecided:
-                    # Another owner may have accepted an earlier attempt.
+                if answer.outcome in UNDONE_OUTCOMES and undecided:
                     break
                 return answer
             if self._clock.monotonic_s() >= give_up_s or self._is_owner_impossible(
@@ -254,9 +261,21 @@
         return await result
 
     async def answer(self, owner: Owner, message: Message) -> JobAnswer:
-        """Answer a call as the owner."""
+        """Answer a call as the owner.
+
+        The newest configuration that either instance has decides. If the owner cannot
+        get the sender's version in time, it decides under its own.
+        """
         if isinstance(message, CallMessage):
-            self._versions.compare(message, owner.configuration_version)
+            order = self._versions.compare(message, owner.configuration_version)
+            if order is VersionOrder.CALLER_NEWER:
+                await self._catch_up(message.configuration_version)
+                order = self._versions.compare(message, owner.configuration_version)
+            if order is VersionOrder.CALLER_OLDER:
+                return JobAnswer(
+                    JobOutcome.OLDER_CONFIGURATION,
+                    configuration_version=owner.configuration_version,
+                )
         match message:
             case SubmitJob():
                 return await owner.calls.submit(
--- a/pistachiolift/node/partition.py
+++ b/pistachiolift/node/partition.py
@@ -1,7 +1,7 @@
 """A partition as seen by one instance: the link to its owner, or the owner itself."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from twisted.internet.interfaces import IReactorCore
@@ -61,6 +61,8 @@
     :param owned_partitions: returns the numbers of the partitions owned here.
     :param connect: returns a new connection for calls about a partition.
     :param accepted_connections: returns the open connections made by other instances.
+    :param catch_up: waits for a time until a version of the configuration, or a newer
+        one, is in force.
     """
 
     reactor: IReactorCore
@@ -79,6 +81,7 @@
     owned_partitions: Callable[[], list[PartitionNumber]]
     connect: Callable[..., PeerConnection]
     accepted_connections: Callable[[], list[PeerConnection]]
+    catch_up: Callable[[int], Awaitable[bool]]
 
 
 class Partition:
@@ -131,6 +134,7 @@
             owner=self.current_owner,
             link=self._link,
             store_lost_s=lambda: self.ownership.store_lost_s,
+            catch_up=context.catch_up,
             **common,
         )
 
--- a/pistachiolift/node/peer_messages.py
+++ b/pistachiolift/node/peer_messages.py
@@ -60,6 +60,9 @@
     UNDECIDED = "undecided"
     # The identifier belongs to a job of another customer.
     FORBIDDEN = "forbidden"
+    # The sender has judged the call under an older configuration than the owner's;
+    # nothing was done. Only calls that carry a version have this outcome.
+    OLDER_CONFIGURATION = "older_configuration"
 
 
 class Hello(msgspec.Struct, frozen=True, tag="hello", array_like=True):
@@ -180,6 +183,7 @@
         seconds; 0 if the owner cannot tell.
     :param details: details of the job, if they were requested.
     :param statistics: statistics of the partition, if they were requested.
+    :param configuration_version: the owner's version, if the sender's is older.
     """
 
     outcome: JobOutcome
@@ -188,6 +192,7 @@
     details: JobDetails | None = None
     statistics: PartitionStatistics | None = None
     retry_after_s: float = 0.0
+    configuration_version: int | None = None
 
 
 class Announce(msgspec.Struct, frozen=True, tag="announce", array_like=True):
--- a/pistachiolift/node/tests/test_configuration_exchange.py
+++ b/pistachiolift/node/tests/test_configuration_exchange.py
@@ -18,7 +18,12 @@
 from twisted.python.failure import Failure
 
 from pistachiolift.backends import Entry, Listing, WatchEvent
-from pistachiolift.common import MalformedMessageError, ManualClock, Metrics
+from pistachiolift.common import (
+    MalformedMessageError,
+    ManualClock,
+    Metrics,
+    StoreUnavailableError,
+)
 from pistachiolift.node.configuration_exchange import (
     DECOMPRESSED_LIMIT_BYTES,
     VALUE_LIMIT_BYTES,
@@ -99,6 +104,8 @@
     reactor: ReactorClock
     stored: Stored
     rejects: bool = False
+    # Whether waiting watches hear nothing.
+    silent: bool = False
 
     def _read(self):
         if self.rejects:
@@ -115,10 +122,13 @@
 
     async def changes(self, prefix, *, after_revision, wait_s):
         for _ in range(round(wait_s / STEP_S)):
-            if self.rejects or self.stored.revision > after_revision:
+            heard = self.stored.revision > after_revision and not self.silent
+            if self.rejects or heard:
                 break
             await deferLater(self.reactor, STEP_S)
         self._read()
+        if self.silent:
+            raise StoreUnavailableError("timeout")
         if after_revision < self.stored.history_from:
             raise HistoryLostError("changes are lost")
         events = []
@@ -391,6 +401,47 @@
         assert cell.versions() == [8, 8, 8]
 
 
+class TestCallsThatWait:
+    """A call waits for a version that another instance is known to have."""
+
+    @staticmethod
+    def start_behind(*, rejected=()):
+        """Return a cell whose owner's watch does not hear of version 2."""
+        cell = FakeCell(3, rejected=rejected)
+        cell.advance(2.0)
+        cell.owner.store.silent = True
+        cell.put(2)
+        cell.advance(0.1)
+        assert cell.versions() == [1, 2, 2]
+        return cell
+
+    # Guards against an owner that lets calls of a newer version wait for its own watch.
+    def test_it_is_fetched_at_once_though_the_watch_seems_to_work(self):
+        cell = self.start_behind()
+        in_force = [cell.owner.exchange.catch_up(2, timeout_s=1.0) for _ in range(5)]
+        cell.advance(2 * ROUND_TRIP_S)
+        assert [each.result for each in in_force] == [True] * 5
+        assert cell.owner.version == 2
+        assert cell.owner.metrics.totals_by_name["configuration.fetched"] == 1
+
+    def test_a_version_that_is_in_force_needs_no_wait(self):
+        cell = FakeCell(1)
+        cell.advance(1.0)
+        assert cell.owner.exchange.catch_up(1, timeout_s=1.0).result is True
+
+    def test_one_that_nobody_has_is_not_waited_for_longer(self):
+        cell = FakeCell(2)
+        cell.advance(1.0)
+        waiting = cell.owner.exchange.catch_up(9, timeout_s=0.5)
+        cell.advance(0.4)
+        assert not waiting.called
+        cell.advance(0.2)
+        assert waiting.result is False
+        cell.put(9)
+        cell.advance(1.0)
+        assert cell.versions() == [9, 9]
+
+
 @dataclass
 class FakePeer:
     """A connection whose calls the test answers."""
--- a/pistachiolift/node/tests/test_frozen_owner.py
+++ b/pistachiolift/node/tests/test_frozen_owner.py
@@ -102,6 +102,7 @@
                 owned_partitions=lambda: [],
                 connect=None,
                 accepted_connections=lambda: [],
+                catch_up=None,
             ),
         )
         self.partition.start()
--- a/pistachiolift/node/tests/test_job_service.py
+++ b/pistachiolift/node/tests/test_job_service.py
@@ -4,9 +4,16 @@
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.task import Clock as ReactorClock
 
-from pistachiolift.common import JobId, ManualClock, Metrics
+from pistachiolift.common import CustomerId, JobId, ManualClock, Metrics
 from pistachiolift.node.job_service import OWNER_WAIT_S, JobService
-from pistachiolift.node.peer_messages import JobAnswer, JobOutcome
+from pistachiolift.node.peer_messages import (
+    CancelJob,
+    CountWaiting,
+    GetStatus,
+    JobAnswer,
+    JobOutcome,
+    SubmitJob,
+)
 from pistachiolift.workflows.tests.virtual_cell import make_graph, make_queue
 
 JOB = JobId("0123456789abcdef")
@@ -56,8 +63,16 @@
             owner=lambda: self.owner,
             link=self.link,
             store_lost_s=lambda: self.store_lost_s,
+            catch_up=self.catch_up,
         )
         self.answers = []
+        self.obtainable = set()
+
+    async def catch_up(self, version):
+        """Get a version of the configuration if the test lets the owner have it."""
+        if version in self.obtainable:
+            self.owner.configuration_version = version
+        return version in self.obtainable
 
     def submit(self):
         until_s = self.clock.monotonic_s() + DEADLINE_S
@@ -130,3 +145,97 @@
         entry.owner.answer.callback(JobAnswer(JobOutcome.OK))
         assert entry.answers == [JobOutcome.OK]
         assert not entry.reactor.getDelayedCalls()
+
+
+class JudgingOwner:
+    """An owner that records under which version it decides about each call."""
+
+    def __init__(self, configuration_version):
+        self.configuration_version = configuration_version
+        self.calls = self
+        self.decided_under = []
+
+    def status(self, job_id, customer_id):
+        self.decided_under.append(self.configuration_version)
+        return JobAnswer(JobOutcome.OK)
+
+    def count_pending_jobs(self, queue_id):
+        return self.status(queue_id, None)
+
+    async def submit(self, job_id, queue, graph, age_s, customer_id):
+        return self.status(job_id, customer_id)
+
+    async def cancel(self, job_id, customer_id):
+        return self.status(job_id, customer_id)
+
+
+def make_calls(version):
+    """Return one call of each kind that was judged under a version."""
+    queue, customer = make_queue(), CustomerId("a")
+    return [
+        SubmitJob(JOB, queue, make_graph(), 0.0, customer, version),
+        CancelJob(JOB, customer, version),
+        GetStatus(JOB, customer, version),
+        CountWaiting(queue.queue_id, version),
+    ]
+
+
+class TestVersionsOfCallerAndOwner:
+    """The newest configuration of the two instances decides about a call."""
+
+    @staticmethod
+    def decide(*, caller, owner, obtainable=()):
+        """Return the answers, and the versions under which the owner has decided."""
+        entry = Entry()
+        entry.owner, entry.obtainable = JudgingOwner(owner), set(obtainable)
+        answers = [
+            ensureDeferred(entry.service.answer(entry.owner, call)).result
+            for call in make_calls(caller)
+        ]
+        return answers, entry.owner.decided_under
+
+    # Guards against an owner that runs a job of an added or moved route under the
+    # configuration before it, and then refuses the same route itself.
+    def test_an_owner_that_is_behind_catches_up_before_it_decides(self):
+        answers, versions = self.decide(caller=8, owner=7, obtainable=[8])
+        assert [answer.outcome for answer in answers] == [JobOutcome.OK] * 4
+        assert versions == [8] * 4
+
+    # Guards against a dropped route or a removed key that is still accepted, because
+    # the instance that took the call has not heard of the change.
+    def test_an_owner_that_is_ahead_does_nothing(self):
+        answers, versions = self.decide(caller=6, owner=7)
+        expected = JobAnswer(JobOutcome.OLDER_CONFIGURATION, configuration_version=7)
+        assert answers == [expected] * 4
+        assert versions == []
+
+    def test_an_owner_that_overtakes_the_caller_meanwhile_does_nothing(self):
+        entry = Entry()
+        entry.owner = JudgingOwner(7)
+
+        async def overtake(version):
+            entry.owner.configuration_version = version + 1
+            return True
+
+        entry.service._catch_up = overtake
+        for call in make_calls(8):
+            entry.owner.configuration_version = 7
+            answer = ensureDeferred(entry.service.answer(entry.owner, call)).result
+            assert answer.configuration_version == 9
+        assert entry.owner.decided_under == []
+
+    @pytest.mark.parametrize("caller", [None, 7, 8])
+    def test_otherwise_the_owner_decides_under_its_own(self, caller):
+        """Also if it cannot get the newer one: all calls would fail otherwise."""
+        answers, versions = self.decide(caller=caller, owner=7)
+        assert [answer.outcome for answer in answers] == [JobOutcome.OK] * 4
+        assert versions == [7] * 4
+
+    def test_a_call_that_an_owner_left_undecided_stays_undecided(self):
+        """Guards against a job that is accepted and then answered with 404."""
+        entry = Entry()
+        entry.link.connection = Peer(JobOutcome.UNDECIDED)
+        entry.submit()
+        entry.link.connection = Peer(JobOutcome.OLDER_CONFIGURATION)
+        entry.advance(0.1)
+        assert entry.answers == [JobOutcome.UNDECIDED]
--- a/pistachiolift/platform/caller_api.py
+++ b/pistachiolift/platform/caller_api.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from ..common import (
+    AuthenticationError,
     CustomerId,
     InvalidInputError,
     JobId,
@@ -36,6 +37,9 @@
 # Retries of a client after its first attempt.
 CLIENT_RETRIES = 4
 
+# Configurations under which a call is judged before the caller is told to come back.
+MAX_DECISIONS = 3
+
 # Lengths to which texts from callers are cut in log lines.
 PATH_LOGGED = 80
 MESSAGE_LOGGED = 200
@@ -58,6 +62,8 @@
     :param table: configuration under which it is handled.
     :param until_s: time by which it must be answered.
     :param customer_id: the customer that makes it; empty for none.
+    :param graph: the submitted job, once it has been read.
+    :param newer_version: version of the owner that refused to act under an older one.
     """
 
     instance: NodeInstance
@@ -66,6 +72,8 @@
     table: QueueTable | None
     until_s: float
     customer_id: CustomerId = CustomerId("")
+    graph: JobGraph | None = None
+    newer_version: int | None = None
 
     def refuse(self, reason: str, **fields: object) -> None:
         """Count and log that the call is refused."""
@@ -88,13 +96,11 @@
         headers = list(_HEADERS)
         try:
             reply = await _handle(call)
-        except CallerRefusedError as error:
-            call.refuse(f"authentication.{error.reason.value}", message=error.message)
-            headers.append((b"WWW-Authenticate", b"Bearer"))
-            reply = _Reply(error.http_status)
         except PistachioliftError as error:
             call.refuse(error.code.value, message=error.message[:MESSAGE_LOGGED])
             reply = _Reply(error.http_status)
+        if reply.status == AuthenticationError.http_status:
+            headers.append((b"WWW-Authenticate", b"Bearer"))
         if reply.retry_after_s:
             seconds = max(1, math.ceil(reply.retry_after_s))
             headers.append((b"Retry-After", b"%d" % seconds))
@@ -104,6 +110,23 @@
 
 
 async def _handle(call: _Call) -> _Reply:
+    """Handle a call, again if the owner has a newer configuration."""
+    for _ in range(MAX_DECISIONS):
+        call.newer_version = None
+        reply = await _decide(call)
+        if call.newer_version is None:
+            return reply
+        instance = call.instance
+        remaining_s = call.until_s - instance.clock.monotonic_s()
+        if not await instance.catch_up(call.newer_version, timeout_s=remaining_s):
+            break
+        call.table = instance.table
+    call.refuse("configuration_outdated", newer=call.newer_version)
+    return _Reply(503, retry_after_s=RETRY_AFTER_S)
+
+
+async def _decide(call: _Call) -> _Reply:
+    """Handle a call under one configuration."""
     instance, request, table = call.instance, call.request, call.table
     if table is None:
         call.refuse("no_configuration")
@@ -114,9 +137,12 @@
     if queue is None:
         call.refuse("no_such_queue", host=host[:PATH_LOGGED])
         return _Reply(404)
-    call.customer_id = authenticate(
-        table, queue, request.requestHeaders.getRawHeaders(b"authorization", [])
-    )
+    keys = request.requestHeaders.getRawHeaders(b"authorization", [])
+    try:
+        call.customer_id = authenticate(table, queue, keys)
+    except CallerRefusedError as error:
+        call.refuse(f"authentication.{error.reason.value}", message=error.message)
+        return _Reply(error.http_status)
     rest = path[len(queue.prefix) :]
     if not rest and request.method == b"GET":
         return await _count_pending_jobs(call, queue)
@@ -135,7 +161,7 @@
         )
         if answer.outcome is JobOutcome.OK:
             return _Reply(200, encode_status(answer.status))
-        return _error_reply(answer)
+        return _error_reply(call, answer)
     if request.method == b"DELETE":
         answer = await instance.jobs.cancel(
             job_id,
@@ -143,7 +169,9 @@
             customer_id=visible_to,
             configuration_version=table.version,
         )
-        return _Reply(200) if answer.outcome is JobOutcome.OK else _error_reply(answer)
+        if answer.outcome is JobOutcome.OK:
+            return _Reply(200)
+        return _error_reply(call, answer)
     return _Reply(405)
 
 
@@ -153,20 +181,16 @@
     )
     if answer.outcome is JobOutcome.OK:
         return _Reply(200, encode_waiting(answer.count))
-    return _error_reply(answer)
+    return _error_reply(call, answer)
 
 
 async def _submit(call: _Call, queue: Queue, job_id: JobId) -> _Reply:
-    body = await call.request.body.read_all(call.table.max_body_bytes)
-    try:
-        graph = decode_job(body)
-    except MalformedMessageError as error:
-        raise InvalidInputError(error.message) from error
-    validate_graph(graph)
+    if call.graph is None:
+        call.graph = await _read_graph(call)
     answer = await call.instance.jobs.submit(
         job_id,
         queue,
-        graph,
+        call.graph,
         until_s=call.until_s,
         customer_id=call.customer_id,
         configuration_version=call.table.version,
@@ -175,7 +199,18 @@
         return _Reply(200)
     # The job service counts the outcome and logs it.
     call.refusals.count_for_customer(answer.outcome.value, call.customer_id)
-    return _error_reply(answer, queue, graph)
+    return _error_reply(call, answer, queue)
+
+
+async def _read_graph(call: _Call) -> JobGraph:
+    """Read the submitted job; the body can be read once only."""
+    body = await call.request.body.read_all(call.table.max_body_bytes)
+    try:
+        graph = decode_job(body)
+    except MalformedMessageError as error:
+        raise InvalidInputError(error.message) from error
+    validate_graph(graph)
+    return graph
 
 
 def _retry_after_s(queue: Queue, graph: JobGraph) -> float:
@@ -189,17 +224,22 @@
     return min(RETRY_AFTER_LIMIT_S, max(RETRY_AFTER_S, objective_s / CLIENT_RETRIES))
 
 
-def _error_reply(
-    answer: JobAnswer, queue: Queue | None = None, graph: JobGraph | None = None
-) -> _Reply:
+def _error_reply(call: _Call, answer: JobAnswer, queue: Queue | None = None) -> _Reply:
+    """Return the reply for an outcome other than success.
+
+    :param queue: the queue that a job was submitted to.
+    """
+    if answer.outcome is JobOutcome.OLDER_CONFIGURATION:
+        call.newer_version = answer.configuration_version
+        return _Reply(503, retry_after_s=RETRY_AFTER_S)
     if answer.outcome is JobOutcome.UNKNOWN_JOB:
         return _Reply(410)
     if answer.outcome is JobOutcome.FORBIDDEN:
         return _Reply(403)
     if answer.outcome is JobOutcome.REFUSED:
         retry_after_s = answer.retry_after_s or RETRY_AFTER_S
-        if not answer.retry_after_s and queue is not None and graph is not None:
-            retry_after_s = _retry_after_s(queue, graph)
+        if not answer.retry_after_s and queue is not None:
+            retry_after_s = _retry_after_s(queue, call.graph)
         return _Reply(503, retry_after_s=retry_after_s)
     # The call may have taken effect, so the status must not mean "not accepted".
     return _Reply(504)
--- a/pistachiolift/platform/tests/test_caller_api.py
+++ b/pistachiolift/platform/tests/test_caller_api.py
@@ -18,6 +18,7 @@
     make_caller_api,
 )
 from pistachiolift.platform.configuration import decode_configuration
+from pistachiolift.workflows import JobStatus
 
 JOB = "0123456789abcdef"
 # Keys by customer.
@@ -44,14 +45,19 @@
         assert _deadline_s(FakeRequest(value)) == DEFAULT_DEADLINE_S
 
 
-def make_table(*, version=3, tenants=CUSTOMERS):
+def make_table(*, version=3, tenants=CUSTOMERS, added=()):
     """Return a configuration with a private and a public route.
 
     :param tenants: keys by customer; ``None`` for no customers.
+    :param added: names of further private routes.
     """
     routes = [
         {"Name": name, "Host": "h", "Prefix": f"/{name}/", "Service": "s", **fields}
-        for name, fields in [("private", {}), ("public", {"Public": True})]
+        for name, fields in [
+            ("private", {}),
+            ("public", {"Public": True}),
+            *((name, {}) for name in added),
+        ]
     ]
     value = {"Version": version, "Routes": routes}
     if tenants is not None:
@@ -69,20 +75,36 @@
         self._calls = calls
         self.outcome = None
         self.retry_after_s = 0.0
+        # Version of the owner, which does nothing for callers of an older one.
+        self.version = 0
+
+    def _older(self, caller_version):
+        if caller_version >= self.version:
+            return None
+        return JobAnswer(
+            JobOutcome.OLDER_CONFIGURATION, configuration_version=self.version
+        )
 
-    async def submit(self, job_id, queue, graph, *, until_s, customer_id, **_):
+    async def submit(
+        self, job_id, queue, graph, *, until_s, customer_id, configuration_version
+    ):
         if self.outcome is not None:
             return JobAnswer(self.outcome, retry_after_s=self.retry_after_s)
-        return await self._calls.submit(job_id, queue, graph, 0.0, customer_id)
+        return self._older(configuration_version) or await self._calls.submit(
+            job_id, queue, graph, 0.0, customer_id
+        )
 
-    async def status(self, job_id, *, until_s, customer_id, **_):
-        return self._calls.status(job_id, customer_id)
+    async def status(self, job_id, *, until_s, customer_id, configuration_version):
+        older = self._older(configuration_version)
+        return older or self._calls.status(job_id, customer_id)
 
-    async def cancel(self, job_id, *, until_s, customer_id, **_):
-        return await self._calls.cancel(job_id, customer_id)
+    async def cancel(self, job_id, *, until_s, customer_id, configuration_version):
+        older = self._older(configuration_version)
+        return older or await self._calls.cancel(job_id, customer_id)
 
-    async def count_pending_jobs(self, queue_id, *, until_s, **_):
-        return self._calls.count_pending_jobs(queue_id)
+    async def count_pending_jobs(self, queue_id, *, until_s, configuration_version):
+        older = self._older(configuration_version)
+        return older or self._calls.count_pending_jobs(queue_id)
 
 
 class Entry:
@@ -94,6 +116,8 @@
         self.metrics = Metrics()
         self.owner = CallsHarness()
         self.jobs = OwnerJobs(self.owner.calls)
+        # The configuration that a call can wait for, if any.
+        self.next_table = None
         self._site = StreamingSite(
             make_caller_api(self),
             metrics=self.metrics,
@@ -102,6 +126,13 @@
         )
         self._site.startFactory()
 
+    async def catch_up(self, version, *, timeout_s):
+        """Apply the next configuration if it is new enough."""
+        if self.next_table is None or self.next_table.version < version:
+            return False
+        self.table = self.next_table
+        return True
+
     def call(self, method, path, *authorization, body=b""):
         """Make a call and return its status.
 
@@ -273,3 +304,37 @@
         assert "reason=authentication.key_unknown count=1" in lines[0]
         assert "config=3" in lines[0]
         assert not [r for r in caplog.records if "secret" in r.getMessage()]
+
+
+class TestOwnersWithANewerConfiguration:
+    """A call that was judged under an older configuration is judged again."""
+
+    @staticmethod
+    def overtake(entry, **fields):
+        """Let the owner have a configuration that the entry instance can get."""
+        entry.next_table = make_table(version=4, **fields)
+        entry.jobs.version = 4
+
+    # Guards against an instance that has not heard of a removed key or a dropped route,
+    # and still has calls with it carried out by an owner that has.
+    @pytest.mark.parametrize("call", ["submit", "look", "cancel"])
+    def test_a_removed_key_is_refused(self, entry, call):
+        assert entry.submit() == 200
+        self.overtake(entry, tenants={"b": ["k2"]})
+        assert getattr(entry, call)() == 401
+        assert entry.owner.scheduler.status(JOB) is not JobStatus.CANCELLED
+
+    def test_a_job_is_submitted_under_the_newer_one(self, entry):
+        """The body of the request has been read already."""
+        self.overtake(entry)
+        assert entry.submit() == 200
+        assert entry.look() == 200
+
+    def test_a_caller_comes_back_if_it_cannot_be_had(self, entry):
+        entry.jobs.version = 4
+        assert entry.submit() == 503
+        assert b"retry-after" in entry.caller.transport.value().lower()
+        assert entry.owner.kinds() == []
+        entry.next_table = make_table(version=5)
+        entry.jobs.version = 6
+        assert entry.look() == 503
--- a/pistachiolift/platform/tests/test_configuration_exchange.py
+++ b/pistachiolift/platform/tests/test_configuration_exchange.py
@@ -54,3 +54,24 @@
     @staticmethod
     def log_lines(cell, index):
         return (cell.directory / f"instance-{index}.log").read_text().splitlines()
+
+
+class TestRoutesThatAreAdded:
+    # Guards against a route that was served for a call of another instance, and is
+    # refused by the owner itself a moment later.
+    def test_the_owner_serves_one_once_it_has_carried_out_a_call_of_it(self, cell):
+        owner = cell.owner()
+        entry = (owner + 1) % INSTANCES
+        path = "/added/00000000000000f1"
+        added = configuration(4)
+        added["Routes"].append(
+            {**added["Routes"][0], "Name": "added", "Prefix": "/added/"}
+        )
+        cell.set_link(cell.store_links[owner], "silent")
+        cell.control("/item/op/config", added)
+        cell.wait_until(
+            lambda: cell.call(entry, "GET", path)[0] == 410,
+            "the route at the entry instance",
+            APPLY_LIMIT_S,
+        )
+        assert cell.call(owner, "GET", path)[0] != 404
