Refuse by the configuration only while it is known to be the newest

Callers would see: 404 for a route, or 401 for a key, that an acknowledged configuration has added, from an instance that neither reaches the store nor has the configuration from a peer yet; such a refusal is final for the caller.

Cause: an instance knows how old its last confirmation is (configuration.confirmed_age_s) and which versions its peers have reported, and used neither when it refused a call.

If a peer has reported a newer version, the instance gets it and judges the call under it. If the last confirmation is older than the time within which a change must be in force (setting configuration_limit_ms, from the platform's bounds), the caller gets 503 with a time to come back, which is true of either configuration. Calls that the configuration allows go on: the owner's version decides about them.

The tests of TestRefusalsByAnOlderConfiguration fail without the change (404 and 401).

--- a/pistachiolift/node/configuration_exchange.py
+++ b/pistachiolift/node/configuration_exchange.py
@@ -83,6 +83,8 @@
         self._clock = clock
         self._metrics = metrics
         self._fetching: set[int] = set()
+        # Newest version that any peer has reported.
+        self.newest_offered = 0
         # Versions that calls wait for, and those that are fetched for them.
         self._waiting: list[tuple[int, Deferred[bool]]] = []
         self._fetching_at_once: set[int] = set()
@@ -171,6 +173,7 @@
         offered = state.configuration_version
         if offered is None:
             return
+        self.newest_offered = max(self.newest_offered, offered)
         if self._watch.table is not None and offered == self._watch.table.version:
             now_s = self._clock.monotonic_s()
             self._watch.record_confirmation(now_s - state.configuration_age_s)
--- a/pistachiolift/node/instance.py
+++ b/pistachiolift/node/instance.py
@@ -166,6 +166,20 @@
         """The configuration in force, ``None`` before the first."""
         return self._configuration.table
 
+    @property
+    def configuration_confirmed(self) -> bool:
+        """Whether the configuration cannot have been replaced for too long.
+
+        Without a confirmation by the store, a newer one may be in force elsewhere.
+        """
+        return self._configuration.age_s <= self.settings.configuration_limit_ms / 1000
+
+    @property
+    def newest_configuration(self) -> int:
+        """Newest version that this instance or one of its peers has; 0 for none."""
+        own = 0 if self.table is None else self.table.version
+        return max(own, self._exchange.newest_offered)
+
     def catch_up(
         self, version: int, *, timeout_s: float = CATCH_UP_LIMIT_S
     ) -> "Deferred[bool]":
--- a/pistachiolift/node/settings.py
+++ b/pistachiolift/node/settings.py
@@ -36,6 +36,8 @@
     :param lease_limit_ms: longest lease of the runs of a worker, in milliseconds.
     :param workers_per_partition: approximate number of workers per partition; used only
         when a cell starts for the first time.
+    :param configuration_limit_ms: time within which an acknowledged configuration must
+        be in force, in milliseconds.
     :param keep_final_s: time for which the state of a finished job can be queried, in
         seconds.
     """
@@ -55,6 +57,7 @@
     grace_s: float = 6.0
     lease_limit_ms: float = 6_000.0
     keep_final_s: float = 120.0
+    configuration_limit_ms: float = 3_000.0
     workers_per_partition: int = WORKERS_PER_PARTITION
 
     def __post_init__(self) -> None:
@@ -84,7 +87,12 @@
                 f"store_writes_per_s is {self.store_writes_per_s}; must be from 1 to "
                 "1000000"
             )
-        for name in ("grace_s", "lease_limit_ms", "keep_final_s"):
+        for name in (
+            "grace_s",
+            "lease_limit_ms",
+            "keep_final_s",
+            "configuration_limit_ms",
+        ):
             if not 0 < getattr(self, name) <= 86_400:
                 raise ValueError(
                     f"{name} is {getattr(self, name)}; must be above 0, at most 86400"
--- a/pistachiolift/platform/caller_api.py
+++ b/pistachiolift/platform/caller_api.py
@@ -125,6 +125,23 @@
     return _Reply(503, retry_after_s=RETRY_AFTER_S)
 
 
+def _refuse_by_configuration(call: _Call, reason: str, status: int, **fields) -> _Reply:
+    """Refuse a call that the configuration does not allow.
+
+    If another instance is known to have a newer one, the call is judged under that; if
+    there may be one, the caller is told to come back.
+    """
+    newest = call.instance.newest_configuration
+    if newest > call.table.version:
+        call.newer_version = newest
+        return _Reply(503, retry_after_s=RETRY_AFTER_S)
+    if call.instance.configuration_confirmed:
+        call.refuse(reason, **fields)
+        return _Reply(status)
+    call.refuse("configuration_unconfirmed", instead_of=reason)
+    return _Reply(503, retry_after_s=RETRY_AFTER_S)
+
+
 async def _decide(call: _Call) -> _Reply:
     """Handle a call under one configuration."""
     instance, request, table = call.instance, call.request, call.table
@@ -135,14 +152,17 @@
     path = request.path.decode("latin-1")
     queue = table.find(host, path)
     if queue is None:
-        call.refuse("no_such_queue", host=host[:PATH_LOGGED])
-        return _Reply(404)
+        return _refuse_by_configuration(
+            call, "no_such_queue", 404, host=host[:PATH_LOGGED]
+        )
     keys = request.requestHeaders.getRawHeaders(b"authorization", [])
     try:
         call.customer_id = authenticate(table, queue, keys)
     except CallerRefusedError as error:
-        call.refuse(f"authentication.{error.reason.value}", message=error.message)
-        return _Reply(error.http_status)
+        reason = f"authentication.{error.reason.value}"
+        return _refuse_by_configuration(
+            call, reason, error.http_status, message=error.message
+        )
     rest = path[len(queue.prefix) :]
     if not rest and request.method == b"GET":
         return await _count_pending_jobs(call, queue)
--- a/pistachiolift/platform/tests/test_caller_api.py
+++ b/pistachiolift/platform/tests/test_caller_api.py
@@ -116,6 +116,8 @@
         self.metrics = Metrics()
         self.owner = CallsHarness()
         self.jobs = OwnerJobs(self.owner.calls)
+        self.configuration_confirmed = True
+        self.newest_configuration = 0
         # The configuration that a call can wait for, if any.
         self.next_table = None
         self._site = StreamingSite(
@@ -338,3 +340,33 @@
         entry.next_table = make_table(version=5)
         entry.jobs.version = 6
         assert entry.look() == 503
+
+
+class TestRefusalsByAnOlderConfiguration:
+    """An instance refuses a call only under the newest configuration it can know of."""
+
+    # Guards against 404 for a route that has been added, or 401 for a key that has,
+    # while another instance is known to have the configuration with it.
+    def test_an_added_route_and_an_added_key_are_served(self, entry):
+        entry.next_table = make_table(
+            version=4, tenants={**CUSTOMERS, "c": ["k3"]}, added=["added"]
+        )
+        entry.newest_configuration = 4
+        assert entry.submit(queue="added", key=b"k3") == 200
+        assert entry.call("GET", "/added/", b"Bearer k3") == 200
+
+    def test_a_route_that_the_newest_one_lacks_does_not_exist(self, entry):
+        entry.next_table = make_table(version=4)
+        entry.newest_configuration = 4
+        assert entry.submit(queue="other") == 404
+
+    # Guards against the same while nobody can tell whether there is a newer one.
+    def test_without_a_confirmation_the_caller_comes_back(self, entry):
+        entry.configuration_confirmed = False
+        for refused in [entry.submit(queue="other"), entry.submit(key=b"k3")]:
+            assert refused == 503
+            assert b"retry-after" in entry.caller.transport.value().lower()
+        assert entry.submit() == 200
+        entry.configuration_confirmed = True
+        assert entry.submit(queue="other") == 404
+        assert entry.submit(key=b"k3") == 401
