Pause between listings while the store keeps losing its history

Callers would see: 429 from the store for all instances, and with it late configurations and refused jobs.

Cause: after an answer that the history is lost, the watch listed and watched again at once.

The first loss is followed by a listing at once, each further one by a pause of 0.15 s.

--- a/pistachiolift/node/store_watches.py
+++ b/pistachiolift/node/store_watches.py
@@ -88,6 +88,8 @@
 
     async def _watch(self) -> None:
         revision: int | None = None
+        # Whether no change has been read since the history was lost.
+        lost_again = False
         while not self._stopped:
             sent_s = self._clock.monotonic_s()
             try:
@@ -104,13 +106,20 @@
                     )
                     if self._stopped:
                         return
+                    lost_again = False
                     revision = self._position = max(revision, changes.revision)
                     for event in changes.events:
                         self._record_revision(event)
                         self.apply_change(event)
             except HistoryLostError:
-                log_event(logger, "watch_history_lost", prefix=self.prefix)
                 revision = None
+                if lost_again:
+                    # Without a pause, listing and watch would be repeated as fast as
+                    # the store answers, by all instances.
+                    await deferLater(self._reactor, RETRY_INTERVAL_S)
+                else:
+                    log_event(logger, "watch_history_lost", prefix=self.prefix)
+                lost_again = True
                 continue
             except StoreUnavailableError as error:
                 self._record_lost_contact(error)
--- a/pistachiolift/node/tests/test_store_watches.py
+++ b/pistachiolift/node/tests/test_store_watches.py
@@ -6,10 +6,20 @@
 import pytest
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import Clock as ReactorClock
+from twisted.internet.task import deferLater
 
 from pistachiolift.common import MalformedMessageError, ManualClock, Metrics
-from pistachiolift.node.interfaces import Changes, PlatformAdapter, Put
-from pistachiolift.node.store_watches import DirectoryWatch
+from pistachiolift.node.interfaces import (
+    Changes,
+    HistoryLostError,
+    PlatformAdapter,
+    Put,
+)
+from pistachiolift.node.store_watches import (
+    RETRY_INTERVAL_S,
+    ConfigurationWatch,
+    DirectoryWatch,
+)
 
 from .fake_store import FakeStore
 from .test_worker_driver import WORKER
@@ -122,3 +132,44 @@
             harness.store.down = False
             harness.advance(1.0)
         assert ("watch_change_missed" in caplog.text) == skips
+
+
+class StoreWithoutHistory(FakeStore):
+    """A store that answers listings only, each after a time."""
+
+    ANSWER_S = 0.004
+
+    def __init__(self, reactor):
+        super().__init__()
+        self._reactor = reactor
+        self.listings = 0
+
+    async def list_prefix(self, prefix):
+        self.listings += 1
+        await deferLater(self._reactor, self.ANSWER_S)
+        return await super().list_prefix(prefix)
+
+    async def changes(self, prefix, *, after_revision, wait_s):
+        await deferLater(self._reactor, self.ANSWER_S)
+        raise HistoryLostError("changes are lost")
+
+
+class TestLostHistory:
+    # Guards against instances that use up the store's rate of reads when it loses its
+    # history again and again.
+    def test_listings_are_repeated_with_a_pause(self):
+        reactor = ReactorClock()
+        store = StoreWithoutHistory(reactor)
+        watch = ConfigurationWatch(
+            reactor,
+            store,
+            FakeAdapter(operator_prefix="op/"),
+            on_table=lambda table: None,
+            clock=ManualClock(),
+            metrics=Metrics(),
+        )
+        watch.start()
+        for _ in range(3000):
+            reactor.advance(0.001)
+        assert 3.0 / RETRY_INTERVAL_S / 2 < store.listings
+        assert store.listings <= 3.0 / RETRY_INTERVAL_S + 1
