Give the own watch the time that its transfer takes on the own link

The delay before a fetch from a peer assumed the smallest link everywhere, so that an instance with a fast link whose watch had gone silent waited up to 1.5 s in vain; some cells have 2 s for a change. It now follows from the instance's own link.

--- a/pistachiolift/node/configuration_exchange.py
+++ b/pistachiolift/node/configuration_exchange.py
@@ -32,8 +32,9 @@
 OWN_WATCH_DELAY_S = 0.25
 
 # A long configuration may still be on its way from the store after that delay, which is
-# extended by the time that one of the last one's length takes on the smallest link.
-OWN_WATCH_BYTES_PER_S = 600_000
+# extended, up to a limit, by the time that one of the last one's length takes as base64
+# text on the instance's link.
+BASE64_FACTOR = 4 / 3
 OWN_WATCH_DELAY_LIMIT_S = 1.5
 
 # Compression costs about a millisecond per megabyte of text; the rate matters more on
@@ -66,6 +67,7 @@
 
     :param watch: applies configurations.
     :param connections: returns the open connections to other instances.
+    :param link_mbps: returns the bandwidth of the instance's link, in Mbit/s.
     """
 
     def __init__(
@@ -74,12 +76,14 @@
         *,
         watch: ConfigurationWatch,
         connections: Callable[[], Iterable[PeerConnection]],
+        link_mbps: Callable[[], float],
         clock: Clock,
         metrics: Metrics,
     ):
         self._reactor = reactor
         self._watch = watch
         self._connections = connections
+        self._link_mbps = link_mbps
         self._clock = clock
         self._metrics = metrics
         self._fetching: set[int] = set()
@@ -200,7 +204,8 @@
 
     @property
     def _own_watch_delay_s(self) -> float:
-        transfer_s = len(self._watch.value) / OWN_WATCH_BYTES_PER_S
+        bytes_per_s = self._link_mbps() * 1_000_000 / 8
+        transfer_s = len(self._watch.value) * BASE64_FACTOR / bytes_per_s
         return min(OWN_WATCH_DELAY_S + transfer_s, OWN_WATCH_DELAY_LIMIT_S)
 
     async def _fetch(self, connection: PeerConnection, version: int) -> None:
--- a/pistachiolift/node/instance.py
+++ b/pistachiolift/node/instance.py
@@ -114,6 +114,7 @@
             reactor,
             watch=self._configuration,
             connections=self._open_connections,
+            link_mbps=lambda: self.settings.link_mbps,
             clock=clock,
             metrics=metrics,
         )
--- a/pistachiolift/node/tests/test_configuration_exchange.py
+++ b/pistachiolift/node/tests/test_configuration_exchange.py
@@ -55,6 +55,9 @@
 ROUND_TRIP_S = 0.02
 STEP_S = 0.01
 
+# The smallest link of an instance.
+LINK_MBPS = 5.0
+
 BOMB = bytes(DECOMPRESSED_LIMIT_BYTES + 1)
 
 
@@ -192,6 +195,7 @@
             cell.reactor,
             watch=self.watch,
             connections=lambda: [c for c in self.connections if c.open and c.peer],
+            link_mbps=lambda: LINK_MBPS,
             clock=cell.clock,
             metrics=self.metrics,
         )
@@ -401,6 +405,23 @@
         assert cell.versions() == [8, 8, 8]
 
 
+class TestOwnWatch:
+    """An instance that seems to reach the store gives its own watch some time."""
+
+    # Guards against fetches of a long configuration that is still on its way from the
+    # store, which take the link from it.
+    def test_it_gets_the_time_that_the_last_value_takes_on_the_link(self):
+        for length, early_s, late_s in [(0, 0.2, 0.4), (150_000, 0.5, 0.7)]:
+            cell = FakeCell(2, stored=Stored(encode(1, "x" * length)))
+            cell.advance(1.0)
+            cell.owner.store.silent = True
+            cell.put(2)
+            cell.advance(early_s)
+            assert cell.owner.version == 1
+            cell.advance(late_s - early_s)
+            assert cell.owner.version == 2
+
+
 class TestCallsThatWait:
     """A call waits for a version that another instance is known to have."""
 
