Take the limit for configurations from the settings in one place

The log and the gauge of unconfirmed configurations had 3 s, while refusals had the limit of the platform, 2 to 4 s. Both now ask the exchange, which also knows the newest version that a peer has reported. Versions that differ are logged once for each pair even if the callers' versions alternate. No refusal changes.

--- a/pistachiolift/node/call_versions.py
+++ b/pistachiolift/node/call_versions.py
@@ -22,13 +22,15 @@
 class CallVersions:
     """Compares versions, and reports differences.
 
-    One line is logged for each pair of versions, since a burst of calls may meet an
-    owner that is behind.
+    One line is logged for each pair of versions, since many calls may meet an owner
+    that is behind.
     """
 
     def __init__(self, metrics: Metrics):
         self._metrics = metrics
-        self._logged: tuple[int, int] | None = None
+        self._owner_version = 0
+        # Versions of callers that were logged since the owner has its version.
+        self._logged: set[int] = set()
 
     def compare(self, message: CallMessage, owner_version: int) -> VersionOrder:
         """Compare the version that a call carries with the owner's.
@@ -41,8 +43,11 @@
         newer = version > owner_version
         order = VersionOrder.CALLER_NEWER if newer else VersionOrder.CALLER_OLDER
         self._metrics.count(f"configuration.{order.value}")
-        if self._logged != (version, owner_version):
-            self._logged = (version, owner_version)
+        if owner_version != self._owner_version:
+            self._owner_version = owner_version
+            self._logged.clear()
+        if version not in self._logged:
+            self._logged.add(version)
             log_event(
                 logger,
                 "call_version_differs",
--- a/pistachiolift/node/configuration_exchange.py
+++ b/pistachiolift/node/configuration_exchange.py
@@ -37,8 +37,7 @@
 BASE64_FACTOR = 4 / 3
 OWN_WATCH_DELAY_LIMIT_S = 1.5
 
-# Compression costs about a millisecond per megabyte of text; the rate matters more on
-# the owner's link, since all other instances may ask it at once.
+# The fastest level; routes are similar enough to compress well with it.
 COMPRESSION_LEVEL = 1
 
 # Time for which the bytes of a version are not fetched from a peer again after they
@@ -53,10 +52,6 @@
 
 CHECK_INTERVAL_S = 0.5
 
-# A configuration must be in force 3 s after the store has acknowledged it. One that
-# was confirmed longer ago than that may have been replaced.
-UNCONFIRMED_S = 3.0
-
 
 class ConfigurationExchange:
     """Fetches newer configurations from peers, and answers their fetches.
@@ -68,6 +63,8 @@
     :param watch: applies configurations.
     :param connections: returns the open connections to other instances.
     :param link_mbps: returns the bandwidth of the instance's link, in Mbit/s.
+    :param limit_s: returns the time within which an acknowledged configuration must be
+        in force, in seconds.
     """
 
     def __init__(
@@ -77,6 +74,7 @@
         watch: ConfigurationWatch,
         connections: Callable[[], Iterable[PeerConnection]],
         link_mbps: Callable[[], float],
+        limit_s: Callable[[], float],
         clock: Clock,
         metrics: Metrics,
     ):
@@ -84,11 +82,12 @@
         self._watch = watch
         self._connections = connections
         self._link_mbps = link_mbps
+        self._limit_s = limit_s
         self._clock = clock
         self._metrics = metrics
         self._fetching: set[int] = set()
         # Newest version that any peer has reported.
-        self.newest_offered = 0
+        self._newest_offered = 0
         # Versions that calls wait for, and those that are fetched for them.
         self._waiting: list[tuple[int, Deferred[bool]]] = []
         self._fetching_at_once: set[int] = set()
@@ -108,6 +107,20 @@
         if self._checking.running:
             self._checking.stop()
 
+    @property
+    def confirmed(self) -> bool:
+        """Whether the store has confirmed the configuration recently enough.
+
+        Otherwise a newer one may be in force elsewhere.
+        """
+        return self._watch.age_s <= self._limit_s()
+
+    @property
+    def newest_version(self) -> int:
+        """Newest version that this instance or one of its peers has; 0 for none."""
+        table = self._watch.table
+        return max(0 if table is None else table.version, self._newest_offered)
+
     def announce(self) -> None:
         """Report a new version in force to all peers, and to the calls that wait.
 
@@ -177,7 +190,7 @@
         offered = state.configuration_version
         if offered is None:
             return
-        self.newest_offered = max(self.newest_offered, offered)
+        self._newest_offered = max(self._newest_offered, offered)
         if self._watch.table is not None and offered == self._watch.table.version:
             now_s = self._clock.monotonic_s()
             self._watch.record_confirmation(now_s - state.configuration_age_s)
@@ -296,7 +309,7 @@
         age_s = self._watch.age_s
         self._metrics.gauge("configuration.version", table.version)
         self._metrics.gauge("configuration.confirmed_age_s", round(age_s, 3))
-        unconfirmed = age_s > UNCONFIRMED_S
+        unconfirmed = not self.confirmed
         if unconfirmed != self._unconfirmed:
             self._unconfirmed = unconfirmed
             log_event(
@@ -305,7 +318,7 @@
                 level=logging.WARNING if unconfirmed else logging.INFO,
                 config=table.version,
                 age_s=round(age_s, 3),
-                limit_s=UNCONFIRMED_S,
+                limit_s=self._limit_s(),
                 store_reached=self._watch.connected,
                 peers=sum(1 for _ in self._connections()),
             )
--- a/pistachiolift/node/instance.py
+++ b/pistachiolift/node/instance.py
@@ -115,6 +115,7 @@
             watch=self._configuration,
             connections=self._open_connections,
             link_mbps=lambda: self.settings.link_mbps,
+            limit_s=lambda: self.settings.configuration_limit_ms / 1000,
             clock=clock,
             metrics=metrics,
         )
@@ -169,17 +170,13 @@
 
     @property
     def configuration_confirmed(self) -> bool:
-        """Whether the configuration cannot have been replaced for too long.
-
-        Without a confirmation by the store, a newer one may be in force elsewhere.
-        """
-        return self._configuration.age_s <= self.settings.configuration_limit_ms / 1000
+        """Whether the configuration cannot have been replaced for too long."""
+        return self._exchange.confirmed
 
     @property
     def newest_configuration(self) -> int:
         """Newest version that this instance or one of its peers has; 0 for none."""
-        own = 0 if self.table is None else self.table.version
-        return max(own, self._exchange.newest_offered)
+        return self._exchange.newest_version
 
     def catch_up(
         self, version: int, *, timeout_s: float = CATCH_UP_LIMIT_S
--- a/pistachiolift/node/tests/test_call_versions.py
+++ b/pistachiolift/node/tests/test_call_versions.py
@@ -29,10 +29,13 @@
     def test_a_difference_is_counted_for_each_call_and_logged_once(self, caplog):
         metrics = Metrics()
         versions = CallVersions(metrics)
-        message = CountWaiting(QueueId("q"), configuration_version=6)
         with caplog.at_level(logging.INFO):
-            for _ in range(3):
+            for caller in [5, 6] * 3:
+                message = CountWaiting(QueueId("q"), configuration_version=caller)
                 versions.compare(message, 7)
-        assert caplog.text.count("call_version_differs") == 1
+        assert caplog.text.count("call_version_differs") == 2
         assert "caller_config=6 config=7" in caplog.text
-        assert metrics.totals_by_name["configuration.caller_older"] == 3
+        assert metrics.totals_by_name["configuration.caller_older"] == 6
+        with caplog.at_level(logging.INFO):
+            versions.compare(message, 8)
+        assert "caller_config=6 config=8" in caplog.text
--- a/pistachiolift/node/tests/test_configuration_exchange.py
+++ b/pistachiolift/node/tests/test_configuration_exchange.py
@@ -196,6 +196,7 @@
             watch=self.watch,
             connections=lambda: [c for c in self.connections if c.open and c.peer],
             link_mbps=lambda: LINK_MBPS,
+            limit_s=lambda: APPLY_LIMIT_S,
             clock=cell.clock,
             metrics=self.metrics,
         )
@@ -333,9 +334,11 @@
         cell.advance(5.0)
         assert cell.versions() == [1, 1, 1]
         assert all(instance.watch.age_s < 2.0 for instance in cell.instances)
+        assert all(instance.exchange.confirmed for instance in cell.instances)
         cell.set_rejected((0, 1, 2))
         cell.advance(5.0)
         for instance in cell.instances:
+            assert not instance.exchange.confirmed
             gauges = instance.metrics.gauges_by_name
             assert gauges["configuration.version"] == 1
             assert gauges["configuration.confirmed_age_s"] > 4.0
@@ -517,6 +520,15 @@
         peer = FakePeer("a")
         self.offer(instance, peer, version)
         assert not peer.calls
+        assert instance.exchange.newest_version == 5
+
+    def test_a_version_that_is_not_usable_is_known_to_be_newer(self):
+        """Guards against final refusals under a version that is known to be old."""
+        _, instance = self.start()
+        peer = FakePeer("a")
+        self.offer(instance, peer, 6)
+        peer.calls[0].callback(ConfigurationReply(6, b"odd"))
+        assert (instance.version, instance.exchange.newest_version) == (5, 6)
 
     def test_a_peer_that_sends_an_older_version_than_it_offered(self):
         _, instance = self.start()
--- a/pistachiolift/platform/caller_api.py
+++ b/pistachiolift/platform/caller_api.py
@@ -63,7 +63,7 @@
     :param until_s: time by which it must be answered.
     :param customer_id: the customer that makes it; empty for none.
     :param graph: the submitted job, once it has been read.
-    :param newer_version: version of the owner that refused to act under an older one.
+    :param newer_version: version under which it has to be judged again.
     """
 
     instance: NodeInstance
@@ -110,7 +110,7 @@
 
 
 async def _handle(call: _Call) -> _Reply:
-    """Handle a call, again if the owner has a newer configuration."""
+    """Handle a call, again if another instance has a newer configuration."""
     for _ in range(MAX_DECISIONS):
         call.newer_version = None
         reply = await _decide(call)
