Use answers of busy peers, and ask each peer once at a time

Callers saw: refusals and late changes at instances that the store rejects, while the owner is overloaded or has just taken over.

Cause: a fetch was given up after 0.5 s and its answer dropped, and the next ping asked again. An owner reads the ledger over its own link for seconds.

A fetch may now take 4 s. After 0.5 s other peers are asked too, and a peer is not asked again while it owes an answer, which will be its newest version.

test_an_answer_that_takes_longer_is_used failed before (versions 2, 1, 1).

--- a/pistachiolift/node/configuration_exchange.py
+++ b/pistachiolift/node/configuration_exchange.py
@@ -4,7 +4,7 @@
 import zlib
 from collections.abc import Callable, Iterable
 
-from twisted.internet.defer import Deferred, succeed
+from twisted.internet.defer import Deferred, DeferredList, succeed
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall, deferLater
 
@@ -23,9 +23,13 @@
 
 logger = logging.getLogger(__name__)
 
-# Longest time for the answer to a fetch. Two fetches of this length and the pings
-# before them are possible within the 3 s that a configuration may take.
-FETCH_TIMEOUT_S = 0.5
+# Time after which other peers are asked too. Two of these times and the pings before
+# them are possible within the 3 s that a configuration may take.
+NEXT_PEER_DELAY_S = 0.5
+
+# Longest time for the answer to a fetch. An owner that is overloaded, or that reads the
+# ledger over a small link, answers after seconds.
+FETCH_TIMEOUT_S = 4.0
 
 # Time for which an instance that reaches the store waits for its own watch before a
 # fetch. Without it, each new version would be sent to all instances by the owner.
@@ -86,6 +90,8 @@
         self._clock = clock
         self._metrics = metrics
         self._fetching: set[int] = set()
+        # Connections with a fetch that is not answered yet.
+        self._asked: set[PeerConnection] = set()
         # Newest version that any peer has reported.
         self._newest_offered = 0
         # Versions that calls wait for, and those that are fetched for them.
@@ -209,9 +215,14 @@
         return self._watch.table is None or version > self._watch.table.version
 
     def _is_wanted(self, connection: PeerConnection, version: int) -> bool:
-        """Whether a version is newer, and its bytes from this peer may be usable."""
+        """Whether a version is newer, and its bytes from this peer may be usable.
+
+        An unanswered fetch will be answered with the newest version that the peer has.
+        """
         if connection.peer is None or not self._is_newer(version):
             return False
+        if connection in self._asked:
+            return False
         until_s = self._paused_until_s.get((connection.peer.instance_id, version), 0.0)
         return self._clock.monotonic_s() >= until_s
 
@@ -257,6 +268,31 @@
         )
 
     async def _fetch_from(self, connection: PeerConnection, version: int) -> None:
+        """Ask a peer until it answers, or until it is time to ask others too."""
+        if connection in self._asked:
+            return
+        asking = run_in_background(
+            self._ask(connection, version),
+            logger=logger,
+            event="configuration_fetch_failed",
+            config=version,
+        )
+        waiting = deferLater(self._reactor, NEXT_PEER_DELAY_S)
+        await DeferredList(
+            [asking, waiting], fireOnOneCallback=True, consumeErrors=True
+        )
+        if not waiting.called:
+            waiting.cancel()
+
+    async def _ask(self, connection: PeerConnection, version: int) -> None:
+        """Ask a peer for its configuration, and apply it unless it is an older one."""
+        self._asked.add(connection)
+        try:
+            await self._apply_from(connection, version)
+        finally:
+            self._asked.discard(connection)
+
+    async def _apply_from(self, connection: PeerConnection, version: int) -> None:
         peer = connection.peer.instance_id
         sent_s = self._clock.monotonic_s()
         try:
--- a/pistachiolift/node/tests/test_configuration_exchange.py
+++ b/pistachiolift/node/tests/test_configuration_exchange.py
@@ -181,6 +181,9 @@
         self.store = StoreView(cell.reactor, cell.stored, rejects)
         self.metrics = Metrics()
         self.connections = []
+        # Delay of the answers to fetches, and number of these.
+        self.answer_delay_s = 0.0
+        self.requests = 0
         # Times at which versions came into force.
         self.applied_s = {}
         self.watch = ConfigurationWatch(
@@ -221,6 +224,8 @@
 
     async def _answer(self, connection, message):
         assert isinstance(message, GetConfiguration)
+        self.requests += 1
+        await deferLater(self.cell.reactor, self.answer_delay_s)
         return self.exchange.answer(message)
 
     def connection(self, *, outgoing):
@@ -268,10 +273,10 @@
         for other in others:
             self.connect(other)
 
-    def connect(self, entry):
-        """Connect an entry instance to the owner."""
+    def connect(self, entry, other=None):
+        """Connect an entry instance to the owner, or to another instance."""
         opened = entry.connection(outgoing=True)
-        accepted = self.owner.connection(outgoing=False)
+        accepted = (other or self.owner).connection(outgoing=False)
         there, back = Pipe(self.reactor, accepted), Pipe(self.reactor, opened)
         there.back, back.back = back, there
         opened.makeConnection(there)
@@ -425,6 +430,31 @@
             assert cell.owner.version == 2
 
 
+class TestBusyPeers:
+    # Guards against rejected instances that give up each answer of an owner that is
+    # overloaded or reads the ledger, and ask for it again.
+    def test_an_answer_that_takes_longer_is_used(self):
+        cell = FakeCell(3, rejected=(1, 2))
+        cell.advance(1.0)
+        cell.owner.answer_delay_s = 1.2
+        cell.put(2)
+        cell.advance(1.4)
+        assert cell.versions() == [2, 2, 2]
+        assert cell.owner.requests == 4
+
+    def test_other_peers_are_asked_meanwhile(self):
+        cell = FakeCell(3, rejected=(1,))
+        cell.advance(1.0)
+        second = FakeInstance(cell, "second")
+        cell.connect(cell.instances[1], second)
+        cell.advance(1.0)
+        cell.owner.answer_delay_s = 60.0
+        cell.put(2)
+        cell.advance(1.0)
+        assert cell.versions() == [2, 2, 2]
+        assert cell.instances[1].exchange.newest_version == 2
+
+
 class TestCallsThatWait:
     """A call waits for a version that another instance is known to have."""
 
@@ -466,7 +496,7 @@
         assert cell.versions() == [9, 9]
 
 
-@dataclass
+@dataclass(eq=False)
 class FakePeer:
     """A connection whose calls the test answers."""
 
