--- a/review/standins/cell.py
+++ b/review/standins/cell.py
@@ -192,7 +192,7 @@
         self.spawn(process, [str(STANDINS / "executor.py"), json.dumps(options)])
 
     def replace_executor(self, name: str, down_s: float) -> None:
-        """Kill an executor; its next life begins after a time, on standby until then."""
+        """Kill an executor; its next life, on standby, begins after a time."""
         self.crash(name)
         time.sleep(down_s)
         standby = self.processes.pop(f"{name}-standby")
