--- a/review/standins/cell.py
+++ b/review/standins/cell.py
@@ -70,6 +70,7 @@
             self.record_file.write(f"{time.monotonic() - self.begun:8.3f} {text}\n")
 
     def __enter__(self) -> "Cell":
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         try:
             self.spawn("store", [str(STANDINS / "store.py"), str(self.store_port)])
             self.wait(self.store_answers, "store")
