Reject delayed starts at the next process of a worker

A start without an answer was repeated and answered; its worker crashed and started again under its identifier; then the first call arrived and was carried out there, beside the next run of the task or after its success.

Cause: nothing told the next process which calls were meant for the one before. Both have one identifier, the next one has seen no fencing token, and its owner sent the same token as before, once the directory listed the process. For the tasks that were running, the owner compared the newest answer with the newest report; that an earlier call had no answer was not kept.

Change: the token of the calls to a worker rises with each of its processes, and when it is lost while a start has no answer, so that the first call to the next process voids all earlier ones. That process is polled as soon as an answer names it. A run keeps when a start of it had no answer; runs that the next process may have started move to it and end, or continue, with its first report. The process is recorded as in use at once: an owner that followed before it was listed repeated such tasks within 0.1 s.

A test is renamed: the next process is not told to stop such a run any more, it goes on there; its checks are unchanged.

--- a/pistachiolift/node/interfaces.py
+++ b/pistachiolift/node/interfaces.py
@@ -94,11 +94,20 @@
 
 
 class WorkerReplacedError(PistachioliftError):
-    """A later process of the worker answered; the expected one has ended."""
+    """Another process answered at the worker's address; the expected one has ended.
+
+    :param incarnation: incarnation of the process, which carries out calls meant for
+        the expected one, since both have the worker's identifier. ``None`` if it has
+        another identifier and rejects such calls.
+    """
 
     code = ErrorCode.UPSTREAM_UNREACHABLE
     http_status = 502
 
+    def __init__(self, message: str, *, incarnation: int | None = None):
+        super().__init__(message)
+        self.incarnation = incarnation
+
 
 class StaleOwnerError(PistachioliftError):
     """The worker has accepted a higher fencing token from a later owner."""
--- a/pistachiolift/node/owner.py
+++ b/pistachiolift/node/owner.py
@@ -4,6 +4,7 @@
 from collections import deque
 from collections.abc import Callable
 
+import msgspec
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 from twisted.internet.task import LoopingCall
@@ -42,6 +43,7 @@
 from .poll_limiter import PollLimiter
 from .waiting_report import WaitingReporter
 from .worker_driver import LeaseTerms, WorkerDriver, WorkerEvents
+from .worker_fence import WorkerFence
 
 __all__ = ["Owner"]
 
@@ -158,6 +160,8 @@
             self.scheduler, metrics, f"partition.{keys.number}"
         )
         self._drivers_by_id: dict[WorkerId, WorkerDriver] = {}
+        # Kept for workers that have gone, which may come back.
+        self._fences_by_id: dict[WorkerId, WorkerFence] = {}
         self._poll_limiter = PollLimiter(lambda: len(self._drivers_by_id))
         self._table = QueueTable()
         self._scheduled_pass: IDelayedCall | None = None
@@ -421,6 +425,13 @@
             self._drivers_by_id.pop(worker.worker_id, None)
             self.scheduler.fleet.mark_unreachable(worker.worker_id)
             return
+        fence = self._fences_by_id.get(worker.worker_id)
+        if fence is None:
+            fence = WorkerFence(lambda: self.scheduler.state.fence)
+            self._fences_by_id[worker.worker_id] = fence
+        elif known is None or known.worker.incarnation != worker.incarnation:
+            # What was sent to the earlier process must not reach this one later.
+            fence.advance()
         driver = WorkerDriver(
             self._reactor,
             worker,
@@ -430,7 +441,7 @@
             terms=self._terms,
             events=self,
             poll_limiter=self._poll_limiter,
-            fence=lambda: self.scheduler.state.fence,
+            fence=fence,
         )
         self._drivers_by_id[worker.worker_id] = driver
         driver.run()
@@ -506,6 +517,12 @@
         if not answer.started:
             self._schedule_pass()
 
+    def record_unanswered_start(self, command: StartRun, sent_s: float) -> None:
+        """Record that an attempt at a start has no answer."""
+        self.scheduler.record_unanswered_start(
+            command.worker_id, command.task, command.number, sent_s=sent_s
+        )
+
     def handle_unanswered_start(self, command: StartRun) -> None:
         """Block a start command that may have been carried out."""
         log_event(
@@ -533,15 +550,25 @@
         """Record that a worker does not answer."""
         self.scheduler.fleet.mark_unreachable(worker.worker_id)
 
-    def handle_worker_ended(self, worker: Worker, reason: str) -> None:
-        """Record that a worker's process has ended."""
+    def handle_worker_replaced(self, worker: Worker, incarnation: int | None) -> None:
+        """Record that another process has replaced a worker's process.
+
+        One with the worker's identifier is polled at once, before it is listed.
+        """
         now_s = self._clock.monotonic_s()
         entry = self.scheduler.state.workers_by_id.get(worker.worker_id)
         if entry is not None and entry.worker.incarnation == worker.incarnation:
-            self.scheduler.fleet.remove_worker(
-                worker.worker_id, now_s=now_s, replaced=reason == "replaced"
-            )
-            self._dead_s_by_id[worker.worker_id] = now_s
+            fleet = self.scheduler.fleet
+            if incarnation is None:
+                fleet.remove_worker(worker.worker_id, now_s=now_s, replaced=True)
+                self._dead_s_by_id[worker.worker_id] = now_s
+            else:
+                listed = self._directory().get(worker.worker_id)
+                registered = listed is not None and listed.incarnation == incarnation
+                if not registered:
+                    listed = msgspec.structs.replace(worker, incarnation=incarnation)
+                fleet.replace_worker(listed, now_s=now_s, registered=registered)
+                self._ensure_driver(listed)
         self._schedule_pass()
 
     def record_lease(self, worker: Worker, lease_end_s: float) -> None:
--- a/pistachiolift/node/tests/test_owner.py
+++ b/pistachiolift/node/tests/test_owner.py
@@ -61,11 +61,14 @@
 
 
 class Harness:
-    """An owner with an in-memory store."""
+    """An owner with an in-memory store.
 
-    def __init__(self, outcomes=(), authority_s=0.0, partitions=1):
+    :param adapter: connects the workers, by default with the answers in ``outcomes``.
+    """
+
+    def __init__(self, outcomes=(), authority_s=0.0, partitions=1, adapter=None):
         self.reactor, self.clock = ReactorClock(), ManualClock()
-        self.adapter = FakeAdapter(outcomes=list(outcomes))
+        self.adapter = adapter or FakeAdapter(outcomes=list(outcomes))
         queue = make_queue(target_s=1.0, pool_id=WORKER.pool_id)
         self.table = QueueTable(version=1, queues=[queue])
         self.workers = {WORKER.worker_id: WORKER}
--- a/pistachiolift/node/tests/test_worker_driver.py
+++ b/pistachiolift/node/tests/test_worker_driver.py
@@ -24,7 +24,9 @@
     WorkerDriver,
     WorkerEvents,
 )
+from pistachiolift.node.worker_fence import VALUES_PER_CLAIM, WorkerFence
 from pistachiolift.workflows import (
+    START_DELAY_LIMIT_S,
     EndKind,
     PoolId,
     ReportedEnd,
@@ -121,8 +123,11 @@
     def handle_unreachable(self, worker):
         self.log.append("unreachable")
 
-    def handle_worker_ended(self, worker, reason):
-        self.log.append(("ended", reason))
+    def record_unanswered_start(self, command, sent_s):
+        self.log.append(("unanswered", command.number))
+
+    def handle_worker_replaced(self, worker, incarnation):
+        self.log.append(("replaced", incarnation))
 
     def record_lease(self, worker, lease_end_s):
         self.log.append(("lease", lease_end_s))
@@ -151,6 +156,7 @@
         for name, values in outcomes.items():
             setattr(self.connection, name, list(values))
         self.events = RecordedEvents()
+        self.fence = WorkerFence(lambda: 3)
         self.driver = WorkerDriver(
             self.reactor,
             WORKER,
@@ -160,7 +166,7 @@
             terms=LeaseTerms(lease_s=4.0, limit_s=10.0),
             events=self.events,
             poll_limiter=PollLimiter(lambda: 1),
-            fence=lambda: 3,
+            fence=self.fence,
         )
 
     def advance(self, interval_s):
@@ -241,13 +247,14 @@
             harness.advance(0.2)
         assert not harness.driver.closed
         assert harness.events.log.count("unreachable") == 20
-        assert not [event for event in harness.events.log if event[0] == "ended"]
+        assert not [event for event in harness.events.log if event[0] == "replaced"]
         assert len(harness.leases()) == 1
 
     def test_another_incarnation_ends_the_driver(self):
         harness = Harness(poll_outcomes=[WorkerReplacedError("new")])
         harness.driver.run()
-        assert harness.events.log == [("ended", "replaced")]
+        assert harness.events.log == [("replaced", None)]
+        assert harness.driver.closed
 
     def test_a_higher_fence_ends_the_ownership(self):
         harness = Harness(poll_outcomes=[StaleOwnerError("fence")])
@@ -255,6 +262,84 @@
         assert ("superseded", "fence_at_worker") in harness.events.log
 
 
+class TestStartsInDoubt:
+    """Guards against a delayed start that the next process of its worker carries out.
+
+    No call names a process, but each rejects calls with a lower fencing token than it
+    has seen.
+    """
+
+    SILENT = WorkerUnavailableError("timeout")
+
+    def _lose_worker(self, **outcomes):
+        """Return a driver whose worker did not answer a start, and then no poll."""
+        answer = Deferred()
+        polls = [report(), answer, *[self.SILENT] * 20]
+        harness = Harness(poll_outcomes=polls, start_outcomes=[self.SILENT], **outcomes)
+        harness.driver.run()
+        harness.driver.start(COMMAND)
+        harness.first_fence = harness.connection.polls[0]["fence"]
+        answer.errback(self.SILENT)
+        return harness
+
+    def test_polls_after_a_loss_prevent_it(self):
+        harness = self._lose_worker()
+        assert ("unanswered", 7) in harness.events.log
+        harness.advance(0.2)
+        last = harness.connection.polls[-1]
+        assert last["fence"] > harness.first_fence
+
+    def test_a_loss_without_such_a_start_keeps_the_token(self):
+        harness = Harness(poll_outcomes=[report(), self.SILENT])
+        harness.driver.run()
+        harness.advance(0.2)
+        assert len({poll["fence"] for poll in harness.connection.polls}) == 1
+
+    def test_the_worker_is_asked_more_often_until_the_doubt_is_old(self):
+        harness = self._lose_worker()
+        before = len(harness.connection.polls)
+        for _ in range(4):
+            harness.advance(0.005)
+        assert len(harness.connection.polls) == before + 4
+        harness.clock.advance(START_DELAY_LIMIT_S)
+        harness.advance(0.2)
+        before = len(harness.connection.polls)
+        for _ in range(4):
+            harness.advance(0.005)
+        assert len(harness.connection.polls) == before
+
+    def test_calls_overtaken_by_a_higher_token_do_not_end_the_ownership(self):
+        harness = self._lose_worker()
+        stopped = Deferred()
+        harness.connection.stop_outcomes = [stopped]
+        harness.driver.stop(
+            StopRun(task=TASK, number=7, worker_id=WORKER.worker_id, reason="test")
+        )
+        harness.fence.advance()
+        stopped.errback(StaleOwnerError("fence"))
+        assert not [each for each in harness.events.log if each[0] == "superseded"]
+
+
+class TestWorkerFence:
+    def test_it_rises_with_each_advance_and_each_claim(self):
+        claim = 5
+        fence = WorkerFence(lambda: claim)
+        values = [fence.value]
+        for _ in range(3):
+            fence.advance()
+            values.append(fence.value)
+        claim = 6
+        values.append(fence.value)
+        assert values == sorted(set(values))
+        assert WorkerFence(lambda: 7).value > values[-1]
+
+    def test_it_stays_below_the_tokens_of_the_next_claim(self):
+        fence = WorkerFence(lambda: 5)
+        for _ in range(2 * VALUES_PER_CLAIM):
+            fence.advance()
+        assert fence.value < WorkerFence(lambda: 6).value
+
+
 class TestSurvivalPolls:
     """Guards against suspected tasks that wait for the report of a long poll.
 
--- a/pistachiolift/node/worker_driver.py
+++ b/pistachiolift/node/worker_driver.py
@@ -3,7 +3,7 @@
 import logging
 import traceback
 from abc import ABC, abstractmethod
-from collections.abc import Awaitable, Coroutine, Iterator
+from collections.abc import Awaitable, Callable, Coroutine, Iterator
 from contextlib import contextmanager
 from typing import TypeVar
 
@@ -14,6 +14,7 @@
 
 from ..common import Clock, Metrics, log_event
 from ..workflows import (
+    START_DELAY_LIMIT_S,
     SURVIVAL_S,
     StartAnswer,
     StartRun,
@@ -30,6 +31,7 @@
     WorkerUnavailableError,
 )
 from .poll_limiter import PollLimiter
+from .worker_fence import WorkerFence
 
 __all__ = ["LeaseTerms", "WorkerDriver", "WorkerEvents"]
 
@@ -41,6 +43,11 @@
 STALLED_PAUSE_S = 0.5
 # Pause after a poll without an answer.
 RETRY_PAUSE_S = 0.15
+# While a delayed start may be carried out by the worker's next process, the first
+# contact to that process must come soon. The pause is then this share of the time
+# without an answer, and at least the shortest pause.
+DOUBT_PAUSE_SHARE = 0.025
+MIN_RETRY_PAUSE_S = 0.005
 # Polls follow each other more quickly than this, unless this instance was paused.
 POLL_GAP_LIMIT_S = 3.0
 # A start that is not answered after this many attempts is blocked by a stop.
@@ -113,9 +120,16 @@
     def handle_start_answer(self, command: StartRun, answer: StartAnswer) -> None:
         """Process a worker's answer to a start command."""
 
+    @abstractmethod
+    def record_unanswered_start(self, command: StartRun, sent_s: float) -> None:
+        """Record that an attempt at a start has no answer; it may be delayed.
+
+        :param sent_s: time at which it was sent.
+        """
+
     @abstractmethod
     def handle_unanswered_start(self, command: StartRun) -> None:
-        """Handle a start command that may or may not have been carried out."""
+        """Handle a start command that is not repeated any more without an answer."""
 
     @abstractmethod
     def handle_stop_answer(self, command: StopRun) -> None:
@@ -126,8 +140,11 @@
         """Record that a worker does not answer."""
 
     @abstractmethod
-    def handle_worker_ended(self, worker: Worker, reason: str) -> None:
-        """Record that a worker's process has ended."""
+    def handle_worker_replaced(self, worker: Worker, incarnation: int | None) -> None:
+        """Record that another process has replaced a worker's process.
+
+        :param incarnation: see :class:`WorkerReplacedError`.
+        """
 
     @abstractmethod
     def record_lease(self, worker: Worker, lease_end_s: float) -> None:
@@ -146,7 +163,7 @@
     """Communicates with one incarnation (one process) of a worker.
 
     :param poll_limiter: limits the polls of all drivers of the owner.
-    :param fence: returns the owner's fencing token, which rises with a new claim.
+    :param fence: fencing token for the calls to the worker.
     """
 
     def __init__(
@@ -160,7 +177,7 @@
         terms: LeaseTerms,
         events: WorkerEvents,
         poll_limiter: PollLimiter,
-        fence,
+        fence: WorkerFence,
     ):
         self._reactor = reactor
         self.worker = worker
@@ -179,6 +196,8 @@
         self._newest_list = (0, float("-inf"))
         self._passed_on_s = float("-inf")
         self._answered_s = float("-inf")
+        # Time at which the newest start without an answer was sent.
+        self._unanswered_start_s = float("-inf")
         self._reachable = True
         self._closed = False
         self._fault_logged = False
@@ -201,20 +220,28 @@
         """Stop the driver if the worker was restarted or obeys a later owner."""
         try:
             yield
-        except WorkerReplacedError:
-            self._end("replaced")
+        except WorkerReplacedError as error:
+            self._handle_replaced(error)
         except StaleOwnerError:
             self._events.handle_superseded("fence_at_worker")
 
-    async def _call(self, call: Awaitable[Answer]) -> Answer:
+    async def _call(self, make_call: Callable[[int], Awaitable[Answer]]) -> Answer:
         """Make a call to the worker; a fault in it counts as no answer.
 
         A fault that ended the ownership would meet each successor as well.
+
+        :param make_call: makes the call with the given fencing token.
         """
+        fence = self._fence.value
         try:
-            return await call
-        except (WorkerUnavailableError, WorkerReplacedError, StaleOwnerError):
+            return await make_call(fence)
+        except (WorkerUnavailableError, WorkerReplacedError):
             raise
+        except StaleOwnerError as error:
+            if not self._closed and fence == self._fence.value:
+                raise
+            # The worker has seen a newer call of this owner.
+            raise WorkerUnavailableError(error.message) from error
         except Exception as error:
             self._metrics.count("workers.call_failed")
             if not self._fault_logged:
@@ -257,7 +284,7 @@
             if self._closed:
                 return
             if report is None:
-                await self._sleep(RETRY_PAUSE_S)
+                await self._sleep(self._retry_pause_s())
                 wait_s = 0.0
                 continue
             if self._is_overtaken(report):
@@ -268,6 +295,20 @@
                 wait_s = 0.0
                 await self._sleep(STALLED_PAUSE_S)
 
+    def _retry_pause_s(self) -> float:
+        """Return the pause after a poll without an answer, in seconds."""
+        if not self._start_in_doubt:
+            return RETRY_PAUSE_S
+        silent_s = self._clock.monotonic_s() - self._answered_s
+        pause_s = max(MIN_RETRY_PAUSE_S, silent_s * DOUBT_PAUSE_SHARE)
+        return min(RETRY_PAUSE_S, pause_s)
+
+    @property
+    def _start_in_doubt(self) -> bool:
+        """Whether a start without an answer may still be carried out."""
+        age_s = self._clock.monotonic_s() - self._unanswered_start_s
+        return age_s <= START_DELAY_LIMIT_S
+
     async def _poll_now(self) -> "tuple[RunReport, float] | None":
         """Poll without waiting, unless commands are no longer permitted."""
         if self._closed or not self._events.may_send_commands():
@@ -289,8 +330,8 @@
         with self._closing_if_replaced():
             try:
                 report = await self._call(
-                    self._connection.poll_runs(
-                        fence=self._fence(),
+                    lambda fence: self._connection.poll_runs(
+                        fence=fence,
                         last_end=last_end,
                         lease_until_ms=until_ms,
                         wait_s=wait_s,
@@ -343,19 +384,32 @@
     def _handle_no_answer(self, error: WorkerUnavailableError, sent_s: float) -> None:
         if self._reachable:
             self._reachable = False
+            if self._start_in_doubt:
+                # The next poll that is answered prevents it, whichever process answers.
+                self._fence.advance()
             log_event(
                 logger,
                 "worker_lost",
                 worker=self.worker.worker_id,
                 reason=error.message,
                 sent_age_s=self._clock.monotonic_s() - sent_s,
+                start_in_doubt=self._start_in_doubt,
             )
         self._events.handle_unreachable(self.worker)
 
-    def _end(self, reason: str) -> None:
-        log_event(logger, "worker_ended", worker=self.worker.worker_id, reason=reason)
+    def _handle_replaced(self, error: WorkerReplacedError) -> None:
+        log_event(
+            logger,
+            "worker_replaced",
+            worker=self.worker.worker_id,
+            incarnation=self.worker.incarnation,
+            next_incarnation=error.incarnation or 0,
+            same_identifier=error.incarnation is not None,
+            start_in_doubt=self._start_in_doubt,
+            silent_s=self._clock.monotonic_s() - self._answered_s,
+        )
         self.close()
-        self._events.handle_worker_ended(self.worker, reason)
+        self._events.handle_worker_replaced(self.worker, error.incarnation)
 
     # The worker's clock.
 
@@ -440,7 +494,7 @@
             worker=command.worker_id,
             attempt=attempt + 1,
             first_sent_age_s=self._clock.monotonic_s() - first_sent_s,
-            fence=self._fence(),
+            fence=self._fence.value,
         )
 
     async def _start_once(self, command: StartRun) -> StartAnswer | None:
@@ -454,17 +508,20 @@
         with self._closing_if_replaced():
             try:
                 answer, clock_ms = await self._call(
-                    self._connection.start(
+                    lambda fence: self._connection.start(
                         command.task,
                         command.number,
                         payload=command.payload,
                         lease_until_ms=until_ms,
-                        fence=self._fence(),
+                        fence=fence,
                         ticket=command.ticket,
                         checkpoint=command.checkpoint,
                     )
                 )
             except WorkerUnavailableError:
+                if not self._closed:
+                    self._unanswered_start_s = sent_s
+                    self._events.record_unanswered_start(command, sent_s)
                 return None
         if answer is None:
             return None
@@ -492,7 +549,9 @@
     async def _stop_once(self, command: StopRun) -> None:
         try:
             await self._call(
-                self._connection.stop(command.task, command.number, fence=self._fence())
+                lambda fence: self._connection.stop(
+                    command.task, command.number, fence=fence
+                )
             )
             if not self._closed:
                 self._events.handle_stop_answer(command)
@@ -516,8 +575,8 @@
         with self._closing_if_replaced():
             try:
                 await self._call(
-                    self._connection.set_speed(
-                        task, number, percent=percent, fence=self._fence()
+                    lambda fence: self._connection.set_speed(
+                        task, number, percent=percent, fence=fence
                     )
                 )
             except WorkerUnavailableError:
--- a/pistachiolift/platform/workers.py
+++ b/pistachiolift/platform/workers.py
@@ -222,7 +222,8 @@
         if run_list.incarnation and run_list.incarnation != self._worker.incarnation:
             raise WorkerReplacedError(
                 f"worker {self._worker.worker_id} was restarted: incarnation is "
-                f"{run_list.incarnation}, expected {self._worker.incarnation}"
+                f"{run_list.incarnation}, expected {self._worker.incarnation}",
+                incarnation=run_list.incarnation,
             )
         try:
             return self._to_report(run_list)
--- a/pistachiolift/workflows/__init__.py
+++ b/pistachiolift/workflows/__init__.py
@@ -10,6 +10,7 @@
     describe_job,
     describe_partition,
 )
+from .lifecycle import START_DELAY_LIMIT_S
 from .model import (
     AdvicePolicy,
     Customer,
@@ -44,6 +45,7 @@
 from .validation import validate_graph
 
 __all__ = [
+    "START_DELAY_LIMIT_S",
     "SURVIVAL_S",
     "AdmissionDecision",
     "AdmissionReason",
--- a/pistachiolift/workflows/fleet.py
+++ b/pistachiolift/workflows/fleet.py
@@ -85,7 +85,7 @@
         self._uncertain_starts_by_worker: dict[WorkerId, UncertainStarts] = {}
 
     def update_worker(self, worker: Worker, *, now_s: float) -> None:
-        """Apply a directory entry; a newer incarnation ends all runs of the old one.
+        """Apply a directory entry; a newer incarnation replaces the known process.
 
         An entry of an older incarnation is ignored, since the directory may be read
         late, but the known process gets no new runs until it is listed. If the older
@@ -99,23 +99,45 @@
                 entry.registered = False
                 return
             if worker.incarnation > known:
-                self.remove_worker(worker.worker_id, now_s=now_s, replaced=True)
-                entry = None
+                self.replace_worker(worker, now_s=now_s)
+                return
         if entry is None:
-            entry = WorkerEntry(worker, self._state.caps)
-            self._state.workers_by_id[worker.worker_id] = entry
-            self._advice.discard_approvals(worker.worker_id)
-            self._block_uncertain_starts(entry, now_s)
+            self._add_worker(worker, now_s)
             return
         entry.worker = worker
         entry.registered = True
 
-    def _block_uncertain_starts(self, entry: WorkerEntry, now_s: float) -> None:
+    def _add_worker(self, worker: Worker, now_s: float) -> WorkerEntry:
+        entry = WorkerEntry(worker, self._state.caps)
+        self._state.workers_by_id[worker.worker_id] = entry
+        self._advice.discard_approvals(worker.worker_id)
+        self._move_uncertain_starts(entry, now_s)
+        return entry
+
+    def replace_worker(
+        self, worker: Worker, *, now_s: float, registered: bool = True
+    ) -> None:
+        """Replace a worker's process by another one with the same identifier.
+
+        The other process may start what was sent to the known one. Such runs end, or
+        continue, with its first report; all others end at once.
+
+        :param registered: whether the process is in the directory; it gets no new runs
+            before.
+        """
+        self.remove_worker(worker.worker_id, now_s=now_s, replaced=True)
+        entry = self._add_worker(worker, now_s)
+        entry.registered = registered
+        if entry.runs or entry.possible_charges_by_run:
+            # A later owner must expect them there as well.
+            self._record_use(entry)
+
+    def _move_uncertain_starts(self, entry: WorkerEntry, now_s: float) -> None:
         uncertain = self._uncertain_starts_by_worker.pop(entry.worker_id, None)
         if uncertain is None:
             return
         for run in uncertain.runs:
-            self._lifecycle.block_uncertain_start(run, entry)
+            self._lifecycle.move_uncertain_start(run, entry, now_s)
         for key, charge in uncertain.possible_charges_by_run.items():
             entry.charge_possible_run(key, charge)
         self._release_uncertain(uncertain)
@@ -127,7 +149,7 @@
         """Keep what the replacement of a process may have, which still counts."""
         uncertain = UncertainStarts(
             now_s + UNCERTAIN_START_TIMEOUT_S,
-            self._lifecycle.take_uncertain_starts(entry),
+            self._lifecycle.take_uncertain_starts(entry, now_s),
             entry.release_possible_runs(),
         )
         for run in uncertain.runs:
--- a/pistachiolift/workflows/lifecycle.py
+++ b/pistachiolift/workflows/lifecycle.py
@@ -9,13 +9,16 @@
 from .scheduler_state import SchedulerState
 from .state import JobEntry, OccurrenceEntry, StepEntry, TaskRun, WorkerEntry
 
-__all__ = ["Lifecycle"]
+__all__ = ["START_DELAY_LIMIT_S", "Lifecycle"]
 
 logger = logging.getLogger(__name__)
 
 # Keeps a task that fails at once from using up its attempts on the same busy worker.
 RETRY_DELAY_S = 0.15
 
+# A start without an answer is carried out within this time or not at all.
+START_DELAY_LIMIT_S = 12.0
+
 
 class Lifecycle:
     """Applies the events that change jobs and runs.
@@ -387,27 +390,59 @@
             worker.release(run)
             self.end_without_result(run, EndKind.LEASE_EXPIRED, now_s)
 
-    def take_uncertain_starts(self, worker: WorkerEntry) -> list[TaskRun]:
-        """Remove and return the runs that the replacement process may have started.
+    def take_uncertain_starts(self, worker: WorkerEntry, now_s: float) -> list[TaskRun]:
+        """Remove and return the runs that the replacement process may start.
 
-        These are the runs whose start was answered after the last report of the old
-        process was requested, or not at all, and all runs of an earlier owner if the
-        old process has not reported to this one.
+        The replacement carries out a start whose answer is outstanding or was lost,
+        even if a repetition of it was answered by the old process. An answer that came
+        after the last report of the old process was requested may be its own.
         """
         uncertain = [
             run
             for run in worker.runs.values()
             if run.sent
-            and (run.answered_s is None or run.answered_s >= worker.report_requested_s)
+            and (
+                run.answered_s is None
+                or run.answered_s >= worker.report_requested_s
+                or _may_be_delayed(run, now_s)
+            )
         ]
         for run in uncertain:
             worker.release(run)
         return uncertain
 
-    def block_uncertain_start(self, run: TaskRun, worker: WorkerEntry) -> None:
-        """Stop a run at the replacement process, which may have started it."""
-        run.status = TaskRunStatus.RUNNING
-        run.answered_s = None
-        run.stop_answered = False
-        worker.reserve(run)
-        self.stop(run, "worker_replaced")
+    def move_uncertain_start(
+        self, run: TaskRun, worker: WorkerEntry, now_s: float
+    ) -> None:
+        """Expect a run at the replacement process, which may have started it.
+
+        Calls to the replacement carry a higher fencing token than the start did, so
+        that its first report shows whether it has the run, and ends it otherwise.
+        """
+        moved = TaskRun(
+            task=run.task,
+            number=run.number,
+            worker_id=worker.worker_id,
+            size=run.size,
+            status=TaskRunStatus.STARTING,
+            placed_s=now_s,
+            sent=True,
+            # Any report of the replacement is newer than the start.
+            answered_s=0.0,
+            unanswered_s=run.unanswered_s,
+            alone=run.alone,
+            charge=run.charge,
+        )
+        worker.reserve(moved)
+        step = self._state.step_of(run.task)
+        if step is not None and step.runs_by_index.get(run.task.index) is run:
+            step.runs_by_index[run.task.index] = moved
+        if run.status is TaskRunStatus.STOPPING:
+            self.stop(moved, "worker_replaced")
+
+
+def _may_be_delayed(run: TaskRun, now_s: float) -> bool:
+    """Whether a start of the run without an answer may still be carried out."""
+    return (
+        run.unanswered_s is not None and now_s - run.unanswered_s <= START_DELAY_LIMIT_S
+    )
--- a/pistachiolift/workflows/replay.py
+++ b/pistachiolift/workflows/replay.py
@@ -300,6 +300,8 @@
             # The first report request raises the fencing token at the worker, so that
             # it rejects a delayed start of the earlier owner.
             answered_s=0.0,
+            # The earlier owner may have had no answer to a start.
+            unanswered_s=self._now_s,
             charge=step.charge,
         )
         if worker.worker.incarnation > placed.incarnation:
--- a/pistachiolift/workflows/scheduler.py
+++ b/pistachiolift/workflows/scheduler.py
@@ -385,6 +385,17 @@
         if step is not None and not step.checkpoint(run.task.index):
             run.mark_ms = run.mark_ms or answer.clock_ms
 
+    def record_unanswered_start(
+        self, worker_id: WorkerId, task: TaskKey, number: int, *, sent_s: float
+    ) -> None:
+        """Record that a start has no answer and may be carried out later.
+
+        :param sent_s: time at which it was sent.
+        """
+        run = self.state.run(worker_id, (task, number))
+        if run is not None:
+            run.unanswered_s = sent_s
+
     def handle_unanswered_start(
         self, worker_id: WorkerId, task: TaskKey, number: int
     ) -> None:
--- a/pistachiolift/workflows/state.py
+++ b/pistachiolift/workflows/state.py
@@ -81,6 +81,8 @@
     :param answered_s: time at which the worker last answered a start or stop of the
         run; a report requested later contains the run if it still exists.
     :param stop_answered: whether the worker has answered a stop.
+    :param unanswered_s: time at which the newest start without an answer was sent, or
+        ``None``. It may still be carried out, also after the answer to its repetition.
     :param sent: whether a start may have been sent.
     :param sent_s: time from which it may have been sent, or ``None``.
     :param usage: last reported usage: the tail latency in milliseconds for a serving
@@ -111,6 +113,7 @@
     sent: bool = False
     sent_s: float | None = None
     stop_answered: bool = False
+    unanswered_s: float | None = None
     confirmed_s: float | None = None
     answered_s: float | None = None
     percent: int = 0
--- a/pistachiolift/workflows/tests/test_incarnations.py
+++ b/pistachiolift/workflows/tests/test_incarnations.py
@@ -172,6 +172,37 @@
         cell.run(LEASE_LIMIT_S - 1.5)
         assert len(cell.runs_by_job[job]) == 1
 
+    @pytest.mark.parametrize("in_directory", [False, True])
+    def test_an_owner_that_follows_before_the_process_is_listed_expects_it(
+        self, in_directory
+    ):
+        """Guards against repeating a task since only the earlier owner knew of it.
+
+        The directory has an entry of the process before, or none any more.
+        """
+        cell = VirtualCell(workers=1)
+        job = cell.submit("a", make_queue(), make_graph(make_step(1, estimate_s=3.0)))
+        fake = cell.workers_by_id["w0"]
+        first = fake.worker
+        cell.run(0.0145)
+        fake.worker = msgspec.structs.replace(first, incarnation=2)
+        cell.scheduler.fleet.replace_worker(
+            fake.worker, now_s=cell.now_s, registered=False
+        )
+        fake.lease_end_s = cell.now_s + LEASE_S
+        fake.cut = True
+        other = cell.add_worker(1).worker
+        cell.run(0.15)
+        assert len(cell.runs_by_job[job]) == 1
+        directory = [first, other] if in_directory else [other]
+        cell.replace_owner(directory=directory)
+        cell.run(1.0)
+        assert len(cell.runs_by_job[job]) == 1
+        fake.cut = False
+        cell.run(4.0)
+        assert len(cell.runs_by_job[job]) == 1
+        assert cell.status(job) is JobStatus.COMPLETED
+
     @pytest.mark.parametrize("cut", [False, True])
     @pytest.mark.parametrize("listed", [False, True])
     def test_the_next_owner_expects_such_a_start_at_the_next_process(self, listed, cut):
--- a/pistachiolift/workflows/tests/test_scheduler.py
+++ b/pistachiolift/workflows/tests/test_scheduler.py
@@ -414,7 +414,7 @@
 
 
 class TestReplacedWorkers:
-    def test_a_start_that_may_have_reached_the_next_process_is_stopped_there(self):
+    def test_a_start_that_may_have_reached_the_next_process_is_not_repeated(self):
         cell = VirtualCell(workers=2)
         graph = make_graph(make_step(1, estimate_s=5.0))
         job = cell.submit("a", make_queue(), graph)
