Start tasks elsewhere once another identifier answers for a worker

Cause: a status 421 and a list with another time of birth had one effect. Runs whose start had no answer were put aside until the directory named a process under the old identifier, or for 12 s. After a 421 that process never came; and the 421 is the one answer that proves that nothing was, and will be, started there.

Change: after a 421 all runs of the worker end at once.

Three tests named the next process under the same identifier by the call that now stands for another identifier; they use replace_worker instead, with the same checks.

--- a/pistachiolift/platform/tests/test_restarted_workers.py
+++ b/pistachiolift/platform/tests/test_restarted_workers.py
@@ -69,12 +69,12 @@
         self.workers[worker.worker_id] = worker
         self.owner.update_worker(worker)
 
-    def submit(self) -> None:
-        """Submit a job of one task, which starts on the first executor."""
+    def submit(self, step=None) -> None:
+        """Submit a job, by default of one task, which starts on the first executor."""
         self.owner.scheduler.submit(
             JOB,
             self.table.queues[0],
-            make_graph(make_step(cpu=2000, memory=0)),
+            make_graph(step or make_step(cpu=2000, memory=0)),
             received_s=self.clock.monotonic_s(),
             received_ms=0,
         )
@@ -180,3 +180,63 @@
         assert entry.has_reported
         assert not entry.registered
         cell.owner.close()
+
+
+class TestWorkersBackUnderOtherIdentifiers:
+    """Guards against tasks that wait beside free workers for a process of their own.
+
+    The process at the worker's address has another identifier and rejects its calls,
+    so that a start without an answer is not carried out there either.
+    """
+
+    STEPS = {
+        "task": make_step(cpu=2000, memory=0),
+        "gang": make_step(2, cpu=1000, memory=0, gang=True),
+        "service": make_step(cpu=2000, memory=0, long_running=True),
+    }
+
+    def _cut_off(self, kind):
+        """Return a cell whose first executor is cut off as a start is sent to it."""
+        cell = Cell(work_s=2.0)
+        cell.executors[0].reachable = False
+        cell.submit(self.STEPS[kind])
+        cell.advance(0.3)
+        cell.add_second()
+        cell.advance(0.7)
+        assert not cell.runs()
+        return cell
+
+    @pytest.mark.parametrize("kind", STEPS)
+    def test_a_task_starts_elsewhere_once_the_other_process_has_answered(self, kind):
+        cell = self._cut_off(kind)
+        first, second = cell.executors
+        first.restart(identifier="first-again")
+        first.reachable = True
+        cell.advance(0.5)
+        assert len(second.history) == self.STEPS[kind].count
+        assert not first.history
+        cell.owner.close()
+
+    def test_an_old_directory_entry_does_not_make_it_wait(self):
+        cell = self._cut_off("task")
+        first, second = cell.executors
+        first.restart(identifier="first-again")
+        first.reachable = True
+        cell.advance(0.1)
+        cell.owner.update_worker(first.worker)
+        cell.advance(0.4)
+        assert len(second.history) == 1
+        cell.owner.close()
+
+    def test_a_stopped_task_is_not_waited_for(self):
+        """Its stop has no answer either; the worker's room would stay reserved."""
+        cell = self._cut_off("task")
+        cell.owner.scheduler.cancel(JOB, now_s=cell.clock.monotonic_s(), wall_ms=0)
+        cell.owner._schedule_pass()
+        cell.advance(0.5)
+        cell.executors[0].restart(identifier="first-again")
+        cell.executors[0].reachable = True
+        cell.advance(0.5)
+        step = cell.owner.scheduler.state.jobs_by_id[JOB].occurrences[0].steps[0]
+        assert not step.runs_by_index
+        cell.owner.close()
--- a/pistachiolift/workflows/fleet.py
+++ b/pistachiolift/workflows/fleet.py
@@ -2,13 +2,12 @@
 
 import logging
 from collections import Counter
-from dataclasses import dataclass, field
 
 from ..common import WorkerId, log_event
 from .advice import AdvicePlanner
 from .crashes import CrashTracker
 from .lifecycle import Lifecycle
-from .model import EndKind, RunCharge, TaskKey, TaskRunStatus, Worker, WorkerState
+from .model import TaskRunStatus, Worker, WorkerState
 from .records import WorkerInUse, WorkerReleased
 from .run_reports import ReportedEnd, ReportedRun, RunReportHandler
 from .scheduler_state import SchedulerState
@@ -33,25 +32,6 @@
 START_ANSWER_S = 0.3
 START_SUSPECT_S = 3.0
 
-# Within this time, the replacement of a worker process appears in the directory or the
-# leases of its runs expire.
-UNCERTAIN_START_TIMEOUT_S = 12.0
-
-
-@dataclass(slots=True)
-class UncertainStarts:
-    """What the replacement of a worker process may have started.
-
-    :param end_s: time at which the runs end if the replacement does not appear.
-    :param possible_charges_by_run: see :class:`WorkerEntry`.
-    """
-
-    end_s: float
-    runs: list[TaskRun]
-    possible_charges_by_run: dict[tuple[TaskKey, int], RunCharge] = field(
-        default_factory=dict
-    )
-
 
 class Fleet:
     """Tracks the workers and ends the runs of those that are lost.
@@ -80,9 +60,6 @@
         self._longest_lease_s = longest_lease_s
         self._report_handler = RunReportHandler(state, lifecycle, crashes)
         self._failing_zones: frozenset[str] = frozenset()
-        # Runs whose start may have reached the replacement of a worker process, maybe
-        # none.
-        self._uncertain_starts_by_worker: dict[WorkerId, UncertainStarts] = {}
 
     def update_worker(self, worker: Worker, *, now_s: float) -> None:
         """Apply a directory entry; a newer incarnation replaces the known process.
@@ -102,16 +79,15 @@
                 self.replace_worker(worker, now_s=now_s)
                 return
         if entry is None:
-            self._add_worker(worker, now_s)
+            self._add_worker(worker)
             return
         entry.worker = worker
         entry.registered = True
 
-    def _add_worker(self, worker: Worker, now_s: float) -> WorkerEntry:
+    def _add_worker(self, worker: Worker) -> WorkerEntry:
         entry = WorkerEntry(worker, self._state.caps)
         self._state.workers_by_id[worker.worker_id] = entry
         self._advice.discard_approvals(worker.worker_id)
-        self._move_uncertain_starts(entry, now_s)
         return entry
 
     def replace_worker(
@@ -125,44 +101,23 @@
         :param registered: whether the process is in the directory; it gets no new runs
             before.
         """
-        self.remove_worker(worker.worker_id, now_s=now_s, replaced=True)
-        entry = self._add_worker(worker, now_s)
+        known = self._state.workers_by_id[worker.worker_id]
+        runs = list(known.runs.values())
+        uncertain = self._lifecycle.take_uncertain_starts(known, now_s)
+        possible_charges = known.release_possible_runs()
+        entry = self._add_worker(worker)
         entry.registered = registered
-        if entry.runs or entry.possible_charges_by_run:
-            # A later owner must expect them there as well.
-            self._record_use(entry)
-
-    def _move_uncertain_starts(self, entry: WorkerEntry, now_s: float) -> None:
-        uncertain = self._uncertain_starts_by_worker.pop(entry.worker_id, None)
-        if uncertain is None:
-            return
-        for run in uncertain.runs:
-            self._lifecycle.move_uncertain_start(run, entry, now_s)
-        for key, charge in uncertain.possible_charges_by_run.items():
-            entry.charge_possible_run(key, charge)
-        self._release_uncertain(uncertain)
         # Starts and polls carry the end of a lease on the clock of the old process,
         # which the new one, whose clock has begun again, cuts to the longest lease.
         entry.lease_end_s = now_s + self._longest_lease_s
-
-    def _take_uncertain(self, entry: WorkerEntry, now_s: float) -> None:
-        """Keep what the replacement of a process may have, which still counts."""
-        uncertain = UncertainStarts(
-            now_s + UNCERTAIN_START_TIMEOUT_S,
-            self._lifecycle.take_uncertain_starts(entry, now_s),
-            entry.release_possible_runs(),
-        )
-        for run in uncertain.runs:
-            self._state.charge_uncertain_run(run.key, run.charge)
-        for key, charge in uncertain.possible_charges_by_run.items():
-            self._state.charge_uncertain_run(key, charge)
-        self._uncertain_starts_by_worker[entry.worker_id] = uncertain
-
-    def _release_uncertain(self, uncertain: UncertainStarts) -> None:
-        for run in uncertain.runs:
-            self._state.release_uncertain_run(run.key)
-        for key in uncertain.possible_charges_by_run:
-            self._state.release_uncertain_run(key)
+        for run in uncertain:
+            self._lifecycle.move_uncertain_start(run, entry, now_s)
+        for key, charge in possible_charges.items():
+            entry.charge_possible_run(key, charge)
+        self._end_process(known, runs, now_s, replaced=True)
+        if uncertain or possible_charges:
+            # A later owner must expect them there as well.
+            self._record_use(entry)
 
     def mark_unregistered(self, worker_id: WorkerId) -> None:
         """Record that a worker is no longer in the directory."""
@@ -175,20 +130,27 @@
     ) -> None:
         """Remove a worker whose process is known to have ended.
 
-        :param replaced: whether another process answers at its address; it may have
-            received the most recent starts.
+        :param replaced: whether a process with another identifier has its address. It
+            rejects all calls meant for the worker, so that none can start a run.
         """
         entry = self._state.workers_by_id.pop(worker_id, None)
-        if entry is None:
-            return
-        runs = list(entry.runs.values())
-        if replaced:
-            self._take_uncertain(entry, now_s)
+        if entry is not None:
+            runs = list(entry.runs.values())
+            self._end_process(entry, runs, now_s, replaced=replaced)
+
+    def _end_process(
+        self, entry: WorkerEntry, runs: list[TaskRun], now_s: float, *, replaced: bool
+    ) -> None:
+        """End the runs of a process that has ended.
+
+        :param runs: all runs that it may have had, also those that were moved.
+        """
         self._lifecycle.end_runs_of(entry, now_s=now_s)
         self._crashes.record_crash(entry.worker, runs, now_s, replaced=replaced)
-        self._state.health.forget_worker(worker_id)
+        self._state.health.forget_worker(entry.worker_id)
         if entry.recorded:
-            self._state.record(WorkerReleased(worker_id, entry.worker.incarnation))
+            released = WorkerReleased(entry.worker_id, entry.worker.incarnation)
+            self._state.record(released)
 
     def mark_unreachable(self, worker_id: WorkerId) -> None:
         """Record that a worker does not answer; its runs may still be running."""
@@ -298,18 +260,10 @@
         )
 
     def check(self, now_s: float) -> None:
-        """End the runs of lost workers, and uncertain starts after their timeout."""
+        """End the runs of lost workers."""
         self._crashes.check(now_s)
         if self._state.shared:
             self._check_zones(now_s)
-        for worker_id, uncertain in list(self._uncertain_starts_by_worker.items()):
-            if now_s > uncertain.end_s:
-                del self._uncertain_starts_by_worker[worker_id]
-                self._release_uncertain(uncertain)
-                for run in uncertain.runs:
-                    self._lifecycle.end_without_result(
-                        run, EndKind.LEASE_EXPIRED, now_s
-                    )
         for worker_id, entry in list(self._state.workers_by_id.items()):
             self._check_worker(worker_id, entry, now_s)
 
--- a/pistachiolift/workflows/scheduler_state.py
+++ b/pistachiolift/workflows/scheduler_state.py
@@ -15,7 +15,6 @@
     PoolId,
     Queue,
     QueueId,
-    RunCharge,
     StepKey,
     TaskKey,
 )
@@ -39,8 +38,6 @@
     :param queues_version: version of the configuration with the queues.
     :param rates: division of the customers' jobs into due work and excess.
     :param caps: what the customers' runs reserve, and the limits.
-    :param uncertain_charges_by_run: charges of runs whose worker process was replaced
-        and that its replacement, not in the directory yet, may have started.
     :param shared: whether several customers share the cell: the order weighs costs, and
         workers are judged by their pace and their recent failures. Other cells keep the
         order and the judgement that they were measured with.
@@ -59,9 +56,6 @@
     customers_by_id: dict[CustomerId, Customer] = field(default_factory=dict)
     rates: CustomerRates = field(default_factory=CustomerRates)
     caps: CustomerCaps = field(default_factory=CustomerCaps)
-    uncertain_charges_by_run: dict[tuple[TaskKey, int], RunCharge] = field(
-        default_factory=dict
-    )
     jobs_by_id: dict[JobId, JobEntry] = field(default_factory=dict)
     workers_by_id: dict[WorkerId, WorkerEntry] = field(default_factory=dict)
     open_steps: dict[StepKey, StepEntry] = field(default_factory=dict)
@@ -183,22 +177,11 @@
             and accepts(worker_id, now_s)
         }
 
-    def charge_uncertain_run(self, key: tuple, charge: RunCharge | None) -> None:
-        """Count a run while it is not known whether the replacement has it."""
-        if charge is not None and key not in self.uncertain_charges_by_run:
-            self.uncertain_charges_by_run[key] = charge
-            self.caps.charge(charge)
-
-    def release_uncertain_run(self, key: tuple) -> None:
-        """Stop counting an uncertain run that is charged elsewhere or has ended."""
-        self.caps.release(self.uncertain_charges_by_run.pop(key, None))
-
     def is_charged(self, worker_id: WorkerId, key: tuple) -> bool:
         """Whether a run placed on a worker still counts against a cap."""
         entry = self.workers_by_id.get(worker_id)
-        return key in self.uncertain_charges_by_run or (
-            entry is not None
-            and (key in entry.runs or key in entry.possible_charges_by_run)
+        return entry is not None and (
+            key in entry.runs or key in entry.possible_charges_by_run
         )
 
     def run(self, worker_id: WorkerId, key: tuple) -> TaskRun | None:
--- a/pistachiolift/workflows/tests/cap_check.py
+++ b/pistachiolift/workflows/tests/cap_check.py
@@ -90,7 +90,7 @@
     def check_totals(self) -> None:
         """Check that the scheduler's totals are the sum over the workers' runs."""
         state = self._cell.scheduler.state
-        charges = list(state.uncertain_charges_by_run.values())
+        charges = []
         for worker in state.workers_by_id.values():
             charges += worker.possible_charges_by_run.values()
             charges += [run.charge for run in worker.runs.values() if run.charge]
--- a/pistachiolift/workflows/tests/test_cap_accounting.py
+++ b/pistachiolift/workflows/tests/test_cap_accounting.py
@@ -2,6 +2,7 @@
 
 import random
 
+import msgspec
 import pytest
 
 from pistachiolift.common import JobId, WorkerId
@@ -54,7 +55,7 @@
         cell.run(30)
         assert cell.caps.starts_by_customer["c"] > 100
 
-    def test_uncertain_starts_count_until_the_replacement_appears(self):
+    def test_uncertain_starts_count_until_the_replacement_reports(self):
         cell = VirtualCell(workers=1)
         cell.set_customers(make_customer(cpu=4000))
         cell.submit("a", make_queue(), make_graph(make_step(4)), customer_id="c")
@@ -62,9 +63,8 @@
         scheduler = cell.scheduler
         fake = cell.workers_by_id.pop(WorkerId("w0"))
         fake.alive = False
-        scheduler.fleet.remove_worker(
-            fake.worker.worker_id, now_s=cell.now_s, replaced=True
-        )
+        replacement = msgspec.structs.replace(fake.worker, incarnation=2)
+        scheduler.fleet.replace_worker(replacement, now_s=cell.now_s, registered=False)
         assert scheduler.state.caps.used("c") == Size(cpu_milli=4000, memory_mb=400)
         cell.run(5)
         assert scheduler.state.caps.used("c") == Size(cpu_milli=4000, memory_mb=400)
--- a/pistachiolift/workflows/tests/test_incarnations.py
+++ b/pistachiolift/workflows/tests/test_incarnations.py
@@ -159,7 +159,9 @@
         fake = cell.workers_by_id["w0"]
         fake.worker = msgspec.structs.replace(fake.worker, incarnation=2)
         # The answer to the poll names the new process.
-        cell.scheduler.fleet.remove_worker("w0", now_s=cell.now_s, replaced=True)
+        cell.scheduler.fleet.replace_worker(
+            fake.worker, now_s=cell.now_s, registered=False
+        )
         poll_lease_end_s = cell.now_s + LEASE_LIMIT_S
         cell.scheduler.fleet.update_worker(fake.worker, now_s=cell.now_s)
         cell.run(0.3)
@@ -225,6 +227,8 @@
         cell.replace_owner(directory=[fake.worker if listed else first, other])
         fake.cut = cut
         if not listed:
-            cell.scheduler.fleet.remove_worker("w0", now_s=cell.now_s, replaced=True)
+            cell.scheduler.fleet.replace_worker(
+                fake.worker, now_s=cell.now_s, registered=False
+            )
         cell.run(1.0)
         assert len(cell.runs_by_job[job]) == 1
