Log each lost run, and what a new owner takes for ended

Each decision now has one: run_lost with the rest of the lease and whether the worker had reported, run_in_doubt when the next process of a worker may have the run, and run_ended_before_takeover with the reason.

--- a/pistachiolift/workflows/lifecycle.py
+++ b/pistachiolift/workflows/lifecycle.py
@@ -388,6 +388,19 @@
         worker.release_possible_runs()
         for run in list(worker.runs.values()):
             worker.release(run)
+            log_event(
+                logger,
+                "run_lost",
+                job=run.task.job_id,
+                task=run.task.position,
+                run=run.number,
+                worker=worker_id,
+                incarnation=worker.worker.incarnation,
+                status=run.status.value,
+                sent=run.sent,
+                lease_left_s=worker.lease_end_s - now_s,
+                reported=worker.has_reported,
+            )
             self.end_without_result(run, EndKind.LEASE_EXPIRED, now_s)
 
     def take_uncertain_starts(self, worker: WorkerEntry, now_s: float) -> list[TaskRun]:
@@ -434,6 +447,17 @@
             charge=run.charge,
         )
         worker.reserve(moved)
+        log_event(
+            logger,
+            "run_in_doubt",
+            job=run.task.job_id,
+            task=run.task.position,
+            run=run.number,
+            worker=worker.worker_id,
+            incarnation=worker.worker.incarnation,
+            unanswered_age_s=_age_s(run.unanswered_s, now_s),
+            answered_age_s=_age_s(run.answered_s, now_s),
+        )
         step = self._state.step_of(run.task)
         if step is not None and step.runs_by_index.get(run.task.index) is run:
             step.runs_by_index[run.task.index] = moved
@@ -441,6 +465,11 @@
             self.stop(moved, "worker_replaced")
 
 
+def _age_s(event_s: float | None, now_s: float) -> float:
+    """Return the age of an event for the log; -1 if there was none."""
+    return -1.0 if event_s is None else now_s - event_s
+
+
 def _may_be_delayed(run: TaskRun, now_s: float) -> bool:
     """Whether a start of the run without an answer may still be carried out."""
     return (
--- a/pistachiolift/workflows/replay.py
+++ b/pistachiolift/workflows/replay.py
@@ -1,8 +1,9 @@
 """Rebuilds the owner's state from the ledger, and compacts old records."""
 
+import logging
 from collections.abc import Iterable
 
-from ..common import JobId, WorkerId
+from ..common import JobId, WorkerId, log_event
 from .crashes import CrashTracker
 from .lifecycle import Lifecycle
 from .model import (
@@ -36,6 +37,8 @@
 
 __all__ = ["Replay", "compact_records"]
 
+logger = logging.getLogger(__name__)
+
 
 class Replay:
     """Applies records in the order in which they were written.
@@ -279,14 +282,17 @@
     def _add_run(self, placed: RunPlaced, replaced_lease_end_s: float) -> None:
         task = placed.task
         step = self._state.step_of(task)
-        worker = self._state.workers_by_id.get(placed.worker_id)
-        if step is None or worker is None or step.job.status.final:
+        if step is None or step.job.status.final:
             return
         last = step.last_run_by_index.get(task.index, 0)
         if task.index in step.finished or last >= placed.run:
             return
+        worker = self._state.workers_by_id.get(placed.worker_id)
+        if worker is None:
+            self._log_ended(placed, "worker_released")
+            return
         if worker.worker.incarnation < placed.incarnation:
-            # The newer process was released after its runs.
+            self._log_ended(placed, "newer_process_released")
             step.last_run_by_index[task.index] = placed.run
             return
         run = TaskRun(
@@ -312,6 +318,20 @@
                 return
         self._lifecycle.add_run(step, run, worker)
 
+    @staticmethod
+    def _log_ended(placed: RunPlaced, reason: str) -> None:
+        """Log that a run has ended with its worker, which was released after it."""
+        log_event(
+            logger,
+            "run_ended_before_takeover",
+            job=placed.task.job_id,
+            task=placed.task.position,
+            run=placed.run,
+            worker=placed.worker_id,
+            incarnation=placed.incarnation,
+            reason=reason,
+        )
+
     def _count_crash(self, step: StepEntry, run: TaskRun) -> None:
         """Count the end of a run's process, unless the earlier owner has done so."""
         if run.number not in step.crashed_runs_by_index.get(run.task.index, {}):
