Contact the next process of a worker sooner, at a limited rate

The pause is now a share of the time since the loss, 2 ms at least. All such polls of an owner together are limited to 300 a second, so that the loss of many workers does not keep it from its decisions; without a limit, connections that are refused at once allow some hundred polls a second for each worker.

--- a/pistachiolift/node/poll_limiter.py
+++ b/pistachiolift/node/poll_limiter.py
@@ -20,6 +20,8 @@
 # Rate of waiting polls to all workers together; each takes about 1 ms of the owner's
 # processor time.
 POLLS_PER_S = 250.0
+# Rate of the polls of lost workers that are repeated sooner than usual, all together.
+HURRIED_POLLS_PER_S = 300.0
 
 Result = TypeVar("Result")
 
@@ -33,6 +35,8 @@
     def __init__(self, workers: Callable[[], int]):
         self._workers = workers
         self._semaphore = DeferredSemaphore(MAX_CONCURRENT_POLLS)
+        # Time of the last hurried poll that was admitted.
+        self._hurried_s = float("-inf")
 
     @property
     def wait_s(self) -> float:
@@ -40,6 +44,21 @@
         wait_s = self._workers() / POLLS_PER_S
         return min(MAX_WAIT_S, max(MIN_WAIT_S, wait_s))
 
+    def hurried_pause_s(
+        self, wanted_s: float, *, usual_s: float, now_s: float
+    ) -> float:
+        """Return the pause before a poll that is repeated sooner than usual.
+
+        :param wanted_s: shortest pause, in seconds; others may come first.
+        :param usual_s: longest pause, in seconds.
+        """
+        next_s = self._hurried_s + 1 / HURRIED_POLLS_PER_S
+        poll_s = max(next_s, now_s + wanted_s)
+        if poll_s >= now_s + usual_s:
+            return usual_s
+        self._hurried_s = poll_s
+        return poll_s - now_s
+
     def run(self, call: Callable[[], Awaitable[Result]]) -> Deferred[Result]:
         """Make a poll that does not wait, once fewer than the limit are in flight."""
         return self._semaphore.run(lambda: ensureDeferred(call()))
--- a/pistachiolift/node/tests/test_worker_driver.py
+++ b/pistachiolift/node/tests/test_worker_driver.py
@@ -14,6 +14,7 @@
     WorkerUnavailableError,
 )
 from pistachiolift.node.poll_limiter import (
+    HURRIED_POLLS_PER_S,
     MAX_CONCURRENT_POLLS,
     MIN_WAIT_S,
     PollLimiter,
@@ -320,6 +321,20 @@
         assert not [each for each in harness.events.log if each[0] == "superseded"]
 
 
+class TestHurriedPolls:
+    def _pause_s(self, limiter, now_s):
+        return limiter.hurried_pause_s(0.002, usual_s=0.15, now_s=now_s)
+
+    def test_their_rate_is_limited_for_all_workers_together(self):
+        """Guards against an owner kept busy by polls when many workers are lost."""
+        limiter = PollLimiter(lambda: 500)
+        pauses = [self._pause_s(limiter, 100.0) for _ in range(1000)]
+        assert pauses[0] == pytest.approx(0.002)
+        hurried = [pause for pause in pauses if pause < 0.15]
+        assert len(hurried) <= 0.15 * HURRIED_POLLS_PER_S + 1
+        assert self._pause_s(limiter, 100.2) == pytest.approx(0.002)
+
+
 class TestWorkerFence:
     def test_it_rises_with_each_advance_and_each_claim(self):
         claim = 5
--- a/pistachiolift/node/worker_driver.py
+++ b/pistachiolift/node/worker_driver.py
@@ -45,9 +45,9 @@
 RETRY_PAUSE_S = 0.15
 # While a delayed start may be carried out by the worker's next process, the first
 # contact to that process must come soon. The pause is then this share of the time
-# without an answer, and at least the shortest pause.
-DOUBT_PAUSE_SHARE = 0.025
-MIN_RETRY_PAUSE_S = 0.005
+# since the loss of the worker, and at least the shortest pause.
+DOUBT_PAUSE_SHARE = 0.02
+MIN_RETRY_PAUSE_S = 0.002
 # Polls follow each other more quickly than this, unless this instance was paused.
 POLL_GAP_LIMIT_S = 3.0
 # A start that is not answered after this many attempts is blocked by a stop.
@@ -199,6 +199,8 @@
         # Time at which the newest start without an answer was sent.
         self._unanswered_start_s = float("-inf")
         self._reachable = True
+        # Time at which the worker did not answer for the first time since.
+        self._lost_s = float("-inf")
         self._closed = False
         self._fault_logged = False
 
@@ -299,9 +301,11 @@
         """Return the pause after a poll without an answer, in seconds."""
         if not self._start_in_doubt:
             return RETRY_PAUSE_S
-        silent_s = self._clock.monotonic_s() - self._answered_s
-        pause_s = max(MIN_RETRY_PAUSE_S, silent_s * DOUBT_PAUSE_SHARE)
-        return min(RETRY_PAUSE_S, pause_s)
+        now_s = self._clock.monotonic_s()
+        wanted_s = max(MIN_RETRY_PAUSE_S, (now_s - self._lost_s) * DOUBT_PAUSE_SHARE)
+        return self._poll_limiter.hurried_pause_s(
+            wanted_s, usual_s=RETRY_PAUSE_S, now_s=now_s
+        )
 
     @property
     def _start_in_doubt(self) -> bool:
@@ -384,6 +388,7 @@
     def _handle_no_answer(self, error: WorkerUnavailableError, sent_s: float) -> None:
         if self._reachable:
             self._reachable = False
+            self._lost_s = self._clock.monotonic_s()
             if self._start_in_doubt:
                 # The next poll that is answered prevents it, whichever process answers.
                 self._fence.advance()
