Raise a worker's fencing token with each start without an answer

A delayed start was carried out by the next process of its worker, 60 ms after its begin.

Cause: the token rose only when a poll had no answer. The owner did not poll for 0.2 s, as it waited for ends to become durable, so that it did not notice the restart; the first call to the next process was the repetition of another start (start_repeated at 21:00.202 with fence=102400, worker_replaced at 21:00.251), with the token of the delayed start.

Change: the token rises with each start that has no answer. Whatever call comes next, to the same process or the next one, prevents the delayed start. Calls in flight that arrive after a newer one are rejected by the worker, which has done nothing then: CallOvertakenError has them sent again, instead of ending the ownership or counting as lost.

Tests: test_the_next_start_prevents_it_before_any_poll fails before the change (equal tokens); two more cover calls that are overtaken.

--- a/pistachiolift/node/tests/test_worker_driver.py
+++ b/pistachiolift/node/tests/test_worker_driver.py
@@ -290,6 +290,39 @@
         last = harness.connection.polls[-1]
         assert last["fence"] > harness.first_fence
 
+    def test_the_next_start_prevents_it_before_any_poll(self):
+        """A poll may be seconds away while ends are being made durable."""
+        started = StartAnswer(started=True), 5001
+        outcomes = [self.SILENT, started]
+        harness = Harness(poll_outcomes=[report()], start_outcomes=outcomes)
+        harness.driver.run()
+        harness.driver.start(COMMAND)
+        first, second = harness.connection.starts
+        assert second[2]["fence"] > first[2]["fence"]
+
+    def test_a_start_overtaken_by_a_newer_call_is_sent_again(self):
+        rejected = Deferred()
+        started = StartAnswer(started=True), 5001
+        harness = Harness(poll_outcomes=[report()], start_outcomes=[rejected, started])
+        harness.driver.run()
+        harness.driver.start(COMMAND)
+        harness.fence.advance()
+        rejected.errback(StaleOwnerError("fence"))
+        assert len(harness.connection.starts) == 2
+        # It was not carried out, so that its repetition is the first start.
+        assert ("start", True, "", False) in harness.events.log
+        assert ("unanswered", 7) not in harness.events.log
+
+    def test_a_poll_overtaken_by_a_newer_call_is_sent_again(self):
+        rejected = Deferred()
+        harness = Harness(poll_outcomes=[report(), rejected, report()])
+        harness.driver.run()
+        harness.fence.advance()
+        rejected.errback(StaleOwnerError("fence"))
+        harness.advance(0.2)
+        assert len(harness.connection.polls) == 4
+        assert "unreachable" not in harness.events.log
+
     def test_a_loss_without_such_a_start_keeps_the_token(self):
         harness = Harness(poll_outcomes=[report(), self.SILENT])
         harness.driver.run()
--- a/pistachiolift/node/worker_driver.py
+++ b/pistachiolift/node/worker_driver.py
@@ -62,6 +62,10 @@
 CLOCK_DRIFT = 0.02
 
 
+class CallOvertakenError(WorkerUnavailableError):
+    """The worker has rejected a call, since a newer one of this owner was faster."""
+
+
 class LeaseTerms:
     """Length of the leases of workers' runs.
 
@@ -242,8 +246,7 @@
         except StaleOwnerError as error:
             if not self._closed and fence == self._fence.value:
                 raise
-            # The worker has seen a newer call of this owner.
-            raise WorkerUnavailableError(error.message) from error
+            raise CallOvertakenError(error.message) from error
         except Exception as error:
             self._metrics.count("workers.call_failed")
             if not self._fault_logged:
@@ -341,6 +344,8 @@
                         wait_s=wait_s,
                     )
                 )
+            except CallOvertakenError:
+                return None
             except WorkerUnavailableError as error:
                 if not self._closed:
                     self._handle_no_answer(error, sent_s)
@@ -389,9 +394,6 @@
         if self._reachable:
             self._reachable = False
             self._lost_s = self._clock.monotonic_s()
-            if self._start_in_doubt:
-                # The next poll that is answered prevents it, whichever process answers.
-                self._fence.advance()
             log_event(
                 logger,
                 "worker_lost",
@@ -457,7 +459,10 @@
                 continue
             if attempt:
                 self._log_repetition(command, attempt, first_sent_s)
-            answer = await self._start_once(command)
+            try:
+                answer = await self._start_once(command)
+            except CallOvertakenError:
+                continue
             if answer is not None:
                 if not self._closed:
                     answer = msgspec.structs.replace(answer, repeated=attempt > 0)
@@ -523,9 +528,13 @@
                         checkpoint=command.checkpoint,
                     )
                 )
+            except CallOvertakenError:
+                raise
             except WorkerUnavailableError:
                 if not self._closed:
                     self._unanswered_start_s = sent_s
+                    # The next call of any kind prevents it, whichever process answers.
+                    self._fence.advance()
                     self._events.record_unanswered_start(command, sent_s)
                 return None
         if answer is None:
--- a/pistachiolift/node/worker_fence.py
+++ b/pistachiolift/node/worker_fence.py
@@ -5,7 +5,7 @@
 __all__ = ["VALUES_PER_CLAIM", "WorkerFence"]
 
 # Number of tokens that an owner can use for a worker under one claim.
-VALUES_PER_CLAIM = 4096
+VALUES_PER_CLAIM = 16384
 
 
 class WorkerFence:
