Acknowledge ends only right after an answer of the same process

Cause: as with delayed starts, what is meant for one process takes effect at the next one under its identifier. A poll acknowledged ends by number when the last answer was less than 3 s old. While an owner waits for ends to become durable, no poll is in flight for up to a second; a worker that starts again in that time, and starts and ends a run, forgets that end with the next poll.

Change: a poll that follows the last answer by more than 0.1 s acknowledges nothing. The next one, which follows at once, does.

Test: TestEndsOfTheNextProcess fails before the change with two runs of a task.

--- a/pistachiolift/node/worker_driver.py
+++ b/pistachiolift/node/worker_driver.py
@@ -48,8 +48,9 @@
 # since the loss of the worker, and at least the shortest pause.
 DOUBT_PAUSE_SHARE = 0.02
 MIN_RETRY_PAUSE_S = 0.002
-# Polls follow each other more quickly than this, unless this instance was paused.
-POLL_GAP_LIMIT_S = 3.0
+# If a poll follows the last answer later than this, since this instance was paused or
+# waited for ends to become durable, a next process may have started and ended runs.
+POLL_GAP_LIMIT_S = 0.1
 # A start that is not answered after this many attempts is blocked by a stop.
 MAX_START_ATTEMPTS = 5
 STOP_RETRY_S = 0.4
--- a/pistachiolift/platform/tests/test_restarted_workers.py
+++ b/pistachiolift/platform/tests/test_restarted_workers.py
@@ -53,10 +53,12 @@
         for each in self.executors:
             self.adapter.executors[each.worker.worker_id] = each
         self.workers = {first.worker_id: first}
+        # Time that the store takes to answer a write, in seconds.
+        self.write_s = 0.01
         transact = self.store.transact
 
         async def transact_later(**arguments):
-            await deferLater(self.reactor, 0.01)
+            await deferLater(self.reactor, self.write_s)
             return await transact(**arguments)
 
         self.store.transact = transact_later
@@ -69,10 +71,10 @@
         self.workers[worker.worker_id] = worker
         self.owner.update_worker(worker)
 
-    def submit(self, step=None) -> None:
+    def submit(self, step=None, *, job=JOB) -> None:
         """Submit a job, by default of one task, which starts on the first executor."""
         self.owner.scheduler.submit(
-            JOB,
+            job,
             self.table.queues[0],
             make_graph(step or make_step(cpu=2000, memory=0)),
             received_s=self.clock.monotonic_s(),
@@ -240,3 +242,34 @@
         step = cell.owner.scheduler.state.jobs_by_id[JOB].occurrences[0].steps[0]
         assert not step.runs_by_index
         cell.owner.close()
+
+
+class TestEndsOfTheNextProcess:
+    """Guards against acknowledging ends of the next process that nobody has read.
+
+    Its ends are numbered from 1 again, and no poll is in flight while the owner waits
+    for ends to become durable.
+    """
+
+    def test_they_are_not_acknowledged_by_the_number_of_an_earlier_process(self):
+        cell = Cell(work_s=0.1)
+        first = cell.executors[0]
+        cell.submit()
+        cell.advance(0.5)
+        assert cell.status is JobStatus.COMPLETED
+        second, third = JobId("second"), JobId("third")
+        step = make_step(cpu=500, memory=0)
+        cell.submit(step, job=second)
+        cell.advance(0.05)
+        # The placement of the third job, then the end of the second one, are written.
+        cell.write_s = 0.55
+        cell.submit(step, job=third)
+        cell.advance(0.25)
+        first.restart()
+        cell.advance(1.5)
+        cell.list_restarted()
+        cell.advance(3.0)
+        done = [run for run in first.history if run["task"] == "third.0.0.0"]
+        assert [run.get("how") for run in done] == ["done"]
+        assert cell.owner.scheduler.status(third) is JobStatus.COMPLETED
+        cell.owner.close()
